--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# Commands of the project; the README explains the two that matter: make run and make test.
+GO ?= go
+LINT_VERSION = 2.15.0
+LINT = $(shell $(GO) env GOPATH)/bin/golangci-lint
+PACKAGES = ./...
+
+.PHONY: all build format linter lint vet unit test run smoke fuzz generate bench
+
+all: build
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+linter:
+	@$(LINT) version 2>/dev/null | grep -q 'version $(LINT_VERSION) ' || $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v$(LINT_VERSION)
+
+format: linter
+	$(LINT) fmt
+
+lint: linter
+	$(LINT) fmt --diff
+	$(LINT) run $(PACKAGES)
+
+vet:
+	$(GO) vet $(PACKAGES)
+
+unit:
+	$(GO) test -race -timeout 20m $(PACKAGES)
+
+test: lint vet build unit
+
+run: build
+	$(GO) run ./cmd/demo --bin bin
+
+smoke: build
+	$(GO) run ./cmd/demo --bin bin --check
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem $(PACKAGES)
+
+# Needs protoc; the generated code is committed, so builds do not.
+generate:
+	GOBIN=$(CURDIR)/bin/tools $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+	GOBIN=$(CURDIR)/bin/tools $(GO) install github.com/twitchtv/twirp/protoc-gen-twirp@v8.1.3+incompatible
+	PATH="$(CURDIR)/bin/tools:$$PATH" protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative messenger/messenger.proto
--- /dev/null
+++ b/timer/doc.go
@@ -0,0 +1,7 @@
+// Package timer reads a clock that runs on while the machine is suspended.
+//
+// The monotonic reading in time.Time comes from CLOCK_MONOTONIC, which stops
+// during a suspension, so that a lease held by a resumed machine would look
+// younger than it is. Package timer derives its times from CLOCK_BOOTTIME. They
+// carry no monotonic reading, so that arithmetic on them uses this clock alone.
+package timer
