--- /dev/null
+++ b/cmd/celeryheadd/main.go
@@ -0,0 +1,4 @@
+// Command celeryheadd is the daemon of an entry instance.
+package main
+
+func main() {}
