--- /dev/null
+++ b/authenticator/doc.go
@@ -0,0 +1,6 @@
+// Package authenticator finds, checks and removes the keys of callers.
+//
+// A key has the form ch_<account>_<key name>_<43 base64url characters>. Only
+// SHA-256 digests are stored: a key holds 256 random bits, so a slow hash would
+// add nothing. Strip must run before a request leaves the entry instance.
+package authenticator
--- /dev/null
+++ b/logger/events.go
@@ -0,0 +1,209 @@
+package logger
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/apex/log"
+)
+
+var (
+	started            = register(1001, log.InfoLevel, "daemon started")
+	leaving            = register(1002, log.InfoLevel, "leaving: no longer named in look-up answers")
+	stopped            = register(1003, log.InfoLevel, "daemon stopped")
+	listenerFailed     = register(1004, log.ErrorLevel, "listener failed")
+	drainCut           = register(1005, log.ErrorLevel, "requests were still running at the end of the longest drain time")
+	headsAdopted       = register(2001, log.InfoLevel, "heads adopted")
+	configAdopted      = register(2002, log.InfoLevel, "configuration adopted")
+	configRejected     = register(2003, log.ErrorLevel, "configuration text does not match its digest or does not parse")
+	proofLost          = register(2004, log.WarnLevel, "proof of freshness expired")
+	proofRegained      = register(2005, log.InfoLevel, "proof of freshness regained")
+	fetchFailed        = register(2006, log.WarnLevel, "fetching heads or configuration failed")
+	memberChanged      = register(3001, log.InfoLevel, "member state changed")
+	assignmentWritten  = register(3002, log.InfoLevel, "assignment written")
+	assignmentFailed   = register(3003, log.WarnLevel, "assignment not written")
+	targetsChanged     = register(3004, log.InfoLevel, "owned targets changed")
+	peerRefused        = register(3005, log.WarnLevel, "peer message refused")
+	requestFailed      = register(4001, log.WarnLevel, "request failed after it may have run")
+	answerAborted      = register(4002, log.WarnLevel, "answer aborted after its first byte")
+	strikeRecorded     = register(4003, log.WarnLevel, "request crashed a target")
+	fingerprintBlocked = register(4004, log.ErrorLevel, "request refused because it crashes targets")
+	targetState        = register(4005, log.InfoLevel, "target state changed")
+	claimNotFinished   = register(4006, log.WarnLevel, "outcome of a claim was not stored")
+	requestPanicked    = register(4007, log.ErrorLevel, "request handler panicked")
+	changeAccepted     = register(5001, log.InfoLevel, "change accepted")
+	changeConflict     = register(5002, log.WarnLevel, "change refused: another change was first")
+	changeFailed       = register(5003, log.WarnLevel, "change not accepted")
+	changeInForce      = register(5004, log.InfoLevel, "change in force")
+	storeDown          = register(6001, log.WarnLevel, "store does not answer")
+	storeUp            = register(6002, log.InfoLevel, "store answers again")
+	listDown           = register(6003, log.WarnLevel, "instance list does not answer")
+	listUp             = register(6004, log.InfoLevel, "instance list answers again")
+	shiftStepped       = register(7001, log.InfoLevel, "shift advanced a step")
+	shiftHeld          = register(7002, log.WarnLevel, "shift held at its step")
+)
+
+// Started reports that all listeners are open.
+func (l *Logger) Started(callers, peers, operators netip.AddrPort, incarnation uint64) {
+	l.emit(started, log.Fields{"callers": callers, "peers": peers, "operators": operators, "incarnation": incarnation})
+}
+
+// Leaving reports the start of a graceful shutdown.
+func (l *Logger) Leaving(inFlight int) {
+	l.emit(leaving, log.Fields{"in_flight": inFlight})
+}
+
+// Stopped reports the end of a graceful shutdown.
+func (l *Logger) Stopped(d time.Duration) {
+	l.emit(stopped, log.Fields{"drain_seconds": seconds(d)})
+}
+
+// ListenerFailed reports a listener that ended with an error.
+func (l *Logger) ListenerFailed(name string, err error) {
+	l.emit(listenerFailed, log.Fields{"listener": name, "error": err.Error()})
+}
+
+// DrainCut reports requests that outlived the longest drain time.
+func (l *Logger) DrainCut(inFlight int) {
+	l.emit(drainCut, log.Fields{"in_flight": inFlight})
+}
+
+// HeadsAdopted reports a newer heads row and where it came from.
+func (l *Logger) HeadsAdopted(version uint64, from string) {
+	l.emit(headsAdopted, log.Fields{"heads_version": version, "from": from})
+}
+
+// ConfigAdopted reports a newer configuration.
+func (l *Logger) ConfigAdopted(version uint64, from string) {
+	l.emit(configAdopted, log.Fields{"config_version": version, "from": from})
+}
+
+// ConfigRejected reports a configuration text that was not adopted.
+func (l *Logger) ConfigRejected(version uint64, err error) {
+	l.emit(configRejected, log.Fields{"config_version": version, "error": err.Error()})
+}
+
+// ProofLost reports that requests that need a proof in this scope are refused from now on.
+func (l *Logger) ProofLost(scope string) {
+	l.emit(proofLost, log.Fields{"scope": scope})
+}
+
+// ProofRegained reports that a proof in this scope is valid again.
+func (l *Logger) ProofRegained(scope string, d time.Duration) {
+	l.emit(proofRegained, log.Fields{"scope": scope, "lost_seconds": seconds(d)})
+}
+
+// FetchFailed reports that newer content could not be fetched; it is tried again.
+func (l *Logger) FetchFailed(from string, err error) {
+	l.emit(fetchFailed, log.Fields{"from": from, "error": err.Error()})
+}
+
+// MemberChanged reports a new state of an instance as seen from here.
+func (l *Logger) MemberChanged(name, state string) {
+	l.emit(memberChanged, log.Fields{"member": name, "state": state})
+}
+
+// AssignmentWritten reports a new assignment that this instance wrote.
+func (l *Logger) AssignmentWritten(scope string, epoch uint64, members int) {
+	l.emit(assignmentWritten, log.Fields{"scope": scope, "epoch": epoch, "members": members})
+}
+
+// AssignmentFailed reports that a new assignment was not written; it is tried again if still needed.
+func (l *Logger) AssignmentFailed(scope string, err error) {
+	l.emit(assignmentFailed, log.Fields{"scope": scope, "error": err.Error()})
+}
+
+// TargetsChanged reports how many targets this instance owns after an assignment.
+func (l *Logger) TargetsChanged(owned int) {
+	l.emit(targetsChanged, log.Fields{"owned": owned})
+}
+
+// PeerRefused reports a peer message that was not accepted.
+func (l *Logger) PeerRefused(reason string) {
+	l.emit(peerRefused, log.Fields{"reason": reason})
+}
+
+// RequestFailed reports a request whose outcome is unknown.
+func (l *Logger) RequestFailed(route, target string, err error) {
+	l.emit(requestFailed, log.Fields{"route": route, "target": target, "error": err.Error()})
+}
+
+// AnswerAborted reports that the caller's connection was closed so that a partial answer is not taken for a whole one.
+func (l *Logger) AnswerAborted(route string, err error) {
+	l.emit(answerAborted, log.Fields{"route": route, "error": err.Error()})
+}
+
+// StrikeRecorded reports a request after which its target refused connections.
+func (l *Logger) StrikeRecorded(account, route, target string) {
+	l.emit(strikeRecorded, log.Fields{"account": account, "route": route, "target": target})
+}
+
+// FingerprintBlocked reports a refused repeat of a request that crashed targets.
+func (l *Logger) FingerprintBlocked(account, route string) {
+	l.emit(fingerprintBlocked, log.Fields{"account": account, "route": route})
+}
+
+// TargetState reports a change of a target's health state.
+func (l *Logger) TargetState(target, state string) {
+	l.emit(targetState, log.Fields{"target": target, "state": state})
+}
+
+// ClaimNotFinished reports that a resend will be answered with outcome_unknown although the request ended.
+func (l *Logger) ClaimNotFinished(route string, err error) {
+	l.emit(claimNotFinished, log.Fields{"route": route, "error": err.Error()})
+}
+
+// RequestPanicked reports a fault of the program.
+func (l *Logger) RequestPanicked(route, cause string) {
+	l.emit(requestPanicked, log.Fields{"route": route, "cause": cause})
+}
+
+// ChangeAccepted reports a committed configuration change.
+func (l *Logger) ChangeAccepted(version uint64, operator, kind string) {
+	l.emit(changeAccepted, log.Fields{"config_version": version, "operator": operator, "kind": kind})
+}
+
+// ChangeConflict reports a change that lost to another one.
+func (l *Logger) ChangeConflict(operator string, version uint64) {
+	l.emit(changeConflict, log.Fields{"operator": operator, "config_version": version})
+}
+
+// ChangeFailed reports a change that was not accepted, or whose effect is unknown until it is repeated.
+func (l *Logger) ChangeFailed(operator string, err error) {
+	l.emit(changeFailed, log.Fields{"operator": operator, "error": err.Error()})
+}
+
+// ChangeInForce reports how long a change took to be in force, and how many instances did not confirm it.
+func (l *Logger) ChangeInForce(version uint64, d time.Duration, missing int) {
+	l.emit(changeInForce, log.Fields{"config_version": version, "seconds": seconds(d), "missing": missing})
+}
+
+// StoreDown reports the first failed read after a success.
+func (l *Logger) StoreDown(err error) {
+	l.emit(storeDown, log.Fields{"error": err.Error()})
+}
+
+// StoreUp reports the first successful read after failures.
+func (l *Logger) StoreUp(d time.Duration) {
+	l.emit(storeUp, log.Fields{"down_seconds": seconds(d)})
+}
+
+// ListDown reports the first failed reading of the instance list after a success.
+func (l *Logger) ListDown(err error) {
+	l.emit(listDown, log.Fields{"error": err.Error()})
+}
+
+// ListUp reports the first successful reading of the instance list after failures.
+func (l *Logger) ListUp(d time.Duration) {
+	l.emit(listUp, log.Fields{"down_seconds": seconds(d)})
+}
+
+// ShiftStepped reports a step of a shift that this instance wrote.
+func (l *Logger) ShiftStepped(name string, step int) {
+	l.emit(shiftStepped, log.Fields{"shift": name, "step": step})
+}
+
+// ShiftHeld reports why a shift does not advance.
+func (l *Logger) ShiftHeld(name, reason string) {
+	l.emit(shiftHeld, log.Fields{"shift": name, "reason": reason})
+}
