--- /dev/null
+++ b/emulator/doc.go
@@ -0,0 +1,5 @@
+// Package emulator holds stand-ins for the platform's services and for targets.
+//
+// A stand-in speaks the published protocol of the service, keeps its state in
+// memory and shows the faults that the service is known for when told to.
+package emulator
