Add tracker: membership and peer set

Decides from list readings and heartbeats who is a peer, who may be named, who is heartbeaten and removed, and whether the own instance may act.

Newcomers are admitted early only if a listed, acting peer vouches for them: with "every listed peer confirmed" alone, two newcomers whose lagging readings do not show each other both act. Peers leave the set list_lag + list_age after the first reading without them, rather than after the last sign of them, since they may see themselves listed for list_lag after they left the list.

--- /dev/null
+++ b/tracker/observe.go
@@ -0,0 +1,210 @@
+package tracker
+
+import "time"
+
+// ObserveList records a list reading that was requested at requested and arrived at now.
+func (t *Tracker) ObserveList(requested, now time.Time, entries []Entry) {
+	self, ok := find(entries, t.c.Self.Name)
+	t.observeSelf(requested, now, self, ok)
+	seen := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		seen[e.Name] = true
+		if e.Name != t.c.Self.Name {
+			t.observeEntry(requested, now, e, ok)
+		}
+	}
+	for k, p := range t.peers.All() {
+		if !seen[k] {
+			t.observeAbsence(requested, now, p)
+		}
+	}
+	t.admit(now)
+}
+
+func find(entries []Entry, name string) (Entry, bool) {
+	for _, e := range entries {
+		if e.Name == name {
+			return e, true
+		}
+	}
+	return Entry{}, false
+}
+
+func (t *Tracker) observeSelf(requested, now time.Time, e Entry, ok bool) {
+	if ok && e.Incarnation > t.c.Self.Incarnation {
+		t.superseded = true
+		return
+	}
+	// An entry of an earlier incarnation shows that the name is listed, so peers count the name.
+	if ok {
+		if t.first.IsZero() {
+			t.first = now
+		}
+		t.listed = latest(t.listed, requested)
+		return
+	}
+	// Within ListLag of the first sight, a reading may still show the time before the registration.
+	if t.first.IsZero() || requested.Before(t.first.Add(t.c.ListLag)) {
+		return
+	}
+	t.first, t.listed, t.admitted = time.Time{}, time.Time{}, time.Time{}
+	for _, p := range t.peers.All() {
+		p.confirmed, p.together = false, false
+	}
+}
+
+func (t *Tracker) observeEntry(requested, now time.Time, e Entry, withSelf bool) {
+	if t.ended(requested, e.Instance) {
+		return
+	}
+	p := t.count(now, e.Instance, Listed)
+	p.leaving = e.Leaving
+	p.together = p.together || withSelf
+	p.evidence = now
+	p.absentSince = time.Time{}
+}
+
+// ended reports whether an entry shows an incarnation that said it stopped.
+func (t *Tracker) ended(requested time.Time, i Instance) bool {
+	d := t.departed.Get(i.Name)
+	if d == nil || !d.stopped {
+		return false
+	}
+	if i.Incarnation > d.incarnation {
+		return false
+	}
+	// A name without incarnation that stays listed longer than the lag belongs to a later process.
+	return i.Incarnation != 0 || requested.Before(d.at.Add(t.c.ListLag))
+}
+
+func (t *Tracker) observeAbsence(requested, now time.Time, p *peer) {
+	p.reasons &^= Listed
+	if requested.Before(p.evidence) {
+		return
+	}
+	if p.absentSince.IsZero() {
+		p.absentSince = now
+		return
+	}
+	if requested.Before(p.absentSince.Add(t.c.hold())) {
+		return
+	}
+	t.remove(p, departure{incarnation: p.Incarnation, at: now})
+}
+
+func (t *Tracker) remove(p *peer, d departure) {
+	t.digest ^= digest(p.Instance)
+	t.departed.Put(p.Name, d)
+	t.peers.Delete(p.Name)
+}
+
+// count adds an instance to the peer set, or replaces an earlier incarnation.
+func (t *Tracker) count(now time.Time, i Instance, r Reason) *peer {
+	p := t.peers.Get(i.Name)
+	if p == nil {
+		p = t.peers.Put(i.Name, peer{Instance: i, since: now, evidence: now})
+		t.digest ^= digest(i)
+	}
+	p.reasons |= r
+	if i.Incarnation > p.Incarnation {
+		t.digest ^= digest(p.Instance) ^ digest(i)
+		p.replace(now, i)
+	}
+	return p
+}
+
+func (p *peer) replace(now time.Time, i Instance) {
+	if p.Incarnation != 0 {
+		p.announced, p.confirmed, p.together = Joining, false, false
+		p.since, p.heard, p.sent = now, time.Time{}, time.Time{}
+	}
+	p.Instance = i
+	p.evidence = now
+}
+
+// ObserveHeartbeat records a heartbeat that arrived; false means that the sender is superseded or has stopped and gets no answer.
+func (t *Tracker) ObserveHeartbeat(now time.Time, c Contact) bool {
+	ok := t.observeContact(now, c)
+	t.admit(now)
+	return ok
+}
+
+// ObserveAnswer records the answer to a heartbeat that was sent at sent; false means that it must not count for a proof.
+func (t *Tracker) ObserveAnswer(sent, now time.Time, c Contact) bool {
+	if !t.observeContact(now, c) {
+		return false
+	}
+	p := t.peers.Get(c.From.Name)
+	// A confirmation from before the own listing would lapse before the listing shows.
+	if !t.first.IsZero() && !sent.Before(t.first) && (c.Same || t.namesSelf(c.Peers)) {
+		p.confirmed = true
+	}
+	t.admit(now)
+	return true
+}
+
+func (t *Tracker) observeContact(now time.Time, c Contact) bool {
+	if c.From.Name == t.c.Self.Name {
+		t.superseded = t.superseded || c.From.Incarnation > t.c.Self.Incarnation
+		return false
+	}
+	if t.stopped(c.From) {
+		return false
+	}
+	if p := t.peers.Get(c.From.Name); p != nil && c.From.Incarnation < p.Incarnation {
+		return false
+	}
+	if c.State == Gone {
+		t.remove(t.count(now, c.From, Contacted), departure{incarnation: c.From.Incarnation, at: now, stopped: true})
+		return false
+	}
+	p := t.count(now, c.From, Contacted)
+	p.announced = c.State
+	p.heard, p.evidence = now, now
+	p.absentSince = time.Time{}
+	for _, i := range c.Peers {
+		t.observeName(now, i)
+	}
+	return true
+}
+
+func (t *Tracker) stopped(i Instance) bool {
+	d := t.departed.Get(i.Name)
+	return d != nil && d.stopped && i.Incarnation <= d.incarnation
+}
+
+// observeName counts an instance that a peer counts. Departed incarnations stay
+// out, since peers would otherwise name them to each other for ever.
+func (t *Tracker) observeName(now time.Time, i Instance) {
+	if i.Name == t.c.Self.Name {
+		return
+	}
+	d := t.departed.Get(i.Name)
+	if d != nil && i.Incarnation <= d.incarnation {
+		return
+	}
+	t.count(now, i, Named)
+}
+
+func (t *Tracker) namesSelf(peers []Instance) bool {
+	for _, i := range peers {
+		if i.Name == t.c.Self.Name {
+			return i.Incarnation == t.c.Self.Incarnation
+		}
+	}
+	return false
+}
+
+// ObserveSent records that a heartbeat was sent to the named peer.
+func (t *Tracker) ObserveSent(now time.Time, name string) {
+	if p := t.peers.Get(name); p != nil {
+		p.sent = now
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/tracker/tracker_test.go
@@ -0,0 +1,166 @@
+package tracker_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"celeryhead.dev/celeryhead/tracker"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(d time.Duration) time.Time {
+	return start.Add(d)
+}
+
+func instance(name string, incarnation uint64) tracker.Instance {
+	return tracker.Instance{Name: name, Incarnation: incarnation, Region: "almaty", FailureDomain: "almaty_1"}
+}
+
+func entries(names ...string) []tracker.Entry {
+	var r []tracker.Entry
+	for _, n := range names {
+		r = append(r, tracker.Entry{Instance: instance(n, 0)})
+	}
+	return r
+}
+
+func newTracker(t testing.TB, name string) *tracker.Tracker {
+	t.Helper()
+	r, err := tracker.New(tracker.Config{Self: instance(name, 1), Seed: 7})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// exchange delivers one heartbeat from a to b and its answer.
+func exchange(a, b *tracker.Tracker, now time.Time) bool {
+	c := a.Heartbeat(now)
+	if !b.ObserveHeartbeat(now, c) {
+		return false
+	}
+	return a.ObserveAnswer(now, now, b.Answer(now, c))
+}
+
+// Guards against an incomplete identity, which peers could not tell from an older incarnation.
+func TestNewNeedsIdentity(t *testing.T) {
+	if _, err := tracker.New(tracker.Config{Self: tracker.Instance{Name: "a"}}); err == nil {
+		t.Fatal("New accepted an instance without incarnation")
+	}
+}
+
+// Guards against newcomers that act although a list within its lag hides them from each other.
+func TestNewcomersThatDoNotSeeEachOther(t *testing.T) {
+	a, b := newTracker(t, "a"), newTracker(t, "b")
+	for s := time.Second; s < 14*time.Second; s += time.Second {
+		a.ObserveList(at(s), at(s), entries("a"))
+		b.ObserveList(at(s), at(s), entries("b"))
+		if (a.Acts(at(s)) || b.Acts(at(s))) && s < 14*time.Second {
+			t.Fatalf("a newcomer acts after %v, before the list must show it to the other", s)
+		}
+	}
+	a.ObserveList(at(14*time.Second), at(14*time.Second), entries("a", "b"))
+	if !a.Acts(at(14 * time.Second)) {
+		t.Fatal("the newcomer does not act after list_lag + list_age")
+	}
+}
+
+// Guards against a newcomer that acts before an instance known only to its peers counts it.
+func TestNewcomerWaitsForNamedPeers(t *testing.T) {
+	e, x, n := newTracker(t, "e"), newTracker(t, "x"), newTracker(t, "n")
+	for s := time.Duration(0); s <= 14*time.Second; s += time.Second {
+		e.ObserveList(at(s), at(s), entries("e", "x"))
+		x.ObserveList(at(s), at(s), entries("e", "x"))
+	}
+	now := at(14 * time.Second)
+	exchange(x, e, now)
+	n.ObserveList(now, now, entries("e", "n"))
+	exchange(n, e, now)
+	if n.Acts(now) {
+		t.Fatal("the newcomer acts although x does not count it")
+	}
+	exchange(n, x, now)
+	if !n.Acts(now) {
+		t.Fatal("the newcomer does not act although every peer counts it")
+	}
+}
+
+// Guards against dropping a peer that may still act: it can see itself listed
+// for list_lag after it left the list, and acts for list_age after that reading.
+func TestPeerIsKeptWhileItMayAct(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		absent []time.Duration
+		want   bool
+	}{
+		{"one reading", []time.Duration{20 * time.Second}, true},
+		{"readings over less than the hold", []time.Duration{20 * time.Second, 32 * time.Second}, true},
+		{"readings over the hold", []time.Duration{20 * time.Second, 33 * time.Second}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := newTracker(t, "a")
+			a.ObserveList(at(0), at(0), entries("a", "b"))
+			for _, d := range c.absent {
+				a.ObserveList(at(d), at(d), entries("a"))
+			}
+			if got := len(a.Peers(at(time.Minute))) == 1; got != c.want {
+				t.Fatalf("kept: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against mistaking messages of ended or superseded incarnations for signs of life.
+func TestIncarnations(t *testing.T) {
+	a := newTracker(t, "a")
+	heard := func(i uint64, s tracker.State) string {
+		ok := a.ObserveHeartbeat(at(0), tracker.Contact{From: instance("b", i), State: s})
+		r := fmt.Sprint(ok)
+		for _, p := range a.Peers(at(0)) {
+			r += fmt.Sprint(" ", p.Incarnation)
+		}
+		return r
+	}
+	for _, c := range []struct {
+		incarnation uint64
+		state       tracker.State
+		want        string
+	}{
+		{5, tracker.Active, "true 5"},
+		{4, tracker.Active, "false 5"},
+		{4, tracker.Gone, "false 5"},
+		{6, tracker.Joining, "true 6"},
+		{6, tracker.Gone, "false"},
+		{6, tracker.Active, "false"},
+		{7, tracker.Joining, "true 7"},
+	} {
+		if got := heard(c.incarnation, c.state); got != c.want {
+			t.Fatalf("incarnation %d %v: %s, want %s", c.incarnation, c.state, got, c.want)
+		}
+	}
+}
+
+// Guards against removals during the first 1.5 s of silence, or by an instance that was itself paused.
+func TestSilence(t *testing.T) {
+	a := newTracker(t, "a")
+	a.ObserveList(at(0), at(0), entries("a", "b"))
+	a.ObserveHeartbeat(at(0), tracker.Contact{From: instance("b", 1), State: tracker.Active})
+	var suspected, removed time.Duration
+	for s := time.Duration(0); removed == 0; s += 10 * time.Millisecond {
+		p := a.Tick(at(s))
+		if a.State(at(s), "b") == tracker.Suspected && suspected == 0 {
+			suspected = s
+		}
+		if len(p.Remove) > 0 {
+			removed = s
+		}
+	}
+	if suspected != tracker.DefaultSuspicion || removed < suspected || removed > 2*time.Second {
+		t.Fatalf("suspected after %v, removed after %v", suspected, removed)
+	}
+	if p := a.Tick(at(time.Hour)); len(p.Remove) > 0 {
+		t.Fatal("an instance that was paused for an hour removes its peers at once")
+	}
+}
--- /dev/null
+++ b/tracker/view.go
@@ -0,0 +1,222 @@
+package tracker
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Plan is what the daemon does after a tick.
+type Plan struct {
+	// Heartbeat holds the peers that are due for a heartbeat.
+	Heartbeat []Instance
+	// Remove holds the instances that should leave the assignments.
+	Remove []Instance
+}
+
+// Tick returns the heartbeats and removals that are due at now.
+func (t *Tracker) Tick(now time.Time) Plan {
+	t.noticePause(now)
+	t.admit(now)
+	t.forget(now)
+	var r Plan
+	for _, p := range t.peers.All() {
+		if !now.Before(p.sent.Add(t.c.Heartbeat)) {
+			r.Heartbeat = append(r.Heartbeat, p.Instance)
+		}
+		if t.silence(now, p) >= t.c.Suspicion+t.jitter(p) {
+			r.Remove = append(r.Remove, p.Instance)
+		}
+	}
+	return r
+}
+
+// noticePause restarts the measurement of silence after a pause of the own
+// process, during which no peer could be heard.
+func (t *Tracker) noticePause(now time.Time) {
+	if !t.ticked.IsZero() && now.Sub(t.ticked) > 2*t.c.Heartbeat {
+		t.resumed = now
+	}
+	t.ticked = now
+}
+
+func (t *Tracker) forget(now time.Time) {
+	for k, d := range t.departed.All() {
+		if now.Sub(d.at) > t.c.ListOutage+t.c.hold() {
+			t.departed.Delete(k)
+		}
+	}
+}
+
+func (t *Tracker) silence(now time.Time, p *peer) time.Duration {
+	return now.Sub(latest(latest(p.since, p.heard), t.resumed))
+}
+
+// jitter spreads the removals of one peer over its observers.
+func (t *Tracker) jitter(p *peer) time.Duration {
+	var b [24]byte
+	binary.LittleEndian.PutUint64(b[0:], t.c.Seed)
+	binary.LittleEndian.PutUint64(b[8:], xxhash.Sum64String(p.Name))
+	binary.LittleEndian.PutUint64(b[16:], p.Incarnation)
+	return time.Duration(float64(t.c.Jitter) * float64(xxhash.Sum64(b[:])>>11) / (1 << 53))
+}
+
+func (t *Tracker) state(now time.Time, p *peer) State {
+	switch {
+	case t.silence(now, p) >= t.c.Suspicion:
+		return Suspected
+	case p.leaving || p.announced == Leaving:
+		return Leaving
+	case p.heard.IsZero():
+		return Joining
+	default:
+		return p.announced
+	}
+}
+
+// Peers returns the peer set.
+func (t *Tracker) Peers(now time.Time) []Peer {
+	r := make([]Peer, 0, t.peers.Len())
+	for _, p := range t.peers.All() {
+		r = append(r, Peer{
+			Instance:  p.Instance,
+			Reasons:   p.reasons,
+			State:     t.state(now, p),
+			Heard:     p.heard,
+			Confirmed: p.confirmed,
+		})
+	}
+	return r
+}
+
+// Digest returns a digest of the names and incarnations of the peer set and the own instance.
+func (t *Tracker) Digest() uint64 {
+	return t.digest
+}
+
+// Heartbeat returns the membership part of a heartbeat.
+func (t *Tracker) Heartbeat(now time.Time) Contact {
+	return Contact{From: t.c.Self, State: t.Own(now), Digest: t.digest}
+}
+
+// Answer returns the membership part of the answer to c, which was observed before.
+func (t *Tracker) Answer(now time.Time, c Contact) Contact {
+	r := t.Heartbeat(now)
+	r.Same = c.Digest == t.digest
+	if !r.Same {
+		r.Peers = t.Instances()
+	}
+	return r
+}
+
+// Instances returns the peer set and the own instance.
+func (t *Tracker) Instances() []Instance {
+	r := make([]Instance, 0, t.peers.Len()+1)
+	r = append(r, t.c.Self)
+	for _, p := range t.peers.All() {
+		r = append(r, p.Instance)
+	}
+	return r
+}
+
+// State returns the membership state of the named instance.
+func (t *Tracker) State(now time.Time, name string) State {
+	if name == t.c.Self.Name {
+		return t.Own(now)
+	}
+	if p := t.peers.Get(name); p != nil {
+		return t.state(now, p)
+	}
+	return Gone
+}
+
+// Own returns the state that the own instance announces.
+func (t *Tracker) Own(now time.Time) State {
+	switch {
+	case t.leaving:
+		return Leaving
+	case t.Acts(now):
+		return Active
+	default:
+		return Joining
+	}
+}
+
+// Members returns the instances that assignments and look-up answers may name, the own one included.
+func (t *Tracker) Members(now time.Time) []Instance {
+	var r []Instance
+	if t.Own(now) == Active {
+		r = append(r, t.c.Self)
+	}
+	for _, p := range t.peers.All() {
+		if t.state(now, p) == Active {
+			r = append(r, p.Instance)
+		}
+	}
+	return r
+}
+
+// HasPeer reports whether the peer set holds an instance of the region.
+func (t *Tracker) HasPeer(region string) bool {
+	for _, p := range t.peers.All() {
+		if p.Region == region {
+			return true
+		}
+	}
+	return false
+}
+
+// Acts reports whether the instance may accept changes and take ownership.
+func (t *Tracker) Acts(now time.Time) bool {
+	return !t.superseded && !t.admitted.IsZero() && now.Before(t.listed.Add(t.c.ListAge))
+}
+
+// Admitted returns when the instance was admitted, or zero; only evidence requested since then counts for a proof.
+func (t *Tracker) Admitted() time.Time {
+	if t.superseded {
+		return time.Time{}
+	}
+	return t.admitted
+}
+
+// ListedAt returns when the newest list reading that shows the own instance was requested.
+func (t *Tracker) ListedAt() time.Time {
+	return t.listed
+}
+
+// Departures reports whether a peer left the list without saying that it
+// stopped; it may still hold a proof from a store read for ListOutage.
+func (t *Tracker) Departures() bool {
+	for _, d := range t.departed.All() {
+		if !d.stopped {
+			return true
+		}
+	}
+	return false
+}
+
+// admit lets a newcomer act once every peer counts it, or after ListLag +
+// ListAge, when every instance with a usable list reading sees it.
+func (t *Tracker) admit(now time.Time) {
+	if t.first.IsZero() || !t.admitted.IsZero() {
+		return
+	}
+	if !now.Before(t.first.Add(t.c.hold())) || t.vouched() {
+		t.admitted = now
+	}
+}
+
+// vouched reports whether every peer counts the own incarnation and one of them
+// acts and was listed together with it. Without such a voucher two newcomers
+// whose readings do not show each other yet could both act.
+func (t *Tracker) vouched() bool {
+	ok := false
+	for _, p := range t.peers.All() {
+		if !p.confirmed {
+			return false
+		}
+		ok = ok || p.together && p.announced == Active
+	}
+	return ok
+}
