Add attester and assigner

Only evidence requested after the admission counts, and the first must come from the store or an acting peer. A release is kept back while the owner of an epoch before the preceding one may still act.

--- /dev/null
+++ b/assigner/assigner.go
@@ -0,0 +1,311 @@
+package assigner
+
+import (
+	"time"
+
+	"celeryhead.dev/celeryhead/indexer"
+)
+
+// DefaultFreshness is the largest age of a proof.
+const DefaultFreshness = 3 * time.Second
+
+// FleetScope is the scope of resources that the whole fleet shares.
+const FleetScope = ""
+
+// Config holds the own identity and the settings.
+type Config struct {
+	Self Member
+	// Freshness is the largest age of a proof; 0 means DefaultFreshness.
+	Freshness time.Duration
+	// LargestDeadline bounds how long a request of an earlier owner may run.
+	LargestDeadline time.Duration
+}
+
+// Resource is something that one instance owns at a time: a target or a part of a bucket.
+type Resource struct {
+	Name string
+	// Scope is the region of a target, or FleetScope.
+	Scope string
+	Part  int
+}
+
+// Residue is work of earlier owners that may still run.
+type Residue struct {
+	// Unknown means that any number of slots may be busy until Until.
+	Unknown bool
+	Slots   int
+	Until   time.Time
+}
+
+// Heads is the part of the heads row that assigns resources.
+type Heads struct {
+	Version uint64
+	// Scopes maps each region and FleetScope to its assignment; a region without members falls back to the fleet.
+	Scopes map[string]Assignment
+}
+
+// Loss is a resource that the instance stops using.
+type Loss struct {
+	Resource
+	// Inherited is work of earlier owners to report beside the own work.
+	Inherited Residue
+}
+
+// Change says what an adopted version changed for the instance.
+type Change struct {
+	Lost   []Loss
+	Gained []Resource
+}
+
+type holding struct {
+	owner   Member
+	mine    bool
+	ready   time.Time
+	from    Member
+	version uint64
+	residue Residue
+}
+
+type scope struct {
+	ranking
+	epoch uint64
+	// fleet is the epoch of the fleet, which counts while the scope falls back to it.
+	fleet    uint64
+	fallback bool
+	// learned is when the members were adopted.
+	learned time.Time
+}
+
+// steps counts the changes of members between two states of a scope.
+func (s scope) steps(n scope) uint64 {
+	r := n.epoch - s.epoch
+	if s.fallback || n.fallback {
+		r += n.fleet - s.fleet
+	}
+	return r
+}
+
+// Assigner holds the assignments as one instance applies them.
+type Assigner struct {
+	c        Config
+	heads    Heads
+	scopes   map[string]scope
+	holdings *indexer.Table[Resource, holding]
+	released uint64
+	// stopped is the version up to which lost work has stopped; it is reported from hold on.
+	stopped uint64
+	hold    time.Time
+}
+
+// New returns an assigner that owns nothing.
+func New(c Config) *Assigner {
+	if c.Freshness == 0 {
+		c.Freshness = DefaultFreshness
+	}
+	return &Assigner{
+		c:        c,
+		scopes:   map[string]scope{},
+		holdings: indexer.New[Resource, holding](),
+	}
+}
+
+// Version returns the adopted heads version.
+func (a *Assigner) Version() uint64 {
+	return a.heads.Version
+}
+
+// SetResources replaces the resources; those that stay keep their state.
+func (a *Assigner) SetResources(now time.Time, rs []Resource) {
+	keep := make(map[Resource]bool, len(rs))
+	for _, r := range rs {
+		keep[r] = true
+		if a.holdings.Get(r) == nil {
+			a.add(now, r)
+		}
+	}
+	for r := range a.holdings.All() {
+		if !keep[r] {
+			a.holdings.Delete(r)
+		}
+	}
+}
+
+// add starts a resource like one whose earlier owner is unknown: instances that
+// apply an older epoch may know it already.
+func (a *Assigner) add(now time.Time, r Resource) {
+	s := a.scope(now, r.Scope)
+	h := holding{version: a.heads.Version}
+	a.gain(&h, s.learned)
+	h.owner, _ = s.owner(r.Name, r.Part)
+	h.mine = h.owner.is(a.c.Self)
+	a.holdings.Put(r, h)
+}
+
+func (a *Assigner) scope(now time.Time, name string) scope {
+	s, ok := a.scopes[name]
+	if !ok {
+		s = effective(now, a.heads, name)
+		a.scopes[name] = s
+	}
+	return s
+}
+
+func effective(now time.Time, h Heads, name string) scope {
+	own := h.Scopes[name]
+	s := scope{epoch: own.Epoch, learned: now}
+	if name == FleetScope || len(own.Members) > 0 {
+		s.ranking = rank(own.Members)
+	} else {
+		s.fallback = true
+		s.ranking = rank(h.Scopes[FleetScope].Members)
+	}
+	if name != FleetScope {
+		s.fleet = h.Scopes[FleetScope].Epoch
+	}
+	return s
+}
+
+// Adopt applies a newer version of the heads row at now, when the instance
+// learned of it; it reports false for a version that is not newer. The caller
+// stops the lost work and then calls Release.
+func (a *Assigner) Adopt(now time.Time, h Heads) (Change, bool) {
+	if h.Version <= a.heads.Version {
+		return Change{}, false
+	}
+	steps := a.replaceScopes(now, h)
+	a.heads = h
+	var c Change
+	for r, o := range a.holdings.All() {
+		a.move(now, r, o, steps[r.Scope], &c)
+	}
+	return c, true
+}
+
+// replaceScopes applies the assignments and returns the changes of members in each scope.
+func (a *Assigner) replaceScopes(now time.Time, h Heads) map[string]uint64 {
+	for name := range h.Scopes {
+		if _, ok := a.scopes[name]; !ok {
+			a.scopes[name] = scope{}
+		}
+	}
+	steps := make(map[string]uint64, len(a.scopes))
+	for name, s := range a.scopes {
+		n := effective(now, h, name)
+		steps[name] = s.steps(n)
+		if steps[name] == 0 {
+			n.learned = s.learned
+		}
+		a.postpone(now, s, steps[name])
+		a.scopes[name] = n
+	}
+	return steps
+}
+
+// postpone keeps back the release while the owner of an epoch before the last
+// one may still act: the next owner takes this release for the release of all.
+func (a *Assigner) postpone(now time.Time, s scope, steps uint64) {
+	switch {
+	case steps == 1:
+		a.hold = latest(a.hold, s.learned.Add(a.c.Freshness))
+	case steps > 1:
+		a.hold = latest(a.hold, now.Add(a.c.Freshness))
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (a *Assigner) move(now time.Time, r Resource, h *holding, steps uint64, c *Change) {
+	if steps == 0 {
+		return
+	}
+	s := a.scopes[r.Scope]
+	old, was := h.owner, h.mine
+	h.owner, _ = s.owner(r.Name, r.Part)
+	h.mine = h.owner.is(a.c.Self)
+	if steps == 1 && was && h.mine {
+		return
+	}
+	if was {
+		c.Lost = append(c.Lost, Loss{Resource: r, Inherited: h.residue})
+	}
+	if !h.mine {
+		return
+	}
+	c.Gained = append(c.Gained, r)
+	h.version = a.heads.Version
+	a.gain(h, now)
+	if steps == 1 {
+		h.from = old
+	}
+}
+
+// gain starts the wait for the proofs and requests of earlier owners to lapse.
+func (a *Assigner) gain(h *holding, learned time.Time) {
+	h.ready = learned.Add(a.c.Freshness)
+	h.from = Member{}
+	h.residue = Residue{Unknown: true, Until: h.ready.Add(a.c.LargestDeadline)}
+}
+
+// Release records that work lost up to version has stopped.
+func (a *Assigner) Release(version uint64) {
+	a.stopped = max(a.stopped, min(version, a.heads.Version))
+}
+
+// Released returns the version up to which heartbeats report lost work as stopped.
+func (a *Assigner) Released(now time.Time) uint64 {
+	if !now.Before(a.hold) {
+		a.released = a.stopped
+	}
+	return a.released
+}
+
+// ObserveRelease records that an incarnation reported work as stopped up to
+// version; residues holds its work that still runs, by resource.
+func (a *Assigner) ObserveRelease(now time.Time, from Member, version uint64, residues map[Resource]Residue) {
+	for r, h := range a.holdings.All() {
+		if !h.mine || h.from.Name == "" || !h.from.is(from) || version < h.version {
+			continue
+		}
+		if now.Before(h.ready) {
+			h.ready = now
+		}
+		if h.residue.Unknown {
+			h.residue = residues[r]
+		}
+	}
+}
+
+// MayAct reports whether the instance owns the resource and has waited for earlier owners.
+func (a *Assigner) MayAct(r Resource, now time.Time) bool {
+	h := a.holdings.Get(r)
+	return h != nil && h.mine && !now.Before(h.ready)
+}
+
+// Owner returns the owner of the resource in the adopted assignment.
+func (a *Assigner) Owner(r Resource) (Member, bool) {
+	h := a.holdings.Get(r)
+	if h == nil || h.owner.Name == "" {
+		return Member{}, false
+	}
+	return h.owner, true
+}
+
+// Residue returns the work of earlier owners that may still run at now.
+func (a *Assigner) Residue(r Resource, now time.Time) Residue {
+	h := a.holdings.Get(r)
+	if h == nil || !now.Before(h.residue.Until) {
+		return Residue{}
+	}
+	return h.residue
+}
+
+// NeedsFleet reports whether ownership in the scope needs the fleet proof: the
+// region proof does not cover changes by instances of other regions.
+func (a *Assigner) NeedsFleet(name string) bool {
+	return name == FleetScope || len(a.heads.Scopes[name].Members) == 0
+}
--- /dev/null
+++ b/attester/attester.go
@@ -0,0 +1,319 @@
+package attester
+
+import (
+	"time"
+
+	"celeryhead.dev/celeryhead/indexer"
+)
+
+// Defaults of the settings in Config.
+const (
+	DefaultFreshness  = 3 * time.Second
+	DefaultListAge    = 3 * time.Second
+	DefaultListOutage = 30 * time.Minute
+)
+
+// Scope says which changes a proof covers.
+type Scope uint8
+
+// Fleet covers every change, Region only the assignment of the own region.
+const (
+	Fleet Scope = iota
+	Region
+	scopes
+)
+
+// Config holds the settings; zero durations take the defaults.
+type Config struct {
+	Region    string
+	Freshness time.Duration
+	// ListAge is how long a list reading supports proofs from heartbeats.
+	ListAge time.Duration
+	// ListOutage is how long a list reading supports proofs from store reads.
+	ListOutage time.Duration
+}
+
+// Peer is one member of the peer set; incarnation 0 means unknown.
+type Peer struct {
+	Name        string
+	Incarnation uint64
+	Region      string
+}
+
+// Membership is what the tracker knows.
+type Membership struct {
+	// Admitted is tracker.Admitted: evidence requested earlier does not count.
+	Admitted time.Time
+	// Listed is tracker.ListedAt.
+	Listed time.Time
+	Peers  []Peer
+}
+
+// evidence is the newest request whose answer counts, and the newest one that
+// waits for the adoption of a version.
+type evidence struct {
+	counted time.Time
+	pending time.Time
+	version uint64
+}
+
+func (e *evidence) record(sent time.Time, version, adopted uint64) {
+	if version <= adopted {
+		e.counted = latest(e.counted, sent)
+		return
+	}
+	if sent.After(e.pending) {
+		e.pending, e.version = sent, version
+	}
+}
+
+func (e *evidence) adopt(version uint64) {
+	if e.pending.IsZero() || e.version > version {
+		return
+	}
+	e.counted = latest(e.counted, e.pending)
+	e.pending = time.Time{}
+}
+
+type peer struct {
+	Peer
+	evidence
+	// confirmed is the largest version that this incarnation said it applies.
+	confirmed uint64
+	seen      bool
+}
+
+// oldest caches the peer with the oldest counted request of a scope.
+type oldest struct {
+	at     time.Time
+	holder string
+	none   bool
+	dirty  bool
+}
+
+// Attester collects the evidence of one instance.
+type Attester struct {
+	c        Config
+	adopted  uint64
+	known    uint64
+	admitted time.Time
+	listed   time.Time
+	read     evidence
+	// primed is set by the first store read, or answer of an acting peer, that counts after the admission.
+	primed evidence
+	peers  *indexer.Table[string, peer]
+	oldest [scopes]oldest
+}
+
+// New returns an attester that has adopted no version and holds no proof.
+func New(c Config) *Attester {
+	setDefault(&c.Freshness, DefaultFreshness)
+	setDefault(&c.ListAge, DefaultListAge)
+	setDefault(&c.ListOutage, DefaultListOutage)
+	a := &Attester{c: c, peers: indexer.New[string, peer]()}
+	a.invalidate()
+	return a
+}
+
+func setDefault(d *time.Duration, v time.Duration) {
+	if *d == 0 {
+		*d = v
+	}
+}
+
+// Version returns the adopted heads version, which heartbeats and their answers carry.
+func (a *Attester) Version() uint64 {
+	return a.adopted
+}
+
+// Adopt records that the content of a heads version is applied; an older version is ignored and reported as false.
+func (a *Attester) Adopt(version uint64) bool {
+	if version < a.adopted {
+		return false
+	}
+	a.adopted = version
+	a.read.adopt(version)
+	a.primed.adopt(version)
+	for _, p := range a.peers.All() {
+		p.adopt(version)
+	}
+	a.invalidate()
+	return true
+}
+
+// SetMembership replaces the peer set; it keeps the evidence of incarnations that stay.
+func (a *Attester) SetMembership(m Membership) {
+	if !m.Admitted.Equal(a.admitted) {
+		a.reset(m.Admitted)
+	}
+	a.listed = m.Listed
+	for _, p := range a.peers.All() {
+		p.seen = false
+	}
+	for _, p := range m.Peers {
+		a.setPeer(p)
+	}
+	for k, p := range a.peers.All() {
+		if !p.seen {
+			a.peers.Delete(k)
+			a.invalidate()
+		}
+	}
+}
+
+// reset drops all evidence, because it was requested before the admission.
+func (a *Attester) reset(admitted time.Time) {
+	a.admitted = admitted
+	a.read, a.primed = evidence{}, evidence{}
+	for _, p := range a.peers.All() {
+		p.evidence = evidence{}
+	}
+	a.invalidate()
+}
+
+func (a *Attester) setPeer(m Peer) {
+	p := a.peers.Get(m.Name)
+	if p == nil {
+		p = a.peers.Put(m.Name, peer{Peer: m})
+		a.invalidate()
+	}
+	if p.Incarnation != m.Incarnation || p.Region != m.Region {
+		*p = peer{Peer: m}
+		a.invalidate()
+	}
+	p.seen = true
+}
+
+func (a *Attester) invalidate() {
+	for i := range a.oldest {
+		a.oldest[i].dirty = true
+	}
+}
+
+func (a *Attester) usable(sent time.Time) bool {
+	return !a.admitted.IsZero() && !sent.Before(a.admitted)
+}
+
+// RecordRead records a read of the heads row that was sent at sent and returned version.
+func (a *Attester) RecordRead(sent time.Time, version uint64) {
+	if !a.usable(sent) {
+		return
+	}
+	a.read.record(sent, version, a.adopted)
+	a.primed.record(sent, version, a.adopted)
+}
+
+// Answer is a peer's answer to a heartbeat.
+type Answer struct {
+	Name        string
+	Incarnation uint64
+	// Version is the heads version that the peer applies.
+	Version uint64
+	// Active reports that the peer was admitted and not leaving.
+	Active bool
+}
+
+// RecordAnswer records an answer to a heartbeat that was sent at sent.
+func (a *Attester) RecordAnswer(sent time.Time, r Answer) {
+	p := a.peer(r.Name, r.Incarnation)
+	if p == nil {
+		return
+	}
+	p.confirmed = max(p.confirmed, r.Version)
+	if !a.usable(sent) {
+		return
+	}
+	p.record(sent, r.Version, a.adopted)
+	if r.Active {
+		a.primed.record(sent, r.Version, a.adopted)
+	}
+	for i := range a.oldest {
+		a.oldest[i].dirty = a.oldest[i].dirty || a.oldest[i].holder == r.Name
+	}
+}
+
+// RecordVersion records the heads version in a heartbeat that a peer sent. With
+// final set, the peer said that it stopped: it will not be asked again, so
+// heartbeats prove nothing until its version is adopted.
+func (a *Attester) RecordVersion(name string, incarnation, version uint64, final bool) {
+	if p := a.peer(name, incarnation); p != nil {
+		p.confirmed = max(p.confirmed, version)
+	}
+	if final {
+		a.known = max(a.known, version)
+	}
+}
+
+func (a *Attester) peer(name string, incarnation uint64) *peer {
+	p := a.peers.Get(name)
+	if p == nil || p.Incarnation != incarnation {
+		return nil
+	}
+	return p
+}
+
+// Expiry returns when the proof of the scope lapses, or zero without one.
+func (a *Attester) Expiry(s Scope) time.Time {
+	if a.adopted == 0 || a.admitted.IsZero() || a.primed.counted.IsZero() {
+		return time.Time{}
+	}
+	return latest(a.readExpiry(), a.roundExpiry(s))
+}
+
+// Valid reports whether the proof of the scope holds at now.
+func (a *Attester) Valid(s Scope, now time.Time) bool {
+	return now.Before(a.Expiry(s))
+}
+
+func (a *Attester) readExpiry() time.Time {
+	if a.read.counted.IsZero() {
+		return time.Time{}
+	}
+	return earliest(a.read.counted.Add(a.c.Freshness), a.listed.Add(a.c.ListOutage))
+}
+
+func (a *Attester) roundExpiry(s Scope) time.Time {
+	if a.known > a.adopted {
+		return time.Time{}
+	}
+	o := &a.oldest[s]
+	if o.dirty {
+		*o = a.findOldest(s)
+	}
+	// Every peer listed before the reading is in the set only while the reading is fresh.
+	limit := a.listed.Add(a.c.ListAge)
+	if o.none {
+		return limit
+	}
+	if o.at.IsZero() {
+		return time.Time{}
+	}
+	return earliest(limit, o.at.Add(a.c.Freshness))
+}
+
+func (a *Attester) findOldest(s Scope) oldest {
+	r := oldest{none: true}
+	for k, p := range a.peers.All() {
+		if s == Region && p.Region != a.c.Region {
+			continue
+		}
+		if r.none || p.counted.Before(r.at) {
+			r = oldest{at: p.counted, holder: k}
+		}
+	}
+	return r
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -13,6 +13,8 @@
 	Heartbeat []Instance
 	// Remove holds the instances that should leave the assignments.
 	Remove []Instance
+	// Doubtful holds the suspected instances that stay in the assignments for now.
+	Doubtful []Instance
 }
 
 // Tick returns the heartbeats and removals that are due at now.
@@ -25,8 +27,12 @@
 		if !now.Before(p.sent.Add(t.c.Heartbeat)) {
 			r.Heartbeat = append(r.Heartbeat, p.Instance)
 		}
-		if t.silence(now, p) >= t.c.Suspicion+t.jitter(p) {
+		s := t.silence(now, p)
+		switch {
+		case s >= t.c.Suspicion+t.jitter(p):
 			r.Remove = append(r.Remove, p.Instance)
+		case s >= t.c.Suspicion:
+			r.Doubtful = append(r.Doubtful, p.Instance)
 		}
 	}
 	return r
