--- /dev/null
+++ b/composer/key.go
@@ -0,0 +1,93 @@
+package composer
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"slices"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Errors of changes to keys.
+var (
+	ErrKeyName        = merry.Sentinel("name of an account or key must be of a-z, 0-9 and '-', and have 1 to 64 bytes")
+	ErrUnknownAccount = merry.Sentinel("account does not exist")
+	ErrUnknownKey     = merry.Sentinel("key does not exist")
+	ErrKeyExists      = merry.Sentinel("key exists already")
+)
+
+const (
+	secretPrefix = "ch"
+	// secretBytes of randomness make 43 characters of base64url.
+	secretBytes  = 32
+	secretParts  = 4
+	secretLength = 43
+)
+
+// NewKey returns a new secret of the form ch_<account>_<name>_<43 characters> and the key that holds its digest.
+func NewKey(account, name string) (string, Key, error) {
+	if !isKeyName(account) || !isKeyName(name) {
+		return "", Key{}, merry.Wrap(ErrKeyName)
+	}
+	b := make([]byte, secretBytes)
+	if _, err := rand.Read(b); err != nil {
+		return "", Key{}, merry.Prepend(err, "new key")
+	}
+	random := base64.RawURLEncoding.EncodeToString(b)
+	secret := strings.Join([]string{secretPrefix, account, name, random}, "_")
+	return secret, Key{Name: name, Digest: SecretDigest(secret)}, nil
+}
+
+// SecretDigest returns the SHA-256 digest of a whole secret, as Key holds it.
+func SecretDigest(secret string) [32]byte {
+	return sha256.Sum256([]byte(secret))
+}
+
+// SplitSecret returns the account and key name in a secret; it does not say that the key exists.
+func SplitSecret(secret string) (account, name string, ok bool) {
+	p := strings.SplitN(secret, "_", secretParts)
+	if len(p) != secretParts || p[0] != secretPrefix || len(p[3]) != secretLength {
+		return "", "", false
+	}
+	if !isKeyName(p[1]) || !isKeyName(p[2]) {
+		return "", "", false
+	}
+	b, err := base64.RawURLEncoding.Strict().DecodeString(p[3])
+	if err != nil || len(b) != secretBytes {
+		return "", "", false
+	}
+	return p[1], p[2], true
+}
+
+// WithKey returns a copy of c in which the account has the key; errors: ErrUnknownAccount, ErrKeyExists.
+func (c Config) WithKey(account string, k Key) (Config, error) {
+	c = c.Canonical()
+	i := slices.IndexFunc(c.Accounts, func(a Account) bool { return a.Name == account })
+	if i < 0 {
+		return Config{}, merry.Wrap(ErrUnknownAccount)
+	}
+	a := &c.Accounts[i]
+	if slices.ContainsFunc(a.Keys, func(v Key) bool { return v.Name == k.Name }) {
+		return Config{}, merry.Wrap(ErrKeyExists)
+	}
+	a.Keys = append(a.Keys, k)
+	return c.Canonical(), nil
+}
+
+// WithoutKey returns a copy of c in which the account lacks the key; errors: ErrUnknownAccount, ErrUnknownKey.
+func (c Config) WithoutKey(account, name string) (Config, error) {
+	c = c.Canonical()
+	i := slices.IndexFunc(c.Accounts, func(a Account) bool { return a.Name == account })
+	if i < 0 {
+		return Config{}, merry.Wrap(ErrUnknownAccount)
+	}
+	a := &c.Accounts[i]
+	n := len(a.Keys)
+	a.Keys = slices.DeleteFunc(a.Keys, func(v Key) bool { return v.Name == name })
+	if len(a.Keys) == n {
+		return Config{}, merry.Wrap(ErrUnknownKey)
+	}
+	return c.Canonical(), nil
+}
