--- a/composer/encode.go
+++ b/composer/encode.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
+	"io"
 	"net/netip"
 	"slices"
 	"time"
@@ -125,6 +126,19 @@
 	return b.Bytes(), nil
 }
 
+// Print checks c and writes its canonical TOML to w; its error is Problems or an error of w.
+func Print(w io.Writer, c Config) error {
+	if err := c.Check(); err != nil {
+		return err
+	}
+	text, err := Encode(c)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(text)
+	return merry.Prepend(err, "print configuration")
+}
+
 // Digest returns the SHA-256 digest of the text of a configuration.
 func Digest(text []byte) [32]byte {
 	return sha256.Sum256(text)
