--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -91,7 +91,9 @@
 	heads    Heads
 	scopes   map[string]scope
 	holdings *indexer.Table[Resource, holding]
-	released uint64
+	// deadlines bounds the requests on single resources.
+	deadlines map[Resource]time.Duration
+	released  uint64
 	// stopped is the version up to which lost work has stopped; it is reported from hold on.
 	stopped uint64
 	hold    time.Time
@@ -109,6 +111,19 @@
 	}
 }
 
+// SetDeadlines replaces the bounds on how long a request of an earlier owner may run on a resource, for ownership
+// gained from now on; other resources keep Config.LargestDeadline.
+func (a *Assigner) SetDeadlines(d map[Resource]time.Duration) {
+	a.deadlines = d
+}
+
+func (a *Assigner) deadline(r Resource) time.Duration {
+	if d, ok := a.deadlines[r]; ok {
+		return d
+	}
+	return a.c.LargestDeadline
+}
+
 // Version returns the adopted heads version.
 func (a *Assigner) Version() uint64 {
 	return a.heads.Version
@@ -135,7 +150,7 @@
 func (a *Assigner) add(now time.Time, r Resource) {
 	s := a.scope(now, r.Scope)
 	h := holding{version: a.heads.Version}
-	a.gain(&h, s.learned)
+	a.gain(r, &h, s.learned)
 	h.owner, _ = s.owner(r.Name, r.Part)
 	h.mine = h.owner.is(a.c.Self)
 	a.holdings.Put(r, h)
@@ -238,17 +253,17 @@
 	}
 	c.Gained = append(c.Gained, r)
 	h.version = a.heads.Version
-	a.gain(h, now)
+	a.gain(r, h, now)
 	if steps == 1 {
 		h.from = old
 	}
 }
 
 // gain starts the wait for the proofs and requests of earlier owners to lapse.
-func (a *Assigner) gain(h *holding, learned time.Time) {
+func (a *Assigner) gain(r Resource, h *holding, learned time.Time) {
 	h.ready = learned.Add(a.c.Freshness)
 	h.from = Member{}
-	h.residue = Residue{Unknown: true, Until: h.ready.Add(a.c.LargestDeadline)}
+	h.residue = Residue{Unknown: true, Until: h.ready.Add(a.deadline(r))}
 }
 
 // Release records that work lost up to version has stopped.
--- a/cmd/celeryheadd/main.go
+++ b/cmd/celeryheadd/main.go
@@ -1,4 +1,57 @@
 // Command celeryheadd is the daemon of an entry instance.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"celeryhead.dev/celeryhead/loader"
+	"celeryhead.dev/celeryhead/logger"
+	"celeryhead.dev/celeryhead/server"
+)
+
+const version = "0.1.0"
+
+func main() {
+	var settings, check string
+	flaggy.SetName("celeryheadd")
+	flaggy.SetDescription("runs one entry instance of the traffic steering system")
+	flaggy.SetVersion(version)
+	flaggy.String(&settings, "s", "settings", "TOML file with the settings of this instance")
+	flaggy.String(&check, "", "check", "check a settings file and exit")
+	flaggy.Parse()
+	if err := run(settings, check); err != nil {
+		fmt.Fprintln(os.Stderr, "celeryheadd:", err)
+		os.Exit(1)
+	}
+}
+
+func run(settings, check string) error {
+	if check != "" {
+		if _, err := loader.Load(check); err != nil {
+			return err
+		}
+		fmt.Println(check + ": ok")
+		return nil
+	}
+	s, err := loader.Load(settings)
+	if err != nil {
+		return err
+	}
+	l, err := logger.New(logger.Config{Writer: os.Stderr, Level: s.Log.Level, Format: s.Log.Format, Instance: s.Name})
+	if err != nil {
+		return err
+	}
+	d, err := server.New(server.Config{Settings: s, Log: l})
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return d.Run(ctx)
+}
--- /dev/null
+++ b/cmd/demo/main.go
@@ -0,0 +1,59 @@
+// Command demo starts a deployment of separate processes on this machine and prints the transcript of a few requests.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"celeryhead.dev/celeryhead/launcher"
+)
+
+// limit bounds the time until the transcript is complete.
+const limit = 2 * time.Minute
+
+func main() {
+	bin, check := "bin", false
+	flaggy.SetName("demo")
+	flaggy.String(&bin, "", "bin", "directory of the built programs")
+	flaggy.Bool(&check, "", "check", "check the transcript and exit")
+	flaggy.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := run(ctx, bin, check); err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, bin string, check bool) error {
+	dir, err := os.MkdirTemp("", "celeryhead-demo-")
+	if err != nil {
+		return err
+	}
+	defer func() { if os.Getenv("KEEP") == "" { _ = os.RemoveAll(dir) } }()
+	fmt.Println("starting stand-ins and 7 daemons; settings, certificates and logs are in", dir)
+	d, err := launcher.Start(ctx, launcher.Config{Bin: bin, Dir: dir})
+	if err != nil {
+		return err
+	}
+	defer d.Stop()
+	x, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	t := &transcript{deployment: d}
+	if err := t.play(x); err != nil {
+		return err
+	}
+	if check {
+		fmt.Println("transcript: ok")
+		return nil
+	}
+	t.hints()
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/controller/controller.go
@@ -0,0 +1,357 @@
+package controller
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"celeryhead.dev/celeryhead/assigner"
+	"celeryhead.dev/celeryhead/attester"
+	"celeryhead.dev/celeryhead/loader"
+	"celeryhead.dev/celeryhead/logger"
+	"celeryhead.dev/celeryhead/messenger"
+	"celeryhead.dev/celeryhead/steerer"
+	"celeryhead.dev/celeryhead/storer"
+	"celeryhead.dev/celeryhead/timer"
+	"celeryhead.dev/celeryhead/tracker"
+)
+
+// Lister reads the platform's list of instances.
+type Lister interface {
+	List(ctx context.Context) ([]tracker.Entry, error)
+}
+
+// Dialer returns the client for the peer service of an instance.
+type Dialer interface {
+	Peer(i tracker.Instance) messenger.Peer
+}
+
+// Hooks connect the controller to the request path.
+type Hooks interface {
+	// Reassign applies the present ownership; it returns when work on lost resources can no longer start.
+	Reassign()
+	// Fill adds loads, residues, rate and strikes to an outgoing heartbeat.
+	Fill(b *messenger.Beat)
+	// Receive takes the loads and strikes of a peer's heartbeat.
+	Receive(b *messenger.Beat)
+}
+
+// Config configures a controller; all fields are required.
+type Config struct {
+	Self   tracker.Instance
+	Timing loader.Timing
+	Store  storer.Store
+	// StoreTimeout bounds one store call.
+	StoreTimeout time.Duration
+	List         Lister
+	Dialer       Dialer
+	Hooks        Hooks
+	Log          *logger.Logger
+	Clock        timer.Clock
+	Seed         uint64
+}
+
+// Controller keeps one instance informed; it is safe for concurrent use.
+type Controller struct {
+	config Config
+	gate   attester.Gate
+	view   atomic.Pointer[View]
+	live   atomic.Pointer[[]steerer.Instance]
+	// adopting serializes adoptions, which may wait for a fetch.
+	adopting sync.Mutex
+	kick     chan struct{}
+	stopped  chan struct{}
+	stop     sync.Once
+
+	mu       sync.Mutex
+	tracker  *tracker.Tracker
+	attester *attester.Attester
+	assigner *assigner.Assigner
+	final    bool
+	// blank is true if the last read of the store found no heads row.
+	blank    bool
+	valid    [2]bool
+	lapsed   [2]time.Time
+	members  map[string]tracker.State
+	reports  map[string]report
+	proposal proposalState
+	pending  map[string]bool
+	// inherited is work of earlier owners on resources that this instance lost.
+	inherited []assigner.Loss
+
+	store, list outage
+}
+
+// report is what a peer said in its newest heartbeat.
+type report struct {
+	at            time.Time
+	configVersion uint64
+	headsVersion  uint64
+	rate          float64
+	region        string
+}
+
+// New returns a controller; Run starts it.
+func New(c Config) (*Controller, error) {
+	t, err := tracker.New(tracker.Config{
+		Self:      c.Self,
+		ListLag:   c.Timing.ListLag,
+		ListAge:   c.Timing.ListAge,
+		Heartbeat: c.Timing.Heartbeat,
+		Suspicion: c.Timing.Suspicion,
+		Seed:      c.Seed,
+	})
+	if err != nil {
+		return nil, merry.Prepend(err, "controller")
+	}
+	k := &Controller{
+		config:   c,
+		kick:     make(chan struct{}, 1),
+		stopped:  make(chan struct{}),
+		tracker:  t,
+		attester: attester.New(attester.Config{Region: c.Self.Region, Freshness: c.Timing.Freshness, ListAge: c.Timing.ListAge}),
+		assigner: assigner.New(assigner.Config{Self: member(c.Self), Freshness: c.Timing.Freshness}),
+		members:  map[string]tracker.State{},
+		reports:  map[string]report{},
+		pending:  map[string]bool{},
+	}
+	v, err := newView(nil, storer.Row{}, emptyHeads(), nil)
+	if err != nil {
+		return nil, merry.Prepend(err, "controller")
+	}
+	k.view.Store(v)
+	k.live.Store(&[]steerer.Instance{})
+	k.lapsed = [2]time.Time{c.Clock(), c.Clock()}
+	return k, nil
+}
+
+func member(i tracker.Instance) assigner.Member {
+	return assigner.Member{Name: i.Name, Incarnation: i.Incarnation, Region: i.Region, FailureDomain: i.FailureDomain}
+}
+
+// Run exchanges heartbeats and reads store and list until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	var g sync.WaitGroup
+	for _, f := range []func(context.Context){c.runTicks, c.runStore, c.runList, c.runProposals} {
+		g.Go(func() { f(ctx) })
+	}
+	g.Wait()
+}
+
+// every calls f at once and then at each interval until ctx ends.
+func every(ctx context.Context, d time.Duration, f func(context.Context)) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		f(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// View returns the newest adopted view.
+func (c *Controller) View() *View {
+	return c.view.Load()
+}
+
+// Live returns the instances that look-up answers may name.
+func (c *Controller) Live() []steerer.Instance {
+	return *c.live.Load()
+}
+
+// Valid reports whether the instance holds a proof of freshness in the scope at now.
+func (c *Controller) Valid(s attester.Scope, now time.Time) bool {
+	return c.gate.Valid(s, now)
+}
+
+// MayAct reports whether this instance owns the resource, has waited for earlier owners and holds the proof that ownership needs.
+func (c *Controller) MayAct(r assigner.Resource, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gate.Valid(c.scope(r), now) && c.assigner.MayAct(r, now)
+}
+
+// Owns reports whether this instance owns the resource and has waited for earlier owners, whatever its proof.
+func (c *Controller) Owns(r assigner.Resource, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.assigner.MayAct(r, now)
+}
+
+// scope returns the proof that ownership of a resource needs; c.mu is held.
+func (c *Controller) scope(r assigner.Resource) attester.Scope {
+	if r.Scope == assigner.FleetScope || c.assigner.NeedsFleet(r.Scope) {
+		return attester.Fleet
+	}
+	return attester.Region
+}
+
+// Scope returns the proof that work on the resource needs.
+func (c *Controller) Scope(r assigner.Resource) attester.Scope {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.scope(r)
+}
+
+// Residue returns the work of earlier owners that may still run at now.
+func (c *Controller) Residue(r assigner.Resource, now time.Time) assigner.Residue {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.assigner.Residue(r, now)
+}
+
+// Owner returns the instance that owns the resource, with its addresses if they are known.
+func (c *Controller) Owner(r assigner.Resource) (tracker.Instance, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m, ok := c.assigner.Owner(r)
+	if !ok {
+		return tracker.Instance{}, false
+	}
+	return c.instance(m.Name)
+}
+
+// Instance returns a known instance by name.
+func (c *Controller) Instance(name string) (tracker.Instance, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.instance(name)
+}
+
+func (c *Controller) instance(name string) (tracker.Instance, bool) {
+	if name == c.config.Self.Name {
+		return c.config.Self, true
+	}
+	for _, i := range c.tracker.Instances() {
+		if i.Name == name {
+			return i, true
+		}
+	}
+	return tracker.Instance{}, false
+}
+
+// Suspected reports whether an instance is not heard at present.
+func (c *Controller) Suspected(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.tracker.State(c.config.Clock(), name)
+	return s == tracker.Suspected || s == tracker.Gone
+}
+
+// Leave announces that this instance leaves; peers stop naming it in answers and assignments.
+func (c *Controller) Leave() {
+	c.mu.Lock()
+	c.tracker.Leave()
+	c.mu.Unlock()
+	c.kickTicks()
+}
+
+// Stop tells peers that this incarnation has stopped; it must not send or grant anything afterwards.
+func (c *Controller) Stop(ctx context.Context) {
+	c.mu.Lock()
+	c.final = true
+	l := c.tracker.Instances()
+	c.mu.Unlock()
+	var g sync.WaitGroup
+	for _, i := range l {
+		if i.Name != c.config.Self.Name {
+			g.Go(func() { c.beat(ctx, i) })
+		}
+	}
+	g.Wait()
+}
+
+func (c *Controller) kickTicks() {
+	select {
+	case c.kick <- struct{}{}:
+	default:
+	}
+}
+
+// publish makes the present state visible to the request path; c.mu is held.
+func (c *Controller) publish(now time.Time) {
+	c.attester.SetMembership(c.membership(now))
+	c.gate.Publish(c.attester)
+	c.publishLive(now)
+	for _, s := range []attester.Scope{attester.Fleet, attester.Region} {
+		c.noteProof(s, now)
+	}
+}
+
+func (c *Controller) membership(now time.Time) attester.Membership {
+	m := attester.Membership{Admitted: c.tracker.Admitted(), Listed: c.tracker.ListedAt()}
+	for _, p := range c.tracker.Peers(now) {
+		m.Peers = append(m.Peers, attester.Peer{Name: p.Name, Incarnation: p.Incarnation, Region: p.Region})
+	}
+	return m
+}
+
+func (c *Controller) publishLive(now time.Time) {
+	m := c.tracker.Members(now)
+	l := make([]steerer.Instance, 0, len(m))
+	for _, i := range m {
+		l = append(l, steerer.Instance{Name: i.Name, Region: i.Region, FailureDomain: i.FailureDomain, Address: i.Caller})
+	}
+	c.live.Store(&l)
+	c.noteMembers(now)
+}
+
+func (c *Controller) noteMembers(now time.Time) {
+	seen := map[string]bool{}
+	for _, p := range c.tracker.Peers(now) {
+		seen[p.Name] = true
+		if c.members[p.Name] != p.State || len(c.members) == 0 {
+			c.config.Log.MemberChanged(p.Name, p.State.String())
+		}
+		c.members[p.Name] = p.State
+	}
+	for n := range c.members {
+		if !seen[n] {
+			delete(c.members, n)
+			delete(c.reports, n)
+			c.config.Log.MemberChanged(n, tracker.Gone.String())
+		}
+	}
+}
+
+func (c *Controller) noteProof(s attester.Scope, now time.Time) {
+	v := c.gate.Valid(s, now)
+	if v == c.valid[s] {
+		return
+	}
+	c.valid[s] = v
+	n := scopeNames[s]
+	if v {
+		c.config.Log.ProofRegained(n, now.Sub(c.lapsed[s]))
+		return
+	}
+	c.lapsed[s] = now
+	c.config.Log.ProofLost(n)
+}
+
+var scopeNames = map[attester.Scope]string{attester.Fleet: "fleet", attester.Region: "region"}
+
+// Own returns the state that this instance announces.
+func (c *Controller) Own() tracker.State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.Own(c.config.Clock())
+}
+
+// ReportedVersion returns the configuration version in a peer's newest heartbeat.
+func (c *Controller) ReportedVersion(name string) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reports[name].configVersion
+}
+
+// ProofAge returns the age of the proof in the fleet scope.
+func (c *Controller) ProofAge(now time.Time) time.Duration {
+	return now.Sub(c.gate.Expiry(attester.Fleet).Add(-c.config.Timing.Freshness))
+}
--- /dev/null
+++ b/controller/view.go
@@ -0,0 +1,165 @@
+package controller
+
+import (
+	"net/netip"
+	"strings"
+
+	"celeryhead.dev/celeryhead/assigner"
+	"celeryhead.dev/celeryhead/authenticator"
+	"celeryhead.dev/celeryhead/composer"
+	"celeryhead.dev/celeryhead/recorder"
+	"celeryhead.dev/celeryhead/router"
+	"celeryhead.dev/celeryhead/steerer"
+	"celeryhead.dev/celeryhead/storer"
+)
+
+// View is the content of one heads version; it is immutable.
+type View struct {
+	Row   storer.Row
+	Heads recorder.Heads
+	// Text is the configuration in canonical TOML.
+	Text     []byte
+	Config   composer.Config
+	Accounts map[string]composer.Account
+	Pools    map[string]composer.Pool
+	// TargetRegions holds the region of each target by name.
+	TargetRegions map[string]string
+	Keys          *authenticator.Table
+	Routes        *router.Table
+	Steering      *steerer.Table
+}
+
+// newView returns the view of a heads row; a configuration that is the same as in the old view is not parsed again.
+func newView(old *View, r storer.Row, h recorder.Heads, text []byte) (*View, error) {
+	v := &View{Row: r, Heads: h, Text: text}
+	switch {
+	case old != nil && old.Heads.ConfigVersion == h.ConfigVersion:
+		v.copyConfig(old)
+	case h.ConfigVersion == 0:
+		v.setConfig(composer.Config{})
+	default:
+		c, err := parseConfig(text)
+		if err != nil {
+			return nil, err
+		}
+		v.setConfig(c)
+	}
+	v.Steering = steerer.New(steerer.Config{Configuration: v.Config, Steps: steps(h)})
+	return v, nil
+}
+
+func parseConfig(text []byte) (composer.Config, error) {
+	c, err := composer.Parse(text)
+	if err != nil {
+		return c, err
+	}
+	return c, c.Check()
+}
+
+func (v *View) copyConfig(o *View) {
+	v.Text, v.Config, v.Accounts, v.Pools = o.Text, o.Config, o.Accounts, o.Pools
+	v.TargetRegions, v.Keys, v.Routes = o.TargetRegions, o.Keys, o.Routes
+}
+
+func (v *View) setConfig(c composer.Config) {
+	v.Config = c
+	v.Accounts = make(map[string]composer.Account, len(c.Accounts))
+	for _, a := range c.Accounts {
+		v.Accounts[a.Name] = a
+	}
+	d := map[string]string{}
+	for _, r := range c.Regions {
+		for _, n := range r.FailureDomains {
+			d[n] = r.Name
+		}
+	}
+	v.Pools = make(map[string]composer.Pool, len(c.Pools))
+	v.TargetRegions = map[string]string{}
+	for _, p := range c.Pools {
+		v.Pools[p.Name] = p
+		for _, t := range p.Targets {
+			v.TargetRegions[t.Name] = d[t.FailureDomain]
+		}
+	}
+	v.Keys = authenticator.New(c.Accounts)
+	v.Routes = router.New(c.Routes)
+}
+
+func steps(h recorder.Heads) map[string]int {
+	m := make(map[string]int, len(h.Shifts))
+	for n, s := range h.Shifts {
+		m[n] = int(s.Step)
+	}
+	return m
+}
+
+// Names of the resources that instances own.
+const (
+	targetPrefix = "target/"
+	bucketPrefix = "bucket/"
+	shiftPrefix  = "shift/"
+)
+
+// BucketParts is the number of parts into which an account's bucket is divided if its burst allows.
+const BucketParts = 2
+
+// targetOf returns the target whose resource has the name.
+func targetOf(r assigner.Resource) (string, bool) {
+	return strings.CutPrefix(r.Name, targetPrefix)
+}
+
+// TargetResource names the right to send work to a target.
+func (v *View) TargetResource(target string) assigner.Resource {
+	return assigner.Resource{Name: targetPrefix + target, Scope: v.TargetRegions[target]}
+}
+
+// BucketResource names the right to grant tokens of one part of an account's bucket.
+func BucketResource(account string, part int) assigner.Resource {
+	return assigner.Resource{Name: bucketPrefix + account, Scope: assigner.FleetScope, Part: part}
+}
+
+// ShiftResource names the right to advance a shift.
+func ShiftResource(name string) assigner.Resource {
+	return assigner.Resource{Name: shiftPrefix + name, Scope: assigner.FleetScope}
+}
+
+func (v *View) resources() []assigner.Resource {
+	var r []assigner.Resource
+	for n := range v.TargetRegions {
+		r = append(r, v.TargetResource(n))
+	}
+	for n := range v.Accounts {
+		for p := range BucketParts {
+			r = append(r, BucketResource(n, p))
+		}
+	}
+	for _, s := range v.Config.Shifts {
+		r = append(r, ShiftResource(s.Name))
+	}
+	return r
+}
+
+// assignments maps the stored form to the assigner's.
+func assignments(version uint64, h recorder.Heads) assigner.Heads {
+	m := make(map[string]assigner.Assignment, len(h.Assignments))
+	for n, a := range h.Assignments {
+		s := make([]assigner.Member, 0, len(a.Members))
+		for _, i := range a.Members {
+			s = append(s, assigner.Member(i))
+		}
+		m[n] = assigner.Assignment{Epoch: a.Epoch, Members: s}
+	}
+	return assigner.Heads{Version: version, Scopes: m}
+}
+
+// Address returns the address of a target.
+func (v *View) Address(target string) (netip.AddrPort, bool) {
+	for _, p := range v.Config.Pools {
+		for _, t := range p.Targets {
+			if t.Name == target {
+				return t.Address, true
+			}
+		}
+	}
+	return netip.AddrPort{}, false
+}
--- a/emulator/target.go
+++ b/emulator/target.go
@@ -109,7 +109,7 @@
 // NewTarget returns a target that is not listening yet.
 func NewTarget(c TargetConfig) *Target {
 	t := &Target{config: c, router: mux.NewRouter(), open: map[net.Conn]*atomic.Bool{}}
-	t.router.HandleFunc("/healthz", t.health)
+	t.router.HandleFunc("/health", t.health)
 	t.router.HandleFunc("/load", t.load)
 	t.router.HandleFunc("/admin/ledger", t.ledger).Methods(http.MethodGet)
 	t.router.HandleFunc("/admin/faults", t.setFaults).Methods(http.MethodPost)
--- /dev/null
+++ b/lister/lister.go
@@ -0,0 +1,100 @@
+package lister
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"celeryhead.dev/celeryhead/tracker"
+)
+
+// maxBytes bounds an answer; 1,000 instances take about 200 KiB.
+const maxBytes = 4 << 20
+
+// Config configures a lister.
+type Config struct {
+	// Addresses are tried in order.
+	Addresses []netip.AddrPort
+	// Timeout bounds one try.
+	Timeout time.Duration
+}
+
+// Lister reads the list; it is safe for concurrent use.
+type Lister struct {
+	config Config
+	client *http.Client
+}
+
+type answer struct {
+	Instances []row `json:"instances"`
+}
+
+type row struct {
+	Name          string         `json:"name"`
+	Region        string         `json:"region"`
+	FailureDomain string         `json:"failure_domain"`
+	CallerAddress netip.AddrPort `json:"caller_address"`
+	PeerAddress   netip.AddrPort `json:"peer_address"`
+	State         string         `json:"state"`
+}
+
+// New returns a lister. It opens a connection for each reading, so that one that went silent cannot make the list look down.
+func New(c Config) *Lister {
+	return &Lister{config: c, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+// List returns the instances on the list.
+func (l *Lister) List(ctx context.Context) ([]tracker.Entry, error) {
+	var err error
+	for _, a := range l.config.Addresses {
+		var r []tracker.Entry
+		if r, err = l.read(ctx, a); err == nil {
+			return r, nil
+		}
+	}
+	return nil, merry.Prepend(err, "instance list")
+}
+
+func (l *Lister) read(ctx context.Context, a netip.AddrPort) ([]tracker.Entry, error) {
+	x, cancel := context.WithTimeout(ctx, l.config.Timeout)
+	defer cancel()
+	q, err := http.NewRequestWithContext(x, http.MethodGet, "http://"+a.String()+"/v1/instances", http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	p, err := l.client.Do(q)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = p.Body.Close() }()
+	if p.StatusCode != http.StatusOK {
+		return nil, merry.Errorf("status %d", p.StatusCode)
+	}
+	var w answer
+	if err := json.NewDecoder(io.LimitReader(p.Body, maxBytes)).Decode(&w); err != nil {
+		return nil, err
+	}
+	return entries(w), nil
+}
+
+func entries(w answer) []tracker.Entry {
+	r := make([]tracker.Entry, 0, len(w.Instances))
+	for _, i := range w.Instances {
+		r = append(r, tracker.Entry{
+			Instance: tracker.Instance{
+				Name:          i.Name,
+				Region:        i.Region,
+				FailureDomain: i.FailureDomain,
+				Caller:        i.CallerAddress,
+				Peer:          i.PeerAddress,
+			},
+			Leaving: i.State == "leaving",
+		})
+	}
+	return r
+}
--- a/loader/load.go
+++ b/loader/load.go
@@ -142,8 +142,8 @@
 		c.problem(n, "is missing")
 	case len(v) > 64:
 		c.problem(n, "is longer than 64 bytes")
-	case strings.Trim(v, "abcdefghijklmnopqrstuvwxyz0123456789-") != "":
-		c.problem(n, "may hold only a-z, 0-9 and -")
+	case strings.Trim(v, "abcdefghijklmnopqrstuvwxyz0123456789-_") != "":
+		c.problem(n, "may hold only a-z, 0-9, - and _")
 	}
 	return v
 }
--- /dev/null
+++ b/server/entry.go
@@ -0,0 +1,207 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"celeryhead.dev/celeryhead/attester"
+	"celeryhead.dev/celeryhead/authenticator"
+	"celeryhead.dev/celeryhead/composer"
+	"celeryhead.dev/celeryhead/controller"
+	"celeryhead.dev/celeryhead/forwarder"
+	"celeryhead.dev/celeryhead/responder"
+)
+
+// internalPrefix begins the headers that only the system itself sets.
+const internalPrefix = "Celeryhead-"
+
+// call is one request on its way through an instance.
+type call struct {
+	request  *http.Request
+	route    composer.Route
+	account  composer.Account
+	identity authenticator.Identity
+	deadline time.Time
+	// region is where the request entered.
+	region string
+	body   *body
+	digest [32]byte
+}
+
+// enter serves a request of a caller.
+func (s *Server) enter(w http.ResponseWriter, r *http.Request) {
+	c, f := s.accept(w, r)
+	if f != nil {
+		s.refuse(w, f)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(c.deadline.Sub(s.clock())))
+	defer cancel()
+	if !c.route.Idempotent {
+		s.enterOnce(ctx, w, c)
+		return
+	}
+	a, f := s.forward(ctx, c)
+	if f != nil {
+		s.refuse(w, f)
+		return
+	}
+	s.copy(w, c, a)
+}
+
+// copy sends the answer to the caller; a broken answer breaks the caller's connection.
+func (s *Server) copy(w http.ResponseWriter, c *call, a *forwarder.Answer) {
+	whole := false
+	defer func() {
+		if !whole {
+			s.log.AnswerAborted(c.route.Name, errAborted)
+		}
+	}()
+	forwarder.Copy(w, a)
+	whole = true
+}
+
+var errAborted = errors.New("the answer or the caller's connection broke off")
+
+// accept checks a request up to the point where it may use its allowance.
+func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*call, *responder.Refusal) {
+	now := s.clock()
+	if f := checkTarget(r.URL); f != nil {
+		return nil, f
+	}
+	v := s.control.View()
+	t, found, allowed := v.Routes.Find(r.Method, r.URL.Path)
+	if !allowed {
+		return nil, noRoute(found)
+	}
+	c := &call{route: t, region: s.self.Region}
+	var f *responder.Refusal
+	if c.deadline, f = deadline(r, t, now); f != nil {
+		return nil, f
+	}
+	if f := s.authenticate(v, c, r, now); f != nil {
+		return nil, f
+	}
+	c.request = outgoing(r)
+	if err := authenticator.Strip(c.request.Header, c.request.URL); err != nil {
+		return nil, badRequest(err.Error())
+	}
+	if c.body, f = s.readBody(w, r); f != nil {
+		return nil, f
+	}
+	c.request.ContentLength = c.body.length
+	c.digest = c.body.digest()
+	return c, nil
+}
+
+// checkTarget refuses paths that a target might read as another path than the one whose route was checked.
+func checkTarget(u *url.URL) *responder.Refusal {
+	p := strings.ToLower(u.EscapedPath())
+	if !strings.HasPrefix(p, "/") {
+		return badRequest("the path must begin with a slash")
+	}
+	if strings.Contains(p, "%2f") || strings.Contains(p, "%5c") || strings.Contains(u.Path, "\\") || strings.Contains(u.Path, "//") {
+		return badRequest("the path contains an empty segment, a backslash or an encoded slash")
+	}
+	for s := range strings.SplitSeq(u.Path, "/") {
+		if s == "." || s == ".." {
+			return badRequest("the path contains a dot segment")
+		}
+	}
+	return nil
+}
+
+// deadline returns the earlier one of the route's and the caller's own.
+func deadline(r *http.Request, t composer.Route, now time.Time) (time.Time, *responder.Refusal) {
+	d := now.Add(t.Deadline)
+	h := r.Header.Get(forwarder.HeaderDeadline)
+	if h == "" {
+		return d, nil
+	}
+	p, err := time.Parse(time.RFC3339Nano, h)
+	if err != nil {
+		return d, badRequest(forwarder.HeaderDeadline + " is not an RFC 3339 time")
+	}
+	if !p.After(now) {
+		return d, &responder.Refusal{Status: http.StatusGatewayTimeout, Reason: responder.DeadlineExceeded, Ran: responder.NotRun, Message: "the deadline had passed on arrival"}
+	}
+	if p.Before(d) {
+		d = p
+	}
+	return d, nil
+}
+
+// authenticate finds the client account of a request to a keyed route.
+func (s *Server) authenticate(v *controller.View, c *call, r *http.Request, now time.Time) *responder.Refusal {
+	if c.route.Open {
+		return nil
+	}
+	if !s.control.Valid(attester.Fleet, now) {
+		return stale()
+	}
+	k, err := authenticator.Extract(r)
+	if err != nil {
+		return badRequest(err.Error())
+	}
+	if k == "" {
+		return &responder.Refusal{Status: http.StatusUnauthorized, Reason: responder.KeyMissing, Ran: responder.NotRun, Message: "this route needs a key"}
+	}
+	i, ok := v.Keys.Check(k)
+	if !ok {
+		return keyInvalid()
+	}
+	c.identity, c.account = i, v.Accounts[i.Account]
+	return nil
+}
+
+// outgoing returns the request as it is forwarded, without headers that only the system sets.
+func outgoing(r *http.Request) *http.Request {
+	u := *r.URL
+	o := &http.Request{
+		Method:        r.Method,
+		URL:           &u,
+		Host:          r.Host,
+		Header:        r.Header.Clone(),
+		ContentLength: r.ContentLength,
+		Trailer:       r.Trailer,
+	}
+	for n := range o.Header {
+		if strings.HasPrefix(n, internalPrefix) {
+			delete(o.Header, n)
+		}
+	}
+	return o
+}
+
+func badRequest(m string) *responder.Refusal {
+	return &responder.Refusal{Status: http.StatusBadRequest, Reason: responder.BadRequest, Ran: responder.NotRun, Message: m}
+}
+
+func noRoute(found bool) *responder.Refusal {
+	f := &responder.Refusal{Status: http.StatusNotFound, Reason: responder.NoRoute, Ran: responder.NotRun, Message: "no route has this path"}
+	if found {
+		f.Status, f.Message = http.StatusMethodNotAllowed, "no route of this path has this method"
+	}
+	return f
+}
+
+func keyInvalid() *responder.Refusal {
+	return &responder.Refusal{Status: http.StatusUnauthorized, Reason: responder.KeyInvalid, Ran: responder.NotRun, Message: "the key is not valid"}
+}
+
+// staleRetry is when a caller may try again, preferably at another instance.
+const staleRetry = time.Second
+
+func stale() *responder.Refusal {
+	return &responder.Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Reason:     responder.Stale,
+		Ran:        responder.NotRun,
+		Message:    "this instance cannot tell at present whether its configuration is the newest; use another one",
+		RetryAfter: staleRetry,
+	}
+}
--- /dev/null
+++ b/server/forward.go
@@ -0,0 +1,158 @@
+package server
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"celeryhead.dev/celeryhead/forwarder"
+	"celeryhead.dev/celeryhead/responder"
+)
+
+// maxRetries bounds how often a request that did not run is offered to another owner.
+const maxRetries = 2
+
+// forward has a request run through an owner of its pool; a request that may have run is never sent again.
+func (s *Server) forward(ctx context.Context, c *call) (*forwarder.Answer, *responder.Refusal) {
+	tried := map[string]bool{}
+	var last *responder.Refusal
+	for range maxRetries + 1 {
+		o, ok := s.chooseOwner(c, tried)
+		if !ok {
+			break
+		}
+		tried[o.name] = true
+		a, f := s.sendTo(ctx, c, o)
+		if f == nil || f.Ran != responder.NotRun || !mayRetry(f) || !c.body.whole() || ctx.Err() != nil {
+			return a, f
+		}
+		last = f
+	}
+	if last == nil {
+		last = noOwner()
+	}
+	return nil, last
+}
+
+// mayRetry reports whether another owner may have what this one lacked.
+func mayRetry(f *responder.Refusal) bool {
+	switch f.Reason {
+	case responder.NoSlot, responder.NoOwner, responder.TargetShed, responder.TargetUnreachable, responder.Stale, responder.Leaving:
+		return true
+	default:
+		return false
+	}
+}
+
+type owner struct {
+	name    string
+	address netip.AddrPort
+}
+
+// chooseOwner prefers this instance if it has a free slot.
+func (s *Server) chooseOwner(c *call, tried map[string]bool) (owner, bool) {
+	p := s.pools.get(c.route.Pool)
+	if p != nil && !tried[s.self.Name] && p.Load().Free > 0 {
+		return owner{name: s.self.Name}, true
+	}
+	var r []owner
+	v := s.control.View()
+	seen := map[string]bool{}
+	for _, t := range v.Pools[c.route.Pool].Targets {
+		i, ok := s.control.Owner(v.TargetResource(t.Name))
+		if !ok || seen[i.Name] || tried[i.Name] || s.control.Suspected(i.Name) {
+			continue
+		}
+		seen[i.Name] = true
+		r = append(r, owner{name: i.Name, address: i.Peer})
+	}
+	if len(r) == 0 {
+		return owner{}, false
+	}
+	return r[rand.IntN(len(r))], true //nolint:gosec // Spreading load needs no secret.
+}
+
+func (s *Server) sendTo(ctx context.Context, c *call, o owner) (*forwarder.Answer, *responder.Refusal) {
+	if o.name == s.self.Name {
+		return s.run(ctx, c)
+	}
+	r := *c.request
+	r.Header = c.request.Header.Clone()
+	r.Header.Set(headerURI, c.request.URL.RequestURI())
+	r.Header.Set(headerRoute, c.route.Name)
+	r.Header.Set(headerRegion, c.region)
+	if !c.route.Open {
+		r.Header.Set(headerAccount, c.account.Name)
+		r.Header.Set(headerKey, hex.EncodeToString(c.identity.Digest[:]))
+	}
+	u := *c.request.URL
+	u.Path, u.RawPath, u.RawQuery = forwardPath, "", ""
+	r.URL = &u
+	r.Body = c.body.open()
+	a, err := s.peers.Do(ctx, forwarder.Call{Address: o.address, Request: &r, Deadline: c.deadline})
+	if err != nil {
+		return nil, s.hopFailed(c, o, err)
+	}
+	if f := refusalIn(a); f != nil {
+		_ = a.Body.Close()
+		return nil, f
+	}
+	return a, nil
+}
+
+func (s *Server) hopFailed(c *call, o owner, err error) *responder.Refusal {
+	var x *forwarder.Failure
+	if !errors.As(err, &x) {
+		return targetFailed(responder.Unknown)
+	}
+	if f := shedRefusal(x); f != nil {
+		return f
+	}
+	if x.Ran == responder.Unknown {
+		s.log.RequestFailed(c.route.Name, o.name, err)
+	}
+	f := refusalOf(x)
+	if x.Ran == responder.NotRun && f.Reason == responder.TargetUnreachable {
+		return noOwner()
+	}
+	return f
+}
+
+// shedRefusal returns the owner's own refusal when it refused a request as not run.
+func shedRefusal(x *forwarder.Failure) *responder.Refusal {
+	if x.Ran != responder.NotRun || x.Header.Get(responder.HeaderReason) == "" {
+		return nil
+	}
+	return refusalFrom(http.StatusServiceUnavailable, x.Header)
+}
+
+// refusalIn returns the refusal of an owner; answers of targets have no such headers, because owners remove them.
+func refusalIn(a *forwarder.Answer) *responder.Refusal {
+	if a.Header.Get(responder.HeaderRan) == "" {
+		return nil
+	}
+	return refusalFrom(a.Status, a.Header)
+}
+
+func refusalFrom(status int, h http.Header) *responder.Refusal {
+	n, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil {
+		n = 0
+	}
+	ran := responder.Unknown
+	if h.Get(responder.HeaderRan) == string(responder.NotRun) {
+		ran = responder.NotRun
+	}
+	return &responder.Refusal{
+		Status:     status,
+		Reason:     responder.Reason(h.Get(responder.HeaderReason)),
+		Ran:        ran,
+		Message:    "refused by the owner of the pool",
+		RetryAfter: time.Duration(n) * time.Second,
+	}
+}
--- /dev/null
+++ b/server/links.go
@@ -0,0 +1,84 @@
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"celeryhead.dev/celeryhead/messenger"
+	"celeryhead.dev/celeryhead/tracker"
+)
+
+// timeoutsToClose is the number of timeouts in a row after which the connections to a peer are closed.
+const timeoutsToClose = 2
+
+// links keeps a client of the peer service for each instance.
+type links struct {
+	tls *tls.Config
+
+	mu    sync.Mutex
+	peers map[netip.AddrPort]*link
+}
+
+// link is a client that closes its connections when they seem to have gone silent.
+type link struct {
+	messenger.Peer
+	transport *http.Transport
+
+	mu       sync.Mutex
+	timeouts int
+}
+
+func newLinks(t *tls.Config) *links {
+	return &links{tls: t, peers: map[netip.AddrPort]*link{}}
+}
+
+// Peer returns the client for an instance.
+func (l *links) Peer(i tracker.Instance) messenger.Peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if k, ok := l.peers[i.Peer]; ok {
+		return k
+	}
+	k := &link{}
+	// A transport with its own TLS settings does not use HTTP/2, so calls do not share one connection that may be silent.
+	k.transport = &http.Transport{
+		TLSClientConfig:     l.tls.Clone(),
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     10 * time.Second,
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		TLSHandshakeTimeout: time.Second,
+	}
+	k.Peer = messenger.NewPeerProtobufClient("https://"+i.Peer.String(), &http.Client{Transport: k})
+	l.peers[i.Peer] = k
+	return k
+}
+
+// RoundTrip counts timeouts in a row.
+func (k *link) RoundTrip(r *http.Request) (*http.Response, error) {
+	p, err := k.transport.RoundTrip(r)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err == nil {
+		k.timeouts = 0
+		return p, nil
+	}
+	if isTimeout(err) {
+		k.timeouts++
+	}
+	if k.timeouts >= timeoutsToClose {
+		k.timeouts = 0
+		k.transport.CloseIdleConnections()
+	}
+	return nil, err
+}
+
+func isTimeout(err error) bool {
+	var n net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &n) && n.Timeout()
+}
--- /dev/null
+++ b/server/owner.go
@@ -0,0 +1,282 @@
+package server
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"celeryhead.dev/celeryhead/attester"
+	"celeryhead.dev/celeryhead/authenticator"
+	"celeryhead.dev/celeryhead/balancer"
+	"celeryhead.dev/celeryhead/forwarder"
+	"celeryhead.dev/celeryhead/responder"
+)
+
+// Headers of a request that one instance forwards to another.
+const (
+	headerRoute   = internalPrefix + "Route"
+	headerAccount = internalPrefix + "Account"
+	headerKey     = internalPrefix + "Key-Digest"
+	headerRegion  = internalPrefix + "Region"
+	headerURI     = internalPrefix + "Uri"
+	forwardPath   = "/forward"
+)
+
+// run sends a request to a target that this instance owns.
+func (s *Server) run(ctx context.Context, c *call) (*forwarder.Answer, *responder.Refusal) {
+	p := s.pools.get(c.route.Pool)
+	if p == nil {
+		return nil, noOwner()
+	}
+	l, err := p.Acquire(ctx, balancer.Work{
+		Account:  c.account.Name,
+		Rate:     c.account.Rate,
+		Deadline: c.deadline,
+		Remote:   c.region != s.self.Region,
+	})
+	if err != nil {
+		return nil, acquireRefusal(err)
+	}
+	a, f := s.send(ctx, c, l)
+	return a, f
+}
+
+func acquireRefusal(err error) *responder.Refusal {
+	var f *responder.Refusal
+	if errors.As(err, &f) {
+		return f
+	}
+	return deadlineExceeded()
+}
+
+// send runs a request on the target of a lease and releases the lease when the answer has ended.
+func (s *Server) send(ctx context.Context, c *call, l *balancer.Lease) (*forwarder.Answer, *responder.Refusal) {
+	t, ok := s.control.View().Address(l.Target)
+	if !ok {
+		l.Release(balancer.NotSent)
+		return nil, noOwner()
+	}
+	r := *c.request
+	r.Body = c.body.open()
+	a, err := s.targets.Do(ctx, forwarder.Call{
+		Address:  t,
+		Request:  &r,
+		Deadline: c.deadline,
+		Before:   func() error { return s.admit(c, l.Target) },
+	})
+	if err != nil {
+		return nil, s.failed(ctx, c, l, t, err)
+	}
+	removeInternal(a.Header)
+	a.Body = &leasedBody{ReadCloser: a.Body, release: func(err error) { l.Release(s.outcome(ctx, c, l.Target, t, a.Status, err)) }}
+	return a, nil
+}
+
+// admit is asked just before the first byte goes to a target: a proof, a key or a deadline may have lapsed since the request was accepted.
+func (s *Server) admit(c *call, target string) error {
+	now := s.clock()
+	v := s.control.View()
+	if !now.Before(c.deadline) {
+		return deadlineExceeded()
+	}
+	if !s.control.Valid(s.control.Scope(v.TargetResource(target)), now) {
+		return stale()
+	}
+	if c.route.Open {
+		return nil
+	}
+	if !s.control.Valid(attester.Fleet, now) {
+		return stale()
+	}
+	if !v.Keys.Valid(c.identity) {
+		return keyInvalid()
+	}
+	return nil
+}
+
+// failed releases the lease of a request without an answer and returns what its caller is told.
+func (s *Server) failed(ctx context.Context, c *call, l *balancer.Lease, t netip.AddrPort, err error) *responder.Refusal {
+	l.Release(s.outcome(ctx, c, l.Target, t, 0, err))
+	var x *forwarder.Failure
+	if !errors.As(err, &x) {
+		return targetFailed(responder.Unknown)
+	}
+	if x.Ran == responder.Unknown {
+		s.log.RequestFailed(c.route.Name, l.Target, err)
+	}
+	return refusalOf(x)
+}
+
+func refusalOf(x *forwarder.Failure) *responder.Refusal {
+	var f *responder.Refusal
+	if errors.As(x.Err, &f) && x.Ran == responder.NotRun {
+		return f
+	}
+	f = &responder.Refusal{Status: http.StatusBadGateway, Reason: x.Reason, Ran: x.Ran, Message: "the target gave no whole answer"}
+	switch x.Reason {
+	case responder.DeadlineExceeded:
+		f.Status, f.Message = http.StatusGatewayTimeout, "the deadline passed"
+	case responder.BadRequest:
+		f.Status, f.Message = http.StatusBadRequest, "the request cannot be forwarded"
+	case responder.TargetShed:
+		f.Status, f.Message, f.RetryAfter = http.StatusServiceUnavailable, "the target has no room", time.Second
+	default:
+	}
+	return f
+}
+
+// outcome classifies the end of a request for the balancer.
+func (s *Server) outcome(ctx context.Context, c *call, target string, t netip.AddrPort, status int, err error) balancer.Outcome {
+	if err == nil {
+		if status >= http.StatusInternalServerError {
+			return balancer.Failure
+		}
+		return balancer.Success
+	}
+	var x *forwarder.Failure
+	if !errors.As(err, &x) {
+		return balancer.Canceled
+	}
+	switch {
+	case errors.Is(err, forwarder.ErrShed):
+		return balancer.Shed
+	case x.Ran == responder.NotRun && x.Reason == responder.TargetUnreachable:
+		return balancer.ConnectFailure
+	case x.Ran == responder.NotRun:
+		return balancer.NotSent
+	case ctx.Err() != nil && !x.Silent && !x.Broken && s.clock().Before(c.deadline):
+		return balancer.Canceled
+	case x.Broken:
+		return s.broken(c, target, t)
+	}
+	return balancer.Timeout
+}
+
+// probeTimeout bounds the check whether a target accepts connections after one of them broke.
+const probeTimeout = time.Second
+
+// broken tells a target that crashed from one that only closed a connection.
+func (s *Server) broken(c *call, target string, t netip.AddrPort) balancer.Outcome {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	if s.targets.Probe(ctx, t) == nil {
+		return balancer.Broken
+	}
+	s.log.StrikeRecorded(c.account.Name, c.route.Name, target)
+	return balancer.Crash
+}
+
+// leasedBody releases a lease when the answer has ended.
+type leasedBody struct {
+	io.ReadCloser
+	once    sync.Once
+	release func(error)
+}
+
+// Read returns the answer's bytes.
+func (b *leasedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case errors.Is(err, io.EOF):
+		b.once.Do(func() { b.release(nil) })
+	case err != nil:
+		b.once.Do(func() { b.release(err) })
+	}
+	return n, err
+}
+
+// Close ends the answer.
+func (b *leasedBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.once.Do(func() { b.release(context.Canceled) })
+	return err
+}
+
+func removeInternal(h http.Header) {
+	for n := range h {
+		if strings.HasPrefix(n, internalPrefix) {
+			delete(h, n)
+		}
+	}
+}
+
+// own serves a request that another instance forwards because this one owns targets of its pool.
+func (s *Server) own(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	c, f := s.receive(w, r)
+	if f != nil {
+		s.refuse(w, f)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(c.deadline.Sub(s.clock())))
+	defer cancel()
+	a, f := s.run(ctx, c)
+	if f != nil {
+		s.refuse(w, f)
+		return
+	}
+	s.copy(w, c, a)
+}
+
+// receive reads what the entry instance found out about a request.
+func (s *Server) receive(w http.ResponseWriter, r *http.Request) (*call, *responder.Refusal) {
+	v := s.control.View()
+	h := r.Header
+	c := &call{region: h.Get(headerRegion)}
+	var ok bool
+	if c.route, ok = v.Routes.Named(h.Get(headerRoute)); !ok {
+		return nil, stale()
+	}
+	var err error
+	if c.deadline, err = time.Parse(time.RFC3339Nano, h.Get(forwarder.HeaderDeadline)); err != nil {
+		return nil, badRequest("forwarded request without a deadline")
+	}
+	if !c.route.Open {
+		if c.account, ok = v.Accounts[h.Get(headerAccount)]; !ok {
+			return nil, keyInvalid()
+		}
+		d, err := hex.DecodeString(h.Get(headerKey))
+		if err != nil || len(d) != len(authenticator.Digest{}) {
+			return nil, keyInvalid()
+		}
+		c.identity = authenticator.Identity{Account: c.account.Name, Digest: authenticator.Digest(d)}
+	}
+	u, err := url.ParseRequestURI(h.Get(headerURI))
+	if err != nil {
+		return nil, badRequest("forwarded request without an address")
+	}
+	c.request = outgoing(r)
+	c.request.URL = u
+	var f *responder.Refusal
+	if c.body, f = s.readBody(w, r); f != nil {
+		return nil, f
+	}
+	c.request.ContentLength = c.body.length
+	return c, nil
+}
+
+func noOwner() *responder.Refusal {
+	return &responder.Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Reason:     responder.NoOwner,
+		Ran:        responder.NotRun,
+		Message:    "no instance can send requests to this pool at present",
+		RetryAfter: time.Second,
+	}
+}
+
+func deadlineExceeded() *responder.Refusal {
+	return &responder.Refusal{Status: http.StatusGatewayTimeout, Reason: responder.DeadlineExceeded, Ran: responder.NotRun, Message: "the deadline passed before the request was sent"}
+}
+
+func targetFailed(n responder.Ran) *responder.Refusal {
+	return &responder.Refusal{Status: http.StatusBadGateway, Reason: responder.TargetFailed, Ran: n, Message: "the target gave no whole answer"}
+}
--- /dev/null
+++ b/server/peers.go
@@ -0,0 +1,80 @@
+package server
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"github.com/twitchtv/twirp"
+
+	"celeryhead.dev/celeryhead/certifier"
+	"celeryhead.dev/celeryhead/messenger"
+)
+
+func (s *Server) peersHandler() http.Handler {
+	r := mux.NewRouter().SkipClean(true)
+	t := messenger.NewPeerServer(&peerService{server: s})
+	r.PathPrefix(t.PathPrefix()).Handler(identified(t))
+	r.Path(forwardPath).HandlerFunc(s.own)
+	return r
+}
+
+type identityKey struct{}
+
+// identified passes the name in the client's certificate on to the services.
+func identified(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, n, err := certifier.Identity(r.TLS)
+		if err != nil {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+		h.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), identityKey{}, n)))
+	})
+}
+
+func identity(ctx context.Context) string {
+	n, _ := ctx.Value(identityKey{}).(string)
+	return n
+}
+
+// peerService serves other instances.
+type peerService struct {
+	server *Server
+}
+
+// Heartbeat answers a heartbeat; an instance can send one only in its own name.
+func (p *peerService) Heartbeat(ctx context.Context, b *messenger.Beat) (*messenger.Beat, error) {
+	if b.GetFrom().GetName() != identity(ctx) {
+		return nil, twirp.PermissionDenied.Error("the certificate belongs to another instance")
+	}
+	a, err := p.server.control.Heartbeat(ctx, b)
+	if err != nil {
+		return nil, twirp.FailedPrecondition.Error(err.Error())
+	}
+	return a, nil
+}
+
+// Grant gives tokens of a bucket part.
+func (p *peerService) Grant(context.Context, *messenger.GrantRequest) (*messenger.GrantReply, error) {
+	return &messenger.GrantReply{NotOwner: true}, nil
+}
+
+// FetchHeads returns the heads row.
+func (p *peerService) FetchHeads(context.Context, *messenger.FetchHeadsRequest) (*messenger.HeadsRow, error) {
+	return p.server.control.FetchHeads(), nil
+}
+
+// FetchConfiguration returns the text of a configuration.
+func (p *peerService) FetchConfiguration(_ context.Context, r *messenger.FetchConfigurationRequest) (*messenger.ConfigurationText, error) {
+	t := p.server.control.FetchConfiguration(r.Version)
+	if t == nil {
+		return nil, twirp.NotFoundError("this instance applies another version")
+	}
+	return t, nil
+}
+
+// Strike records a request that crashed a target.
+func (p *peerService) Strike(context.Context, *messenger.StrikeNotice) (*messenger.Empty, error) {
+	return &messenger.Empty{}, nil
+}
--- /dev/null
+++ b/server/pools.go
@@ -0,0 +1,204 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"celeryhead.dev/celeryhead/assigner"
+	"celeryhead.dev/celeryhead/balancer"
+	"celeryhead.dev/celeryhead/composer"
+	"celeryhead.dev/celeryhead/controller"
+	"celeryhead.dev/celeryhead/messenger"
+)
+
+// maxTargetConnections bounds the connections of this instance to one target; each of its slots needs one.
+const maxTargetConnections = 16
+
+// pools holds the owner side of every pool and what other owners report.
+type pools struct {
+	server *Server
+
+	// applying serializes Reassign.
+	applying sync.Mutex
+
+	mu    sync.Mutex
+	pools map[string]*ownedPool
+}
+
+// ownedPool is the part of a pool that this instance owns.
+type ownedPool struct {
+	*balancer.Dispatcher
+	config  composer.Pool
+	holding map[string]balancer.Holding
+	stop    context.CancelFunc
+}
+
+func newPools(s *Server) *pools {
+	return &pools{server: s, pools: map[string]*ownedPool{}}
+}
+
+func (p *pools) get(name string) *ownedPool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pools[name]
+}
+
+func (p *pools) all() []*ownedPool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := make([]*ownedPool, 0, len(p.pools))
+	for _, o := range p.pools {
+		r = append(r, o)
+	}
+	return r
+}
+
+// run ends with ctx; dispatchers run from their creation.
+func (p *pools) run(ctx context.Context) {
+	<-ctx.Done()
+	for _, o := range p.all() {
+		o.stop()
+	}
+}
+
+// Reassign gives each pool the targets that this instance owns now; work on lost targets can no longer start when it returns.
+func (p *pools) Reassign() {
+	p.applying.Lock()
+	defer p.applying.Unlock()
+	v := p.server.control.View()
+	now := p.server.clock()
+	owned := 0
+	changed := false
+	for _, c := range v.Config.Pools {
+		o := p.ensure(c)
+		h := p.holdings(v, c, now)
+		owned += len(h)
+		if o.adopt(h) {
+			changed = true
+		}
+	}
+	for _, o := range p.all() {
+		if _, ok := v.Pools[o.config.Name]; !ok && o.adopt(nil) {
+			changed = true
+		}
+	}
+	if changed {
+		p.server.log.TargetsChanged(owned)
+	}
+}
+
+// ensure returns the pool with its present configuration.
+func (p *pools) ensure(c composer.Pool) *ownedPool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	o, ok := p.pools[c.Name]
+	k := balancer.Config{Name: c.Name, ServiceTime: c.ServiceTime, Reserve: c.Reserve}
+	if ok {
+		if o.config.ServiceTime != c.ServiceTime || o.config.Reserve != c.Reserve {
+			o.Configure(k)
+		}
+		o.config = c
+		return o
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	o = &ownedPool{Dispatcher: balancer.NewDispatcher(k, p.server.clock), config: c, stop: cancel}
+	go o.Run(ctx)
+	p.pools[c.Name] = o
+	return o
+}
+
+func (p *pools) holdings(v *controller.View, c composer.Pool, now time.Time) []balancer.Holding {
+	var r []balancer.Holding
+	for _, t := range c.Targets {
+		k := v.TargetResource(t.Name)
+		if !p.server.control.Owns(k, now) {
+			continue
+		}
+		r = append(r, balancer.Holding{
+			Target:      t.Name,
+			Slots:       t.Slots,
+			Connections: min(t.Connections, maxTargetConnections),
+			Draining:    drained(v.Config, t),
+			Residues:    residues(t.Name, p.server.control.Residue(k, now)),
+		})
+	}
+	return r
+}
+
+func residues(target string, r assigner.Residue) []balancer.Residue {
+	switch {
+	case r.Unknown:
+		return []balancer.Residue{{Target: target, Slots: balancer.AllSlots, Until: r.Until}}
+	case r.Slots > 0:
+		return []balancer.Residue{{Target: target, Slots: r.Slots, Until: r.Until}}
+	}
+	return nil
+}
+
+func drained(c composer.Config, t composer.Target) bool {
+	for _, d := range c.Drains {
+		if d.Kind == composer.DrainTarget && d.Of == t.Name || d.Kind == composer.DrainFailureDomain && d.Of == t.FailureDomain {
+			return true
+		}
+	}
+	return false
+}
+
+// adopt applies the holdings if they differ from the present ones.
+func (o *ownedPool) adopt(hs []balancer.Holding) bool {
+	m := make(map[string]balancer.Holding, len(hs))
+	same := len(hs) == len(o.holding)
+	for _, h := range hs {
+		m[h.Target] = h
+		b, ok := o.holding[h.Target]
+		same = same && ok && b.Slots == h.Slots && b.Connections == h.Connections && b.Draining == h.Draining
+	}
+	if same {
+		return false
+	}
+	o.holding = m
+	o.Adopt(hs)
+	return true
+}
+
+// busy reports whether work runs or waits on a target.
+func (p *pools) busy() bool {
+	for _, o := range p.all() {
+		for _, s := range o.Statuses() {
+			if s.Running > 0 {
+				return true
+			}
+		}
+		if o.Load().Queued > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Fill adds loads and residues to a heartbeat.
+func (p *pools) Fill(b *messenger.Beat) {
+	now := p.server.clock()
+	for _, o := range p.all() {
+		l := o.Load()
+		if l.Slots > 0 || l.Queued > 0 {
+			b.Loads = append(b.Loads, &messenger.PoolLoad{
+				Pool:   o.config.Name,
+				Slots:  uint32(l.Slots),  //nolint:gosec // Counts of slots are small.
+				Free:   uint32(l.Free),   //nolint:gosec // Counts of slots are small.
+				Queued: uint32(l.Queued), //nolint:gosec // Queues are bounded.
+			})
+		}
+		for _, r := range o.Residues() {
+			b.Residues = append(b.Residues, &messenger.Residue{
+				Target:      r.Target,
+				Slots:       uint32(r.Slots), //nolint:gosec // Counts of slots are small.
+				RemainingMs: r.Until.Sub(now).Milliseconds() + 1,
+			})
+		}
+	}
+}
+
+// Receive takes a peer's loads.
+func (p *pools) Receive(*messenger.Beat) {}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,226 @@
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"celeryhead.dev/celeryhead/certifier"
+	"celeryhead.dev/celeryhead/claimer"
+	"celeryhead.dev/celeryhead/controller"
+	"celeryhead.dev/celeryhead/forwarder"
+	"celeryhead.dev/celeryhead/lister"
+	"celeryhead.dev/celeryhead/loader"
+	"celeryhead.dev/celeryhead/logger"
+	"celeryhead.dev/celeryhead/operator"
+	"celeryhead.dev/celeryhead/storer"
+	"celeryhead.dev/celeryhead/timer"
+	"celeryhead.dev/celeryhead/tracker"
+)
+
+const (
+	// headerTimeout bounds how long a caller may take to send a request's header.
+	headerTimeout = 10 * time.Second
+	// idleTimeout closes connections of callers that stay unused; it exceeds the pauses of callers that keep connections.
+	idleTimeout = 2 * time.Minute
+	// maxPeerConnections bounds the connections to one peer.
+	maxPeerConnections = 256
+)
+
+// Config configures a server.
+type Config struct {
+	Settings loader.Settings
+	Log      *logger.Logger
+}
+
+// Server is the daemon of one entry instance.
+type Server struct {
+	settings loader.Settings
+	log      *logger.Logger
+	clock    timer.Clock
+	self     tracker.Instance
+
+	control  *controller.Controller
+	store    *storer.Client
+	links    *links
+	targets  *forwarder.Forwarder
+	peers    *forwarder.Forwarder
+	pools    *pools
+	claims   *claimer.Claims
+	operator *operator.Operator
+
+	callersTLS, peersTLS, operatorsTLS *tls.Config
+
+	inFlight atomic.Int64
+	leaving  atomic.Bool
+	// finishing counts outcomes that are being stored.
+	finishing sync.WaitGroup
+}
+
+// New reads the certificates and returns a server that does not listen yet.
+func New(c Config) (*Server, error) {
+	s := &Server{settings: c.Settings, log: c.Log, clock: timer.Now}
+	s.self = tracker.Instance{
+		Name:          c.Settings.Name,
+		Incarnation:   uint64(time.Now().UnixNano()), //nolint:gosec // The time is after 1970.
+		Region:        c.Settings.Region,
+		FailureDomain: c.Settings.FailureDomain,
+		Caller:        c.Settings.Listeners.Callers,
+		Peer:          c.Settings.Listeners.Peers,
+	}
+	t, err := s.loadTLS()
+	if err != nil {
+		return nil, err
+	}
+	if s.store, err = storer.New(storer.Config{Addresses: c.Settings.Platform.Store, Timeout: c.Settings.Platform.StoreTimeout}); err != nil {
+		return nil, err
+	}
+	s.links = newLinks(t)
+	s.targets = forwarder.New(forwarder.Config{MaxConnections: maxTargetConnections})
+	s.peers = forwarder.New(forwarder.Config{TLS: t, MaxConnections: maxPeerConnections, MaxIdle: maxPeerConnections})
+	s.pools = newPools(s)
+	s.claims = claimer.New(claimer.Config{Store: s.store})
+	s.control, err = controller.New(controller.Config{
+		Self:         s.self,
+		Timing:       c.Settings.Timing,
+		Store:        s.store,
+		StoreTimeout: c.Settings.Platform.StoreTimeout,
+		List:         lister.New(lister.Config{Addresses: c.Settings.Platform.List, Timeout: c.Settings.Timing.ListAge / 3}),
+		Dialer:       s.links,
+		Hooks:        s.pools,
+		Log:          c.Log,
+		Clock:        s.clock,
+		Seed:         s.self.Incarnation,
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.operator = operator.New(operator.Config{Store: s.store, Publish: s.control.Publish, Instance: s.self.Name})
+	return s, nil
+}
+
+func (s *Server) loadTLS() (*tls.Config, error) {
+	n := s.settings.TLS
+	var c certifier.Config
+	for _, f := range []struct {
+		path string
+		to   *[]byte
+	}{{n.Authority, &c.Authority}, {n.Certificate, &c.Pair.Certificate}, {n.Key, &c.Pair.Key}} {
+		b, err := os.ReadFile(f.path)
+		if err != nil {
+			return nil, merry.Prepend(err, "tls")
+		}
+		*f.to = b
+	}
+	var err error
+	if s.peersTLS, err = certifier.ServerConfig(c, certifier.Peer); err != nil {
+		return nil, merry.Prepend(err, "tls")
+	}
+	if s.operatorsTLS, err = certifier.ServerConfig(c, certifier.Operator); err != nil {
+		return nil, merry.Prepend(err, "tls")
+	}
+	if n.CallersCertificate != "" {
+		p, err := tls.LoadX509KeyPair(n.CallersCertificate, n.CallersKey)
+		if err != nil {
+			return nil, merry.Prepend(err, "tls.callers_certificate")
+		}
+		s.callersTLS = &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{p}}
+	}
+	t, err := certifier.ClientConfig(c)
+	return t, merry.Prepend(err, "tls")
+}
+
+type listener struct {
+	name    string
+	address netip.AddrPort
+	tls     *tls.Config
+	server  *http.Server
+	socket  net.Listener
+}
+
+func (s *Server) listeners() []*listener {
+	l := s.settings.Listeners
+	return []*listener{
+		{name: "callers", address: l.Callers, tls: s.callersTLS, server: s.httpServer(s.callersHandler())},
+		{name: "peers", address: l.Peers, tls: s.peersTLS, server: s.httpServer(s.peersHandler())},
+		{name: "operators", address: l.Operators, tls: s.operatorsTLS, server: s.httpServer(s.operatorsHandler())},
+		{name: "metrics", address: l.Metrics, server: s.httpServer(s.metricsHandler())},
+	}
+}
+
+func (s *Server) httpServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    s.settings.Limits.HeaderBytes,
+		ErrorLog:          discardLog,
+	}
+}
+
+// Run serves until ctx ends, then leaves without cutting requests.
+func (s *Server) Run(ctx context.Context) error {
+	ls := s.listeners()
+	for _, l := range ls {
+		if err := l.open(ctx); err != nil {
+			s.log.ListenerFailed(l.name, err)
+			return err
+		}
+	}
+	failed := make(chan error, len(ls))
+	for _, l := range ls {
+		go func() {
+			if err := l.server.Serve(l.socket); !errors.Is(err, http.ErrServerClosed) {
+				s.log.ListenerFailed(l.name, err)
+				failed <- err
+			}
+		}()
+	}
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var g sync.WaitGroup
+	for _, f := range []func(context.Context){s.control.Run, s.pools.run, s.runClaims, s.runProbes} {
+		g.Go(func() { f(work) })
+	}
+	s.log.Started(s.self.Caller, s.self.Peer, s.settings.Listeners.Operators, s.self.Incarnation)
+	var err error
+	select {
+	case <-ctx.Done():
+		s.shutdown(ls)
+	case err = <-failed:
+	}
+	cancel()
+	g.Wait()
+	for _, l := range ls {
+		_ = l.server.Close()
+	}
+	return err
+}
+
+func (l *listener) open(ctx context.Context) error {
+	var c net.ListenConfig
+	k, err := c.Listen(ctx, "tcp", l.address.String())
+	if err != nil {
+		return err
+	}
+	if l.tls != nil {
+		k = tls.NewListener(k, l.tls)
+	}
+	l.socket = k
+	return nil
+}
+
+func (s *Server) runClaims(ctx context.Context) {
+	if err := s.claims.Run(ctx); err != nil && ctx.Err() == nil {
+		s.log.ListenerFailed("claims", err)
+	}
+}
