--- /dev/null
+++ b/recorder/keys.go
@@ -0,0 +1,24 @@
+package recorder
+
+import "fmt"
+
+// HeadsKey is the key of the heads row.
+const HeadsKey = "heads"
+
+// AuditPrefix begins the keys of all audit rows.
+const AuditPrefix = "audit/"
+
+// ConfigKey returns the key of the row that holds the canonical TOML of a configuration version.
+func ConfigKey(version uint64) string {
+	return fmt.Sprintf("config/%020d", version)
+}
+
+// AuditKey returns the key of the audit row of a configuration version; keys sort by version.
+func AuditKey(version uint64) string {
+	return fmt.Sprintf("%s%020d", AuditPrefix, version)
+}
+
+// OperationKey returns the key of the row that holds the configuration version that an operation made.
+func OperationKey(id string) string {
+	return "operation/" + id
+}
