Add claims: at most one run for each idempotency key

Replies can be lost, commits applied late and processes paused, so a claim is recognized by its id, each write is conditional on the row's version, and a claim that did not run is replaced by an abandoned row instead of deleted.

--- /dev/null
+++ b/claimer/doc.go
@@ -0,0 +1,39 @@
+// Package claimer lets a non-idempotent request run at most once.
+//
+// A request with an Idempotency-Key chosen by the caller runs only after a claim
+// row for its account, route and key was inserted into the store, in a conditional
+// transaction. The claim is never taken over: the sending that inserted the row is
+// the only one that may run, until its deadline, which is checked again just before
+// the effect and enforced by the target. Claims of concurrent requests share
+// transactions; a claim that another holds does not fail the others.
+//
+// # Unknown effects
+//
+// An insert whose reply was lost is repeated with the same claim id. If the row
+// then carries that id, the insert was effective. A transaction with an unknown
+// effect may also be applied later; therefore a claim row is not deleted but
+// replaced by an abandoned one, and each write is conditional on the row's version,
+// which a late insert no longer meets. Rows are deleted 24 h after the deadline of
+// their request; a commit that is applied even later, and a resend after that time,
+// are not guarded against.
+//
+// # What a resend sees
+//
+// After the verdict Unavailable the sending has not run and never will, but its row
+// may exist or appear later. The instance goes on in the background, for 10 min, to
+// replace the row by an abandoned one. A resend sees
+//
+//   - no row or an abandoned one: it claims the key and may run;
+//   - the claim, before its deadline: in_progress (409, ran unknown, Retry-After);
+//   - the claim, after its deadline, if the instance has died or the store has not
+//     answered it since: outcome_unknown (409, ran unknown). This says less than the
+//     dead instance knew, but nothing false.
+//
+// After a run a resend sees the stored answer, or, if the body exceeded 64 KiB or the
+// headers 8 KiB, or too many outcomes waited for the store, completed_without_body
+// (410, ran "ran"); or the two answers above until the outcome is stored. Another
+// request digest under the same key is refused (422, not run).
+//
+// "Not run" speaks of one sending. A caller that got no answer to an earlier sending
+// of the key must keep the key, and must not go over to a ticket or to another key.
+package claimer
--- /dev/null
+++ b/claimer/world_test.go
@@ -0,0 +1,211 @@
+package claimer_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"celeryhead.dev/celeryhead/storer"
+)
+
+// world is a table service with faults; it must be used inside a synctest bubble.
+type world struct {
+	seed uint64
+	// rtt is the round trip of a call without a fault.
+	rtt time.Duration
+	// faulty is the share of commits with a fault.
+	faulty float64
+	// lateness bounds the time after which a commit with an unknown effect may still be applied.
+	lateness time.Duration
+
+	mu          sync.Mutex
+	rows        map[string]storer.Row
+	version     uint64
+	outageUntil time.Time
+	commits     int
+	late        sync.WaitGroup
+}
+
+func newWorld(seed uint64, rtt time.Duration) *world {
+	return &world{seed: seed, rtt: rtt, lateness: time.Minute, rows: make(map[string]storer.Row)}
+}
+
+func (w *world) apply(t storer.Txn) storer.Result {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.commits++
+	var failed []storer.Row
+	for _, c := range t.Checks {
+		r := w.rows[c.Key]
+		r.Key = c.Key
+		if r.Version != c.Version {
+			failed = append(failed, r)
+		}
+	}
+	if len(failed) > 0 {
+		return storer.Result{Rows: failed}
+	}
+	w.version++
+	var written []storer.Row
+	for _, x := range t.Writes {
+		if x.Delete {
+			delete(w.rows, x.Key)
+			continue
+		}
+		w.rows[x.Key] = storer.Row{Key: x.Key, Version: w.version, Value: x.Value}
+		written = append(written, storer.Row{Key: x.Key, Version: w.version})
+	}
+	return storer.Result{Committed: true, Rows: written}
+}
+
+func (w *world) down() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Now().Before(w.outageUntil)
+}
+
+func (w *world) setOutage(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.outageUntil = time.Now().Add(d)
+}
+
+func (w *world) count(prefix string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for k := range w.rows {
+		if strings.HasPrefix(k, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
+// link is the store as one instance sees it.
+type link struct {
+	world *world
+	index uint64
+
+	mu          sync.Mutex
+	calls       uint64
+	pausedUntil time.Time
+	killed      bool
+}
+
+var _ storer.Store = (*link)(nil)
+
+// gate holds a paused instance and reports whether it is alive.
+func (l *link) gate() bool {
+	for {
+		l.mu.Lock()
+		killed, wait := l.killed, time.Until(l.pausedUntil)
+		l.mu.Unlock()
+		if killed || wait <= 0 {
+			return !killed
+		}
+		time.Sleep(wait)
+	}
+}
+
+func (l *link) pause(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pausedUntil = time.Now().Add(d)
+}
+
+func (l *link) kill() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.killed = true
+}
+
+// draw returns the random source of the next call; it depends on the call and not on the schedule of goroutines.
+func (l *link) draw() *rand.Rand {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls++
+	return rand.New(rand.NewPCG(l.world.seed, l.index<<32|l.calls))
+}
+
+func (l *link) Commit(ctx context.Context, t storer.Txn) (storer.Result, error) {
+	if !l.gate() {
+		return storer.Result{}, storer.ErrNotSent
+	}
+	r, err := l.send(ctx, t, l.draw())
+	if !l.gate() {
+		return storer.Result{}, storer.ErrUnknown
+	}
+	return r, err
+}
+
+func (l *link) send(ctx context.Context, t storer.Txn, r *rand.Rand) (storer.Result, error) {
+	w := l.world
+	if w.down() && r.IntN(2) == 0 {
+		return storer.Result{}, storer.ErrNotSent
+	}
+	if !w.down() && r.Float64() >= w.faulty {
+		time.Sleep(w.rtt / 2)
+		x := w.apply(t)
+		time.Sleep(w.rtt / 2)
+		return x, nil
+	}
+	switch r.IntN(4) {
+	case 0:
+		return storer.Result{}, storer.ErrNotSent
+	case 1:
+		time.Sleep(w.rtt)
+		w.apply(t)
+	case 2:
+		later := time.Duration(r.Int64N(int64(w.lateness)))
+		w.late.Go(func() {
+			time.Sleep(later)
+			w.apply(t)
+		})
+	}
+	if r.IntN(2) == 0 {
+		wait(ctx, time.Second)
+	}
+	return storer.Result{}, storer.ErrUnknown
+}
+
+func (l *link) Read(_ context.Context, keys ...string) ([]storer.Row, error) {
+	w := l.world
+	time.Sleep(w.rtt)
+	if w.down() || !l.gate() {
+		return nil, storer.ErrUnknown
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var rows []storer.Row
+	for _, k := range keys {
+		if r, ok := w.rows[k]; ok {
+			rows = append(rows, r)
+		}
+	}
+	return rows, nil
+}
+
+func (l *link) List(_ context.Context, prefix, after string, limit int) ([]storer.Row, error) {
+	w := l.world
+	time.Sleep(w.rtt)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var rows []storer.Row
+	for k, r := range w.rows {
+		if strings.HasPrefix(k, prefix) && k > after {
+			rows = append(rows, r)
+		}
+	}
+	slices.SortFunc(rows, func(a, b storer.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows[:min(limit, len(rows))], nil
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	<-ctx.Done()
+}
