Add tickets: at most one run without the store

With the store down no claim can be made.

Memory is bounded in tickets, tickets of one account, and bytes of answers; a used ticket is never forgotten early.

Seen failing before: signature not compared gave "verdict run for a forged ticket"; finished tickets forgotten early gave "ticket may run again"; the byte bound ignored gave "2 tickets, 101 bytes in memory".

--- a/claimer/decision.go
+++ b/claimer/decision.go
@@ -28,7 +28,7 @@
 type Request struct {
 	Account string
 	Route   string
-	// Key is the Idempotency-Key chosen by the caller.
+	// Key is the Idempotency-Key: chosen by the caller, or a ticket.
 	Key string
 	// RequestDigest covers everything of the request that its effect depends on.
 	RequestDigest [32]byte
@@ -69,8 +69,10 @@
 // Decision is the answer to Begin.
 type Decision struct {
 	Verdict Verdict
-	// Claim is set if the verdict is Run.
+	// Claim is set if the verdict is Run and the request has a caller's key.
 	Claim *Claim
+	// Ticket is set if the verdict is Run and the request has a ticket.
+	Ticket *TicketRun
 	// Outcome is set if the verdict is Stored, and without a body if it is Completed.
 	Outcome *Outcome
 	// RetryAfter is a time after which a resend may see another verdict; zero if none will.
--- /dev/null
+++ b/claimer/export_test.go
@@ -0,0 +1,15 @@
+package claimer
+
+// DecodeOutcome decodes the value of a claim row; known is false unless the row holds an outcome.
+func DecodeOutcome(b []byte) (o Outcome, partial, known bool, err error) {
+	r, err := decodeRow(b)
+	if err != nil || r.State != done {
+		return Outcome{}, false, false, err
+	}
+	return *r.outcome(), r.Partial, true, nil
+}
+
+// EncodeOutcome encodes the row of a finished claim.
+func EncodeOutcome(r Request, o Outcome) []byte {
+	return newRow(r).finished(o, true).encode()
+}
--- a/claimer/row.go
+++ b/claimer/row.go
@@ -102,7 +102,8 @@
 	case claimed, abandoned:
 		return r, nil
 	case done:
-		if http.StatusText(r.Status) == "" && (r.Status < 200 || r.Status > 999) || len(r.Body) > MaxBodyBytes {
+		// net/http panics on a final status outside of this range.
+		if r.Status < 200 || r.Status > 999 || len(r.Body) > MaxBodyBytes {
 			return row{}, merry.Wrap(errRow)
 		}
 		return r, nil
--- /dev/null
+++ b/claimer/tickets_test.go
@@ -0,0 +1,385 @@
+package claimer_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"celeryhead.dev/celeryhead/claimer"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+const ticketLife = 2 * time.Minute
+
+// issued is the model of one ticket.
+type issued struct {
+	key      string
+	account  string
+	home     int
+	expires  time.Time
+	runs     int
+	answer   string
+	deadline time.Time
+	open     *claimer.TicketRun
+}
+
+// machine drives two incarnations of one instance and one of another against the model.
+type machine struct {
+	now     time.Time
+	sites   []*claimer.Tickets
+	places  []claimer.Location
+	tickets []*issued
+	seen    map[claimer.Verdict]int
+}
+
+// Guards against a ticket that runs twice, late, elsewhere or for another account, against a stored
+// answer of another run, and against memory that grows beyond its bounds or forgets a used ticket early.
+func TestTicketsMatchModel(t *testing.T) {
+	seen := map[claimer.Verdict]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t, seen)
+		t.Repeat(map[string]func(*rapid.T){
+			"issue":   m.issue,
+			"send":    m.send,
+			"finish":  m.finish,
+			"abandon": m.abandon,
+			"forge":   m.forge,
+			"time": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "seconds")) * time.Second)
+			},
+			"tick": func(*rapid.T) {
+				for _, s := range m.sites {
+					s.Tick(m.now)
+				}
+			},
+			"": m.check,
+		})
+	})
+	// The rarer verdicts have tests of their own below.
+	for _, v := range []claimer.Verdict{claimer.Run, claimer.Stored, claimer.InProgress, claimer.OutcomeUnknown} {
+		if seen[v] == 0 {
+			t.Errorf("no schedule led to the verdict %s", v)
+		}
+	}
+}
+
+func newMachine(t *rapid.T, seen map[claimer.Verdict]int) *machine {
+	m := &machine{now: start, seen: seen}
+	m.places = []claimer.Location{{Instance: "a", Incarnation: 1}, {Instance: "a", Incarnation: 2}, {Instance: "b", Incarnation: 1}}
+	for _, l := range m.places {
+		s, err := claimer.NewTickets(claimer.TicketConfig{Location: l, Limit: 3, AccountLimit: 2, Bytes: 100})
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.sites = append(m.sites, s)
+	}
+	return m
+}
+
+func (m *machine) issue(t *rapid.T) {
+	i := &issued{
+		account: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "account"),
+		home:    rapid.IntRange(0, len(m.sites)-1).Draw(t, "home"),
+		expires: m.now.Add(ticketLife),
+	}
+	key, err := m.sites[i.home].Issue(i.account, m.now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := claimer.Locate(key)
+	if err != nil || l != m.places[i.home] {
+		t.Fatalf("located at %v, error %v; want %v", l, err, m.places[i.home])
+	}
+	i.key = key
+	m.tickets = append(m.tickets, i)
+}
+
+func (m *machine) pick(t *rapid.T) *issued {
+	if len(m.tickets) == 0 {
+		t.Skip("no ticket")
+	}
+	return rapid.SampledFrom(m.tickets).Draw(t, "ticket")
+}
+
+func (m *machine) send(t *rapid.T) {
+	i := m.pick(t)
+	at := rapid.SampledFrom([]int{i.home, i.home, i.home, (i.home + 1) % 3}).Draw(t, "at")
+	r := claimer.Request{Account: i.account, Route: "r", Key: i.key, Deadline: m.now.Add(30 * time.Second)}
+	other := rapid.IntRange(0, 9).Draw(t, "other")
+	switch other {
+	case 0:
+		r.Account = "z"
+	case 1:
+		r.RequestDigest[0] = 1
+	case 2:
+		r.Route = "s"
+	}
+	d := m.sites[at].Begin(r, m.now)
+	m.seen[d.Verdict]++
+	if d.Verdict == claimer.Run && (at != i.home || other == 0 || !m.now.Before(i.expires)) {
+		t.Fatalf("ticket may run at %d for %s at %v", at, r.Account, m.now)
+	}
+	if at != i.home && other != 0 && d.Verdict != claimer.OutcomeUnknown {
+		t.Fatalf("verdict %s at another incarnation", d.Verdict)
+	}
+	if at != i.home || other == 0 {
+		return
+	}
+	m.checkSend(t, i, r, d)
+}
+
+func (m *machine) checkSend(t *rapid.T, i *issued, r claimer.Request, d claimer.Decision) {
+	switch d.Verdict {
+	case claimer.Run:
+		if i.runs > 0 || i.open != nil {
+			t.Fatal("ticket may run again")
+		}
+		i.open, i.deadline = d.Ticket, r.Deadline
+	case claimer.Stored:
+		if i.runs != 1 || string(d.Outcome.Body) != i.answer {
+			t.Fatalf("stored %q, want %q", d.Outcome.Body, i.answer)
+		}
+	case claimer.Completed, claimer.Mismatch:
+		if i.runs+one(i.open != nil) == 0 {
+			t.Fatalf("verdict %s for an unused ticket", d.Verdict)
+		}
+	case claimer.InProgress:
+		if i.open == nil {
+			t.Fatal("an unused ticket is in progress")
+		}
+	case claimer.OutcomeUnknown:
+		if m.now.Before(i.expires) && (i.open == nil || m.now.Before(i.deadline)) {
+			t.Fatal("the outcome of a fresh ticket is unknown")
+		}
+	case claimer.Unavailable:
+		if n, _ := m.sites[i.home].Remembered(); n < 2 || i.runs > 0 {
+			t.Fatalf("unavailable with %d tickets", n)
+		}
+	default:
+		t.Fatalf("verdict %s", d.Verdict)
+	}
+}
+
+func (m *machine) finish(t *rapid.T) {
+	i := m.pick(t)
+	if i.open == nil {
+		t.Skip("not running")
+	}
+	i.answer = fmt.Sprintf("%0*d", rapid.IntRange(1, 60).Draw(t, "bytes"), len(m.tickets))
+	err := m.sites[i.home].Finish(i.open, claimer.Outcome{Status: 201, Body: []byte(i.answer)})
+	if err != nil && (m.now.Before(i.deadline) || m.now.Before(i.expires)) {
+		t.Fatal(err)
+	}
+	i.open = nil
+	i.runs++
+}
+
+func (m *machine) abandon(t *rapid.T) {
+	i := m.pick(t)
+	if i.open == nil {
+		t.Skip("not running")
+	}
+	r := i.open
+	i.open = nil
+	if m.sites[i.home].Abandon(r) == nil && !errors.Is(m.sites[i.home].Finish(r, claimer.Outcome{}), claimer.ErrSettled) {
+		t.Fatal("an abandoned run was finished")
+	}
+}
+
+// forge changes one byte of a ticket.
+func (m *machine) forge(t *rapid.T) {
+	i := m.pick(t)
+	b := []byte(i.key)
+	at := rapid.IntRange(0, len(b)-1).Draw(t, "position")
+	b[at] ^= byte(1 << rapid.IntRange(0, 7).Draw(t, "bit"))
+	for _, s := range m.sites {
+		d := s.Begin(claimer.Request{Account: i.account, Route: "r", Key: string(b), Deadline: m.now.Add(time.Minute)}, m.now)
+		m.seen[d.Verdict]++
+		if d.Verdict != claimer.Invalid && d.Verdict != claimer.OutcomeUnknown {
+			t.Fatalf("verdict %s for a forged ticket", d.Verdict)
+		}
+	}
+}
+
+func (m *machine) check(t *rapid.T) {
+	for _, s := range m.sites {
+		if n, b := s.Remembered(); n > 3 || b > 100 {
+			t.Fatalf("%d tickets, %d bytes in memory", n, b)
+		}
+	}
+}
+
+func one(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Guards against an account that takes the memory of the others, and a full memory that forgets used tickets.
+func TestTicketLimits(t *testing.T) {
+	s, err := claimer.NewTickets(claimer.TicketConfig{Location: claimer.Location{Instance: "a"}, Limit: 4, AccountLimit: 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var first claimer.Request
+	for i, c := range []struct {
+		account string
+		want    claimer.Verdict
+	}{
+		{"x", claimer.Run},
+		{"x", claimer.Run},
+		{"x", claimer.Run},
+		{"x", claimer.Unavailable},
+		{"y", claimer.Run},
+		{"y", claimer.Unavailable},
+	} {
+		key, err := s.Issue(c.account, start)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := claimer.Request{Account: c.account, Route: "r", Key: key, Deadline: start.Add(time.Minute)}
+		if i == 0 {
+			first = r
+		}
+		if d := s.Begin(r, start); d.Verdict != c.want {
+			t.Fatalf("request %d: verdict %s, want %s", i, d.Verdict, c.want)
+		}
+	}
+	if d := s.Begin(first, start); d.Verdict != claimer.InProgress {
+		t.Fatalf("verdict %s for a used ticket", d.Verdict)
+	}
+}
+
+// Guards against a run that settles the run of a later sending, and against an answer that is
+// forgotten while its request may still run.
+func TestTicketRuns(t *testing.T) {
+	s, err := claimer.NewTickets(claimer.TicketConfig{Location: claimer.Location{Instance: "a"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	key, err := s.Issue("x", start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := claimer.Request{Account: "x", Route: "r", Key: key, Deadline: start.Add(2 * ticketLife)}
+	old := s.Begin(r, start).Ticket
+	if err := s.Abandon(old); err != nil {
+		t.Fatal(err)
+	}
+	late := start.Add(ticketLife - time.Second)
+	d := s.Begin(r, late)
+	if d.Verdict != claimer.Run {
+		t.Fatalf("verdict %s after an abandoned run", d.Verdict)
+	}
+	if err := s.Finish(old, claimer.Outcome{Status: 500}); !errors.Is(err, claimer.ErrSettled) {
+		t.Fatalf("an abandoned run was finished: %v", err)
+	}
+	s.Tick(start.Add(ticketLife + time.Second))
+	if err := s.Finish(d.Ticket, claimer.Outcome{Status: 201}); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Abandon(d.Ticket); !errors.Is(err, claimer.ErrSettled) {
+		t.Fatalf("a finished run was abandoned: %v", err)
+	}
+	d = s.Begin(r, start.Add(ticketLife+time.Second))
+	if d.Verdict != claimer.Stored || d.Outcome.Status != 201 {
+		t.Fatalf("verdict %s after the run", d.Verdict)
+	}
+}
+
+// Guards against a ticket decided at an incarnation that does not remember it.
+func TestPlace(t *testing.T) {
+	self := claimer.Location{Instance: "a", Incarnation: 2}
+	for _, c := range []struct {
+		of        claimer.Location
+		reachable bool
+		want      claimer.Place
+	}{
+		{of: self, want: claimer.Here},
+		{of: self, reachable: true, want: claimer.Here},
+		{of: claimer.Location{Instance: "a", Incarnation: 1}, reachable: true, want: claimer.Gone},
+		{of: claimer.Location{Instance: "b", Incarnation: 1}, reachable: true, want: claimer.Elsewhere},
+		{of: claimer.Location{Instance: "b", Incarnation: 1}, want: claimer.Gone},
+	} {
+		if p := c.of.Place(self, c.reachable); p != c.want {
+			t.Errorf("place of %v: %d, want %d", c.of, p, c.want)
+		}
+	}
+}
+
+// Guards against panics in parsing and against texts that pass as tickets.
+func FuzzTicket(f *testing.F) {
+	s, err := claimer.NewTickets(claimer.TicketConfig{Location: claimer.Location{Instance: "a"}, Random: bytes.NewReader(make([]byte, 1<<10))})
+	if err != nil {
+		f.Fatal(err)
+	}
+	key, err := s.Issue("x", start)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(key)
+	f.Add("ct1.e30.e30")
+	f.Add("ct1.")
+	f.Add("")
+	f.Fuzz(func(t *testing.T, text string) {
+		_, err := claimer.Locate(text)
+		if err == nil && !claimer.IsTicket(text) {
+			t.Fatal("located a key that is no ticket")
+		}
+		d := s.Begin(claimer.Request{Account: "x", Route: "r", Key: text, Deadline: start.Add(time.Minute)}, start)
+		if text != key && d.Verdict != claimer.Invalid && d.Verdict != claimer.OutcomeUnknown {
+			t.Fatalf("verdict %s", d.Verdict)
+		}
+		if err != nil && d.Verdict != claimer.Invalid {
+			t.Fatalf("verdict %s for a text that cannot be located", d.Verdict)
+		}
+	})
+}
+
+// Guards against panics in decoding, and against outcomes that cannot be written as an answer.
+func FuzzOutcomeRow(f *testing.F) {
+	f.Add(claimer.EncodeOutcome(claimer.Request{Account: "x"}, claimer.Outcome{Status: 201, Header: http.Header{"A": {"b"}}, Body: []byte("c")}))
+	f.Add(claimer.EncodeOutcome(claimer.Request{Account: "x"}, claimer.Outcome{Status: 0}))
+	f.Add([]byte(`null`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		o, partial, known, err := claimer.DecodeOutcome(b)
+		if err != nil && known {
+			t.Fatal("outcome with an error")
+		}
+		if !known {
+			return
+		}
+		if o.Status < 200 || o.Status > 999 || len(o.Body) > claimer.MaxBodyBytes {
+			t.Fatalf("outcome with status %d and %d bytes", o.Status, len(o.Body))
+		}
+		p, again, _, err := claimer.DecodeOutcome(claimer.EncodeOutcome(claimer.Request{Account: "x"}, o))
+		if err != nil || p.Status != o.Status || !bytes.Equal(p.Body, o.Body) && !again && !partial {
+			t.Fatalf("decoded %v, then %v, error %v", o, p, err)
+		}
+	})
+}
+
+func BenchmarkTicket(b *testing.B) {
+	s, err := claimer.NewTickets(claimer.TicketConfig{Location: claimer.Location{Instance: "a"}, Limit: 1 << 30})
+	if err != nil {
+		b.Fatal(err)
+	}
+	r := claimer.Request{Account: "x", Route: "r", Deadline: start.Add(time.Minute)}
+	for b.Loop() {
+		r.Key, err = s.Issue("x", start)
+		if err != nil {
+			b.Fatal(err)
+		}
+		d := s.Begin(r, start)
+		if err := s.Finish(d.Ticket, claimer.Outcome{Status: 200}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
