--- a/claimer/claims.go
+++ b/claimer/claims.go
@@ -133,33 +133,34 @@
 	hard, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var group errgroup.Group
-	t := time.NewTimer(0)
+	t := time.AfterFunc(0, c.signal)
 	defer t.Stop()
-	ended := ctx.Done()
-	var limit <-chan time.Time
-	for {
+	for ctx.Err() == nil {
 		select {
 		case <-c.wake:
-		case <-t.C:
-		case <-ended:
-			ended = nil
+		case <-ctx.Done():
 			c.close()
-			limit = time.After(drainTime)
-		case <-limit:
-			cancel()
-			err := group.Wait()
-			c.stop()
-			return err
-		}
-		wait, ok := c.start(hard, &group)
-		if ok {
-			t.Reset(wait)
 		}
-		if ended == nil && c.Counters().Pending == 0 {
-			err := group.Wait()
-			c.stop()
-			return err
+		c.advance(hard, &group, t)
+	}
+	drain, end := context.WithTimeout(hard, drainTime)
+	defer end()
+	for drain.Err() == nil && c.Counters().Pending > 0 {
+		select {
+		case <-c.wake:
+		case <-drain.Done():
+			cancel()
 		}
+		c.advance(hard, &group, t)
+	}
+	err := group.Wait()
+	c.stop()
+	return err
+}
+
+func (c *Claims) advance(ctx context.Context, group *errgroup.Group, t *time.Timer) {
+	if wait, ok := c.start(ctx, group); ok {
+		t.Reset(wait)
 	}
 }
 
--- a/claimer/sweep.go
+++ b/claimer/sweep.go
@@ -143,10 +143,8 @@
 		if more && err == nil {
 			pause = sweepInterval
 		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(pause):
+		if err := sleep(ctx, pause); err != nil {
+			return err
 		}
 	}
 }
@@ -168,10 +166,8 @@
 			// After a failed check the expiry row must stay, so that the next sweep finds its claims again.
 			break
 		}
-		select {
-		case <-ctx.Done():
-			return false, ctx.Err()
-		case <-time.After(sweepInterval):
+		if err := sleep(ctx, sweepInterval); err != nil {
+			return false, err
 		}
 	}
 	return len(steps) > 0, nil
@@ -192,3 +188,10 @@
 	r, err := s.config.Store.Commit(ctx, t)
 	return r.Committed, err
 }
+
+func sleep(ctx context.Context, d time.Duration) error {
+	wait, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	<-wait.Done()
+	return ctx.Err()
+}
--- a/claimer/world_test.go
+++ b/claimer/world_test.go
@@ -205,8 +205,7 @@
 }
 
 func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	<-ctx.Done()
 }
