--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -17,28 +17,36 @@
 // limit bounds the time until the transcript is complete.
 const limit = 2 * time.Minute
 
+type options struct {
+	bin         string
+	check, keep bool
+}
+
 func main() {
-	bin, check := "bin", false
+	o := options{bin: "bin"}
 	flaggy.SetName("demo")
-	flaggy.String(&bin, "", "bin", "directory of the built programs")
-	flaggy.Bool(&check, "", "check", "check the transcript and exit")
+	flaggy.String(&o.bin, "", "bin", "directory of the built programs")
+	flaggy.Bool(&o.check, "", "check", "check the transcript and exit")
+	flaggy.Bool(&o.keep, "", "keep", "keep settings, certificates and logs")
 	flaggy.Parse()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	if err := run(ctx, bin, check); err != nil {
+	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, "demo:", err)
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context, bin string, check bool) error {
+func run(o options) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	dir, err := os.MkdirTemp("", "celeryhead-demo-")
 	if err != nil {
 		return err
 	}
-	defer func() { if os.Getenv("KEEP") == "" { _ = os.RemoveAll(dir) } }()
+	if !o.keep {
+		defer func() { _ = os.RemoveAll(dir) }()
+	}
 	fmt.Println("starting stand-ins and 7 daemons; settings, certificates and logs are in", dir)
-	d, err := launcher.Start(ctx, launcher.Config{Bin: bin, Dir: dir})
+	d, err := launcher.Start(ctx, launcher.Config{Bin: o.bin, Dir: dir})
 	if err != nil {
 		return err
 	}
@@ -49,7 +57,7 @@
 	if err := t.play(x); err != nil {
 		return err
 	}
-	if check {
+	if o.check {
 		fmt.Println("transcript: ok")
 		return nil
 	}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -52,23 +52,24 @@
 	flaggy.AttachSubcommand(list, 1)
 	flaggy.AttachSubcommand(target, 1)
 	flaggy.Parse()
+	if err := run(o, table.Used, list.Used, target.Used); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+func run(o options, table, list, targets bool) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	var err error
 	switch {
-	case table.Used:
-		err = serve(ctx, o.listen, emulator.NewTable())
-	case list.Used:
-		err = runList(ctx, o)
-	case target.Used:
-		err = runTargets(ctx, o)
-	default:
-		flaggy.ShowHelpAndExit("name a stand-in")
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "standin:", err)
-		os.Exit(1)
+	case table:
+		return serve(ctx, o.listen, emulator.NewTable())
+	case list:
+		return runList(ctx, o)
+	case targets:
+		return runTargets(ctx, o)
 	}
+	return merry.New("name a stand-in: table, list or targets")
 }
 
 // probeInterval is how often the list checks that an instance accepts connections.
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -63,8 +63,6 @@
 	// adopting serializes adoptions, which may wait for a fetch.
 	adopting sync.Mutex
 	kick     chan struct{}
-	stopped  chan struct{}
-	stop     sync.Once
 
 	mu       sync.Mutex
 	tracker  *tracker.Tracker
@@ -110,7 +108,6 @@
 	k := &Controller{
 		config:   c,
 		kick:     make(chan struct{}, 1),
-		stopped:  make(chan struct{}),
 		tracker:  t,
 		attester: attester.New(attester.Config{Region: c.Self.Region, Freshness: c.Timing.Freshness, ListAge: c.Timing.ListAge}),
 		assigner: assigner.New(assigner.Config{Self: member(c.Self), Freshness: c.Timing.Freshness}),
--- a/emulator/memory.go
+++ b/emulator/memory.go
@@ -16,11 +16,11 @@
 	mu       sync.Mutex
 	rows     map[string]storer.Row
 	revision uint64
-	faults   Faults
+	faults   MemoryFaults
 }
 
-// Faults are called without the lock of the table held; a nil function injects nothing.
-type Faults struct {
+// MemoryFaults are called without the lock of the table held; a nil function injects nothing.
+type MemoryFaults struct {
 	// BeforeRead makes Read and List fail. For List the key is its prefix.
 	BeforeRead func(keys []string) error
 	// BeforeCommit makes a commit fail before it takes effect.
@@ -35,7 +35,7 @@
 }
 
 // Inject replaces the faults.
-func (m *Memory) Inject(f Faults) {
+func (m *Memory) Inject(f MemoryFaults) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.faults = f
@@ -137,7 +137,7 @@
 	return f.BeforeRead(keys)
 }
 
-func (m *Memory) injected() Faults {
+func (m *Memory) injected() MemoryFaults {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.faults
--- a/emulator/target_test.go
+++ b/emulator/target_test.go
@@ -51,7 +51,10 @@
 	go func() { done <- e.Serve(l) }()
 	t.Cleanup(func() {
 		_ = l.Close()
-		<-done
+		// Serve reports the closed listener.
+		if err := <-done; err == nil {
+			t.Error("Serve ended without an error")
+		}
 	})
 	return "http://" + l.Addr().String()
 }
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -93,7 +93,7 @@
 	Convey("The repeated transaction finds its own operation", t, func() {
 		m, p := emulator.NewMemory(), &published{}
 		lost := once(errInjected)
-		m.Inject(emulator.Faults{AfterCommit: func(storer.Txn, storer.Result) error { return lost() }})
+		m.Inject(emulator.MemoryFaults{AfterCommit: func(storer.Txn, storer.Result) error { return lost() }})
 		o := onStore(m, p.publish)
 		r, err := o.Apply(t.Context(), change("a", 0, 1))
 		So(err, ShouldBeNil)
@@ -109,13 +109,13 @@
 	Convey("An operator who repeats the operation later finds it below a newer version", t, func() {
 		m, p := emulator.NewMemory(), &published{}
 		o := onStore(m, p.publish)
-		m.Inject(emulator.Faults{AfterCommit: func(storer.Txn, storer.Result) error {
-			m.Inject(emulator.Faults{BeforeRead: func([]string) error { return errInjected }})
+		m.Inject(emulator.MemoryFaults{AfterCommit: func(storer.Txn, storer.Result) error {
+			m.Inject(emulator.MemoryFaults{BeforeRead: func([]string) error { return errInjected }})
 			return errInjected
 		}})
 		_, err := o.Apply(t.Context(), change("a", 0, 1))
 		So(errors.Is(err, operator.ErrOutcomeUnknown), ShouldBeTrue)
-		m.Inject(emulator.Faults{})
+		m.Inject(emulator.MemoryFaults{})
 		_, err = o.Apply(t.Context(), change("b", 1, 2))
 		So(err, ShouldBeNil)
 		r, err := o.Apply(t.Context(), change("a", 0, 1))
@@ -130,7 +130,7 @@
 
 // Guards against a report of failure while the change may still take effect.
 func TestStoreDown(t *testing.T) {
-	outcome := func(f emulator.Faults) error {
+	outcome := func(f emulator.MemoryFaults) error {
 		m, p := emulator.NewMemory(), &published{}
 		m.Inject(f)
 		_, err := onStore(m, p.publish).Apply(t.Context(), change("a", 0, 1))
@@ -138,13 +138,13 @@
 		return err
 	}
 	Convey("Without any commit nothing was changed", t, func() {
-		err := outcome(emulator.Faults{BeforeRead: func([]string) error { return errInjected }})
+		err := outcome(emulator.MemoryFaults{BeforeRead: func([]string) error { return errInjected }})
 		So(errors.Is(err, operator.ErrStoreDown), ShouldBeTrue)
 		So(errors.Is(err, errInjected), ShouldBeTrue)
 		So(operator.TwirpError(err).Meta(operator.MetaOutcome), ShouldEqual, operator.OutcomeNotApplied)
 	})
 	Convey("A commit without reply leaves the outcome unknown", t, func() {
-		err := outcome(emulator.Faults{BeforeCommit: func(storer.Txn) error { return errInjected }})
+		err := outcome(emulator.MemoryFaults{BeforeCommit: func(storer.Txn) error { return errInjected }})
 		So(errors.Is(err, operator.ErrOutcomeUnknown), ShouldBeTrue)
 		So(operator.TwirpError(err).Code(), ShouldEqual, twirp.Unavailable)
 		So(operator.TwirpError(err).Meta(operator.MetaOutcome), ShouldEqual, operator.OutcomeUnknown)
@@ -152,7 +152,7 @@
 	Convey("An operator who stops waiting does not keep the instance busy", t, func() {
 		ctx, cancel := context.WithCancel(t.Context())
 		m, p := emulator.NewMemory(), &published{}
-		m.Inject(emulator.Faults{BeforeRead: func([]string) error {
+		m.Inject(emulator.MemoryFaults{BeforeRead: func([]string) error {
 			cancel()
 			return errInjected
 		}})
--- a/server/operators.go
+++ b/server/operators.go
@@ -39,23 +39,29 @@
 		Reason:      r.Reason,
 		Kind:        operator.Kind(r.Kind),
 	})
-	if c := operator.ConflictOf(err); c != nil {
-		s.log.ChangeConflict(n, c.Version)
-		return &messenger.ApplyReply{Conflict: &messenger.Conflict{
-			Version:  c.Version,
-			Operator: c.Operator,
-			Reason:   c.Reason,
-			UnixMs:   c.Time.UnixMilli(),
-		}}, nil
-	}
 	if err != nil && a.Version == 0 {
-		s.log.ChangeFailed(n, err)
-		return nil, twirpError(err)
+		return s.notApplied(n, err)
 	}
 	s.log.ChangeAccepted(a.Version, n, r.Kind)
 	return &messenger.ApplyReply{Version: a.Version, InForce: err == nil && a.InForce, Missing: a.Missing, Warnings: a.Warnings}, nil
 }
 
+// notApplied answers a change that was not made; a conflict is an answer, any other cause an error.
+func (s *Server) notApplied(name string, err error) (*messenger.ApplyReply, error) {
+	c := operator.ConflictOf(err)
+	if c == nil {
+		s.log.ChangeFailed(name, err)
+		return nil, twirpError(err)
+	}
+	s.log.ChangeConflict(name, c.Version)
+	return &messenger.ApplyReply{Conflict: &messenger.Conflict{
+		Version:  c.Version,
+		Operator: c.Operator,
+		Reason:   c.Reason,
+		UnixMs:   c.Time.UnixMilli(),
+	}}, nil
+}
+
 func twirpError(err error) error {
 	switch {
 	case errors.Is(err, operator.ErrBadChange), errors.Is(err, operator.ErrInvalid):
