Add metrics with their catalogue, and tickets in the server

A request with a ticket is decided at the incarnation that issued it; if that cannot be asked, the outcome is unknown.

--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,216 @@
+package meter
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/VictoriaMetrics/metrics"
+
+	"celeryhead.dev/celeryhead/responder"
+)
+
+// Results of a request.
+const (
+	resultAnswered = "answered"
+	resultRefused  = "refused"
+	// resultOverRate and resultWithinRate divide the refusals of an account: the latter took a token or had no owner to ask.
+	resultOverRate   = "refused_over_rate"
+	resultWithinRate = "refused_within_rate"
+)
+
+const (
+	// windows of windowLength make up the time over which the latency of an account is reported.
+	windows      = 6
+	windowLength = 10 * time.Second
+	// Latencies are kept in microseconds, from 1 us to 1 min, with two significant digits.
+	largestLatency    = int64(time.Minute / time.Microsecond)
+	significantDigits = 2
+	worstQuantile     = 99
+)
+
+// Meter holds the metrics of one instance; it is safe for concurrent use.
+type Meter struct {
+	set *metrics.Set
+
+	mu       sync.Mutex
+	accounts map[string]*account
+	rotated  time.Time
+}
+
+type account struct {
+	admitted, overRate, withinRate uint64
+	latency                        *hdrhistogram.WindowedHistogram
+}
+
+// New returns a meter without figures.
+func New() *Meter {
+	return &Meter{set: metrics.NewSet(), accounts: map[string]*account{}}
+}
+
+// Request is the end of a request as its caller saw it.
+type Request struct {
+	Route, Account string
+	Duration       time.Duration
+	// Refusal is nil if the caller got an answer of a target.
+	Refusal *responder.Refusal
+	// Admitted is true if the request took a token of its account.
+	Admitted bool
+}
+
+// Observe counts a request that ended at now.
+func (m *Meter) Observe(r Request, now time.Time) {
+	result := resultAnswered
+	if r.Refusal != nil {
+		result = resultRefused
+		m.set.GetOrCreateCounter(name(refusals, "reason", string(r.Refusal.Reason), "ran", string(r.Refusal.Ran))).Inc()
+	}
+	m.set.GetOrCreateCounter(name(requests, "route", r.Route, "result", result)).Inc()
+	m.set.GetOrCreateHistogram(name(requestSeconds, "route", r.Route)).Update(r.Duration.Seconds())
+	if r.Account != "" {
+		m.observeAccount(r, now)
+	}
+}
+
+func (m *Meter) observeAccount(r Request, now time.Time) {
+	m.mu.Lock()
+	a := m.account(r.Account, now)
+	result := resultAnswered
+	switch {
+	case r.Refusal == nil:
+		a.admitted++
+		// Longer latencies than the largest are beyond every deadline.
+		_ = a.latency.Current.RecordValue(min(r.Duration.Microseconds(), largestLatency))
+	case r.Refusal.Reason == responder.RateExceeded:
+		result = resultOverRate
+		a.overRate++
+	case r.Admitted || r.Refusal.Reason == responder.NoOwner:
+		result = resultWithinRate
+		a.withinRate++
+	default:
+		result = resultRefused
+	}
+	m.mu.Unlock()
+	m.set.GetOrCreateCounter(name(accounts, "account", r.Account, "result", result)).Inc()
+	if r.Refusal == nil {
+		m.set.GetOrCreateHistogram(name(accountSeconds, "account", r.Account)).Update(r.Duration.Seconds())
+	}
+}
+
+// account returns the figures of an account; m.mu is held.
+func (m *Meter) account(n string, now time.Time) *account {
+	if now.Sub(m.rotated) > windowLength {
+		m.rotated = now
+		for _, a := range m.accounts {
+			a.latency.Rotate()
+		}
+	}
+	a, ok := m.accounts[n]
+	if !ok {
+		a = &account{latency: hdrhistogram.NewWindowed(windows, 1, largestLatency, significantDigits)}
+		m.accounts[n] = a
+	}
+	return a
+}
+
+// Account is the service that one client account got from this instance.
+type Account struct {
+	Name                           string
+	Admitted, OverRate, WithinRate uint64
+	// P99 is of the last minute.
+	P99 time.Duration
+}
+
+// Accounts returns the figures of all accounts by name.
+func (m *Meter) Accounts() []Account {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := make([]Account, 0, len(m.accounts))
+	for n, a := range m.accounts {
+		p := time.Duration(a.latency.Merge().ValueAtQuantile(worstQuantile)) * time.Microsecond
+		r = append(r, Account{Name: n, Admitted: a.admitted, OverRate: a.overRate, WithinRate: a.withinRate, P99: p})
+	}
+	sort.Slice(r, func(i, j int) bool { return r[i].Name < r[j].Name })
+	return r
+}
+
+// Lookup counts a look-up.
+func (m *Meter) Lookup() {
+	m.set.GetOrCreateCounter(lookups).Inc()
+}
+
+// Retry counts a request that was offered to another owner.
+func (m *Meter) Retry() {
+	m.set.GetOrCreateCounter(retries).Inc()
+}
+
+// TargetDrained records how long the last request on a draining target took to end.
+func (m *Meter) TargetDrained(pool string, d time.Duration) {
+	m.set.GetOrCreateHistogram(name(targetDrain, "pool", pool)).Update(d.Seconds())
+}
+
+// Pool is the state of the owned part of a pool.
+type Pool struct {
+	Slots, Free, Queued int
+}
+
+// State is read when the metrics are served.
+type State struct {
+	Pools         map[string]Pool
+	InFlight      int64
+	ProofAges     map[string]time.Duration
+	ConfigVersion uint64
+	StoreFailures int
+	ClaimCommits  uint64
+	ClaimsLost    uint64
+	ClaimsRefused uint64
+	ShiftSteps    map[string]int
+}
+
+// Write writes all metrics in the text format of Prometheus.
+func (m *Meter) Write(w io.Writer, s State) {
+	for n, p := range s.Pools {
+		m.gauge(float64(p.Slots), slots, "pool", n)
+		m.gauge(float64(p.Free), freeSlots, "pool", n)
+		m.gauge(float64(p.Queued), queued, "pool", n)
+	}
+	for n, d := range s.ProofAges {
+		m.gauge(d.Seconds(), proofAge, "scope", n)
+	}
+	for n, k := range s.ShiftSteps {
+		m.gauge(float64(k), shiftStep, "shift", n)
+	}
+	m.gauge(float64(s.InFlight), inFlight)
+	m.gauge(float64(s.ConfigVersion), configVersion)
+	m.gauge(float64(s.StoreFailures), storeFailures)
+	m.set.GetOrCreateCounter(claimCommits).Set(s.ClaimCommits)
+	m.set.GetOrCreateCounter(claimsLost).Set(s.ClaimsLost)
+	m.set.GetOrCreateCounter(claimsRefused).Set(s.ClaimsRefused)
+	m.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+func (m *Meter) gauge(v float64, n string, labels ...string) {
+	m.set.GetOrCreateFloatCounter(name(n, labels...)).Set(v)
+}
+
+// name returns a metric name with labels, given as names and values in turn.
+func name(n string, labels ...string) string {
+	if len(labels) == 0 {
+		return n
+	}
+	var b strings.Builder
+	b.WriteString(n + "{")
+	for i := 0; i < len(labels); i += 2 {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		_, _ = fmt.Fprintf(&b, "%s=%q", labels[i], labels[i+1])
+	}
+	b.WriteByte('}')
+	return b.String()
+}
--- a/server/callers.go
+++ b/server/callers.go
@@ -19,6 +19,7 @@
 func (s *Server) callersHandler() http.Handler {
 	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	r.HandleFunc("/v1/lookup", s.lookup).Methods(http.MethodGet)
+	r.HandleFunc("/v1/tickets", s.issueTicket).Methods(http.MethodPost)
 	r.HandleFunc("/v1/health", s.health).Methods(http.MethodGet)
 	r.PathPrefix("/").HandlerFunc(s.enter)
 	return s.counted(r)
--- a/server/entry.go
+++ b/server/entry.go
@@ -30,6 +30,8 @@
 	region string
 	body   *body
 	digest [32]byte
+	// passed is true if another instance accepted the request and passed it on because of its ticket.
+	passed bool
 }
 
 // enter serves a request of a caller.
--- a/server/forward.go
+++ b/server/forward.go
@@ -81,6 +81,11 @@
 	if o.name == s.self.Name {
 		return s.run(ctx, c)
 	}
+	return s.hop(ctx, c, o, forwardPath)
+}
+
+// hop sends a request to another instance.
+func (s *Server) hop(ctx context.Context, c *call, o owner, path string) (*forwarder.Answer, *responder.Refusal) {
 	r := *c.request
 	r.Header = c.request.Header.Clone()
 	r.Header.Set(headerURI, c.request.URL.RequestURI())
@@ -91,7 +96,7 @@
 		r.Header.Set(headerKey, hex.EncodeToString(c.identity.Digest[:]))
 	}
 	u := *c.request.URL
-	u.Path, u.RawPath, u.RawQuery = forwardPath, "", ""
+	u.Path, u.RawPath, u.RawQuery = path, "", ""
 	r.URL = &u
 	r.Body = c.body.open()
 	a, err := s.peers.Do(ctx, forwarder.Call{Address: o.address, Request: &r, Deadline: c.deadline})
--- a/server/once.go
+++ b/server/once.go
@@ -21,6 +21,13 @@
 // settleTimeout bounds storing an outcome after the answer went out.
 const settleTimeout = 10 * time.Second
 
+// settlement stores how a request that must run at most once ended.
+type settlement struct {
+	deadline time.Time
+	finish   func(context.Context, claimer.Outcome) error
+	abandon  func(context.Context) error
+}
+
 // enterOnce serves a request that must run at most once.
 func (s *Server) enterOnce(ctx context.Context, w http.ResponseWriter, c *call) {
 	k := c.request.Header.Get(headerIdempotencyKey)
@@ -33,39 +40,60 @@
 		})
 		return
 	}
-	d, err := s.claims.Begin(ctx, claimer.Request{
+	q := claimer.Request{
 		Account:       c.account.Name,
 		Route:         c.route.Name,
 		Key:           k,
 		RequestDigest: requestDigest(c),
 		Deadline:      c.deadline,
-	})
+	}
+	if claimer.IsTicket(k) {
+		s.enterTicket(ctx, w, c, q)
+		return
+	}
+	d, err := s.claims.Begin(ctx, q)
 	if err != nil {
 		s.refuse(w, badRequest(err.Error()))
 		return
 	}
+	s.decide(ctx, w, c, d)
+}
+
+// decide answers a sending that must not run, or runs it.
+func (s *Server) decide(ctx context.Context, w http.ResponseWriter, c *call, d claimer.Decision) {
 	if f := d.Refusal(); f != nil {
 		s.refuse(w, f)
 		return
 	}
-	if d.Verdict == claimer.Stored {
+	switch {
+	case d.Verdict == claimer.Stored:
 		replay(w, d.Outcome)
-		return
+	case d.Ticket != nil:
+		s.runOnce(ctx, w, c, settlement{
+			deadline: d.Ticket.Deadline(),
+			finish:   func(_ context.Context, o claimer.Outcome) error { return s.tickets.Finish(d.Ticket, o) },
+			abandon:  func(context.Context) error { return s.tickets.Abandon(d.Ticket) },
+		})
+	default:
+		s.runOnce(ctx, w, c, settlement{
+			deadline: d.Claim.Deadline(),
+			finish:   func(ctx context.Context, o claimer.Outcome) error { return s.claims.Finish(ctx, d.Claim, o) },
+			abandon:  func(ctx context.Context) error { return s.claims.Abandon(ctx, d.Claim) },
+		})
 	}
-	s.runClaimed(ctx, w, c, d.Claim)
 }
 
-// runClaimed runs a claimed request to its end although its caller may leave, so that a resend finds the outcome.
-func (s *Server) runClaimed(ctx context.Context, w http.ResponseWriter, c *call, l *claimer.Claim) {
-	if l.Deadline().Before(c.deadline) {
-		c.deadline = l.Deadline()
+// runOnce runs a claimed request to its end although its caller may leave, so that a resend finds the outcome.
+func (s *Server) runOnce(ctx context.Context, w http.ResponseWriter, c *call, l settlement) {
+	if l.deadline.Before(c.deadline) {
+		c.deadline = l.deadline
 	}
 	x, cancel := context.WithDeadline(context.WithoutCancel(ctx), time.Now().Add(c.deadline.Sub(s.clock())))
 	defer cancel()
 	a, f := s.forward(x, c)
 	if f != nil {
 		if f.Ran == responder.NotRun {
-			s.settle(c, func(ctx context.Context) error { return s.claims.Abandon(ctx, l) })
+			s.settle(c, l.abandon)
 		}
 		s.refuse(w, f)
 		return
@@ -76,33 +104,24 @@
 		s.refuse(w, targetFailed(responder.Unknown))
 		return
 	}
-	if a.Body != http.NoBody {
-		// A longer answer is stored without its body once it has ended.
-		a.Body = &endBody{ReadCloser: a.Body, head: bytes.NewReader(o.Body), end: func() {
-			s.settle(c, func(ctx context.Context) error {
-				return s.claims.Finish(ctx, l, claimer.Outcome{Status: o.Status, Header: o.Header, Body: make([]byte, claimer.MaxBodyBytes+1)})
-			})
-		}}
-		s.copy(w, c, a)
-		return
+	finish := func() { s.settle(c, func(ctx context.Context) error { return l.finish(ctx, o) }) }
+	if len(o.Body) <= claimer.MaxBodyBytes {
+		finish()
+		a.Body = io.NopCloser(bytes.NewReader(o.Body))
+	} else {
+		// The claim keeps the status of a longer answer, once that has ended as a whole.
+		a.Body = &endBody{ReadCloser: a.Body, head: bytes.NewReader(o.Body), end: finish}
 	}
-	s.settle(c, func(ctx context.Context) error { return s.claims.Finish(ctx, l, o) })
-	a.Body = io.NopCloser(bytes.NewReader(o.Body))
 	s.copy(w, c, a)
 }
 
-// takeOutcome reads an answer up to the size that is stored; the answer's body is http.NoBody afterwards if it was read whole.
+// takeOutcome reads an answer up to one byte more than is stored.
 func takeOutcome(a *forwarder.Answer) (claimer.Outcome, error) {
 	b, err := io.ReadAll(io.LimitReader(a.Body, claimer.MaxBodyBytes+1))
 	if err != nil {
 		return claimer.Outcome{}, err
 	}
-	o := claimer.Outcome{Status: a.Status, Header: a.Header.Clone(), Body: b}
-	if len(b) <= claimer.MaxBodyBytes {
-		_ = a.Body.Close()
-		a.Body = http.NoBody
-	}
-	return o, nil
+	return claimer.Outcome{Status: a.Status, Header: a.Header.Clone(), Body: b}, nil
 }
 
 // endBody reads a body again from its beginning and tells when it has ended as a whole.
--- a/server/owner.go
+++ b/server/owner.go
@@ -27,6 +27,7 @@
 	headerRegion  = internalPrefix + "Region"
 	headerURI     = internalPrefix + "Uri"
 	forwardPath   = "/forward"
+	enterPath     = "/enter"
 )
 
 // run sends a request to a target that this instance owns.
--- a/server/peers.go
+++ b/server/peers.go
@@ -16,6 +16,7 @@
 	t := messenger.NewPeerServer(&peerService{server: s})
 	r.PathPrefix(t.PathPrefix()).Handler(identified(t))
 	r.Path(forwardPath).HandlerFunc(s.own)
+	r.Path(enterPath).HandlerFunc(s.enterPassed)
 	return r
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -56,6 +56,7 @@
 	peers    *forwarder.Forwarder
 	pools    *pools
 	claims   *claimer.Claims
+	tickets  *claimer.Tickets
 	operator *operator.Operator
 
 	callersTLS, peersTLS, operatorsTLS *tls.Config
@@ -89,6 +90,13 @@
 	s.peers = forwarder.New(forwarder.Config{TLS: t, MaxConnections: maxPeerConnections, MaxIdle: maxPeerConnections})
 	s.pools = newPools(s)
 	s.claims = claimer.New(claimer.Config{Store: s.store})
+	s.tickets, err = claimer.NewTickets(claimer.TicketConfig{
+		Location: claimer.Location{Instance: s.self.Name, Incarnation: s.self.Incarnation},
+		Life:     ticketLife,
+	})
+	if err != nil {
+		return nil, err
+	}
 	s.control, err = controller.New(controller.Config{
 		Self:         s.self,
 		Timing:       c.Settings.Timing,
@@ -188,7 +196,7 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var g sync.WaitGroup
-	for _, f := range []func(context.Context){s.control.Run, s.pools.run, s.runClaims, s.runProbes} {
+	for _, f := range []func(context.Context){s.control.Run, s.pools.run, s.runClaims, s.runSweeps, s.runProbes, s.runTicks} {
 		g.Go(func() { f(work) })
 	}
 	s.log.Started(s.self.Caller, s.self.Peer, s.settings.Listeners.Operators, s.self.Incarnation)
@@ -224,3 +232,29 @@
 		s.log.ListenerFailed("claims", err)
 	}
 }
+
+// runSweeps deletes expired claims.
+func (s *Server) runSweeps(ctx context.Context) {
+	w := claimer.NewSweeper(claimer.SweeperConfig{Store: s.store})
+	if err := w.Run(ctx); err != nil && ctx.Err() == nil {
+		s.log.ListenerFailed("sweeper", err)
+	}
+}
+
+// tickInterval is how often idle connections and old tickets are dropped.
+const tickInterval = time.Second
+
+func (s *Server) runTicks(ctx context.Context) {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			s.tickets.Tick(s.clock())
+			s.targets.Tick()
+			s.peers.Tick()
+		}
+	}
+}
--- /dev/null
+++ b/server/tickets.go
@@ -0,0 +1,110 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"celeryhead.dev/celeryhead/claimer"
+	"celeryhead.dev/celeryhead/responder"
+	"celeryhead.dev/celeryhead/tracker"
+)
+
+// ticketAnswer is the answer to a request for a ticket.
+type ticketAnswer struct {
+	Ticket           string  `json:"ticket"`
+	ExpiresInSeconds float64 `json:"expires_in_seconds"`
+}
+
+// ticketLife is how long a ticket can be used.
+const ticketLife = 2 * time.Minute
+
+// issueTicket gives a caller an Idempotency-Key that works without the store.
+func (s *Server) issueTicket(w http.ResponseWriter, r *http.Request) {
+	now := s.clock()
+	c := &call{}
+	if f := s.authenticate(s.control.View(), c, r, now); f != nil {
+		s.refuse(w, f)
+		return
+	}
+	if s.leaving.Load() {
+		s.refuse(w, &responder.Refusal{
+			Status:  http.StatusServiceUnavailable,
+			Reason:  responder.Leaving,
+			Ran:     responder.NotRun,
+			Message: "this instance is leaving; use another one",
+		})
+		return
+	}
+	t, err := s.tickets.Issue(c.account.Name, now)
+	if err != nil {
+		s.refuse(w, badRequest(err.Error()))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	// An error means that the caller has left.
+	_ = json.NewEncoder(w).Encode(ticketAnswer{Ticket: t, ExpiresInSeconds: ticketLife.Seconds()})
+}
+
+// enterTicket serves a request with a ticket at the incarnation that issued it.
+func (s *Server) enterTicket(ctx context.Context, w http.ResponseWriter, c *call, q claimer.Request) {
+	l, err := claimer.Locate(q.Key)
+	if err != nil {
+		s.refuse(w, claimer.Decision{Verdict: claimer.Invalid}.Refusal())
+		return
+	}
+	self := claimer.Location{Instance: s.self.Name, Incarnation: s.self.Incarnation}
+	i, known := s.control.Instance(l.Instance)
+	switch l.Place(self, known) {
+	case claimer.Here:
+		s.decide(ctx, w, c, s.tickets.Begin(q, s.clock()))
+	case claimer.Elsewhere:
+		s.passTicket(ctx, w, c, i)
+	case claimer.Gone:
+		s.refuse(w, outcomeUnknown())
+	}
+}
+
+// passTicket has the issuing instance decide. If it does not answer, an earlier sending may have run there.
+func (s *Server) passTicket(ctx context.Context, w http.ResponseWriter, c *call, i tracker.Instance) {
+	if c.passed {
+		s.refuse(w, outcomeUnknown())
+		return
+	}
+	a, f := s.hop(ctx, c, owner{name: i.Name, address: i.Peer}, enterPath)
+	if f != nil {
+		if f.Reason == responder.NoOwner {
+			f = outcomeUnknown()
+		}
+		s.refuse(w, f)
+		return
+	}
+	s.copy(w, c, a)
+}
+
+func outcomeUnknown() *responder.Refusal {
+	return &responder.Refusal{
+		Status:  http.StatusConflict,
+		Reason:  responder.OutcomeUnknown,
+		Ran:     responder.Unknown,
+		Message: "the instance that issued the ticket cannot be asked; an earlier sending may have run",
+	}
+}
+
+// enterPassed serves a request with a ticket that another instance accepted.
+func (s *Server) enterPassed(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	c, f := s.receive(w, r)
+	if f != nil {
+		s.refuse(w, f)
+		return
+	}
+	c.passed = true
+	c.digest = c.body.digest()
+	ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(c.deadline.Sub(s.clock())))
+	defer cancel()
+	s.enterOnce(ctx, w, c)
+}
