Add the operators' command line

Operators need one program for checks, plans, changes, keys and the audit trail, whose exit codes tell a conflict from an outage. A change keeps its operation id over all instances and repeats, so a lost answer does not make it twice.

--- /dev/null
+++ b/commander/session.go
@@ -0,0 +1,104 @@
+package commander
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"celeryhead.dev/celeryhead/composer"
+	"celeryhead.dev/celeryhead/messenger"
+)
+
+// Config configures a run; Out and Err are required.
+type Config struct {
+	Out, Err io.Writer
+	// Pause is the time between two attempts of a change; 1 s by default.
+	Pause time.Duration
+}
+
+// Run carries out one command and returns the exit code.
+func Run(ctx context.Context, c Config, args []string) int {
+	if c.Pause == 0 {
+		c.Pause = time.Second
+	}
+	s := &session{Config: c, options: options{wait: defaultWait}}
+	chosen, err := parse(args, &s.options)
+	if err == nil && chosen != nil {
+		err = chosen.run(s, ctx)
+	}
+	if err != nil {
+		s.note("celeryhead: %s", describe(err))
+	}
+	return code(err)
+}
+
+// describe leaves the metadata of twirp out.
+func describe(err error) string {
+	var e twirp.Error
+	if errors.As(err, &e) && code(err) == ExitRefused {
+		return e.Msg()
+	}
+	return fmt.Sprintf("%v", err)
+}
+
+// session is one run of a command.
+type session struct {
+	Config
+	options
+	client *client
+}
+
+func (s *session) connect() error {
+	c, err := connect(&s.options)
+	s.client = c
+	return err
+}
+
+func (s *session) print(format string, args ...any) {
+	// A reader that went away is no reason to stop a change halfway.
+	_, _ = fmt.Fprintf(s.Out, format+"\n", args...)
+}
+
+func (s *session) note(format string, args ...any) {
+	_, _ = fmt.Fprintf(s.Err, format+"\n", args...)
+}
+
+func (s *session) printJSON(v any) error {
+	e := json.NewEncoder(s.Out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// version is one configuration as the instances hold it.
+type version struct {
+	number uint64
+	text   []byte
+	config composer.Config
+}
+
+// fetch returns a version, or the newest if number is 0; before the first change that one is empty.
+func (s *session) fetch(ctx context.Context, number uint64) (version, error) {
+	m, err := read(ctx, s.client, func(ctx context.Context, o messenger.Operator) (*messenger.ConfigurationText, error) {
+		return o.Configuration(ctx, &messenger.ConfigurationRequest{Version: number})
+	})
+	var e twirp.Error
+	if errors.As(err, &e) && e.Code() == twirp.NotFound && number == 0 {
+		return version{}, nil
+	}
+	if err != nil {
+		return version{}, err
+	}
+	c, err := composer.Parse(m.Text)
+	return version{number: m.Version, text: m.Text, config: c}, err
+}
+
+// newID returns an operation id that no other operator uses.
+func newID() string {
+	return rand.Text()
+}
