--- a/composer/composer_test.go
+++ b/composer/composer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/hex"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -287,6 +288,9 @@
 			t.Fatal(err)
 		}
 		a, n, ok := composer.SplitSecret(secret)
+		if composer.MustKey(key, hex.EncodeToString(k.Digest[:])) != k {
+			t.Fatal("the digest in hexadecimal is of another key")
+		}
 		if !ok || a != account || n != key || k.Name != key || k.Digest != composer.SecretDigest(secret) {
 			t.Fatalf("secret of %s/%s splits into %s/%s, %t", account, key, a, n, ok)
 		}
@@ -352,8 +356,41 @@
 	})
 }
 
-// BenchmarkParse has the number of blocks of today and of the target size.
+// BenchmarkParse has the numbers of blocks of a small deployment and of the target size.
 func BenchmarkParse(b *testing.B) {
+	withBlocks(b, func(_ composer.Config, text []byte) {
+		if _, err := composer.Parse(text); err != nil {
+			b.Fatal(err)
+		}
+	})
+}
+
+// BenchmarkEncode and BenchmarkDiff have the sizes of BenchmarkParse.
+func BenchmarkEncode(b *testing.B) {
+	withBlocks(b, func(c composer.Config, _ []byte) {
+		if _, err := composer.Encode(c); err != nil {
+			b.Fatal(err)
+		}
+	})
+}
+
+func BenchmarkDiff(b *testing.B) {
+	withBlocks(b, func(c composer.Config, _ []byte) {
+		if n := len(composer.Diff(sample(), c)); n != len(c.Blocks)-2 {
+			b.Fatal(n)
+		}
+	})
+}
+
+func BenchmarkCheck(b *testing.B) {
+	withBlocks(b, func(c composer.Config, _ []byte) {
+		if err := c.Check(); err != nil {
+			b.Fatal(err)
+		}
+	})
+}
+
+func withBlocks(b *testing.B, f func(c composer.Config, text []byte)) {
 	for _, n := range []int{1_000, 160_000} {
 		c := sample()
 		for i := range n {
@@ -368,9 +405,7 @@
 			b.SetBytes(int64(len(text)))
 			b.ReportAllocs()
 			for b.Loop() {
-				if _, err := composer.Parse(text); err != nil {
-					b.Fatal(err)
-				}
+				f(c, text)
 			}
 		})
 	}
--- a/composer/key.go
+++ b/composer/key.go
@@ -40,6 +40,16 @@
 	return secret, Key{Name: name, Digest: SecretDigest(secret)}, nil
 }
 
+// MustKey returns the key with a digest of 64 hexadecimal digits, for use in
+// programs that print a configuration; it panics if digest is malformed.
+func MustKey(name, digest string) Key {
+	d, err := parseDigest(digest)
+	if err != nil {
+		panic("composer: digest of key " + name + ": " + err.Error())
+	}
+	return Key{Name: name, Digest: d}
+}
+
 // SecretDigest returns the SHA-256 digest of a whole secret, as Key holds it.
 func SecretDigest(secret string) [32]byte {
 	return sha256.Sum256([]byte(secret))
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -311,3 +312,13 @@
 	})
 	return err == nil && r.Committed
 }
+
+// BenchmarkApply changes one rate of a small configuration on a store without latency.
+func BenchmarkApply(b *testing.B) {
+	o := onStore(emulator.NewMemory(), (&published{}).publish)
+	for i := uint64(0); b.Loop(); i++ {
+		if _, err := o.Apply(b.Context(), change(fmt.Sprint(i), i, float64(1+i%2))); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
