--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -343,10 +343,10 @@
 	Convey("No instance, a store that is down and a foreign certificate are 3", t, func() {
 		f := newFleet(t, plainly)
 		path := f.file(koshe())
-		f.service.store.Inject(emulator.Faults{BeforeRead: func([]string) error { return errors.New("injected fault") }})
+		f.service.store.Inject(emulator.MemoryFaults{BeforeRead: func([]string) error { return errors.New("injected fault") }})
 		code, _, _ := f.run("apply", path, "--reason", "r")
 		So(code, ShouldEqual, commander.ExitUnreachable)
-		f.service.store.Inject(emulator.Faults{})
+		f.service.store.Inject(emulator.MemoryFaults{})
 		other := newAuthority(t)
 		other.issue("eve")
 		args := []string{"export", "--server", f.servers[0].Listener.Addr().String(), "--ca", filepath.Join(f.dir, "ca.pem"),
@@ -413,7 +413,7 @@
 	})
 	Convey("A store that loses the commit leaves the outcome open", t, func() {
 		f := newFleet(t, plainly)
-		f.service.store.Inject(emulator.Faults{BeforeCommit: func(storer.Txn) error { return errors.New("injected fault") }})
+		f.service.store.Inject(emulator.MemoryFaults{BeforeCommit: func(storer.Txn) error { return errors.New("injected fault") }})
 		code, _, notes := f.run("apply", f.file(koshe()), "--reason", "r", "--wait", "50ms")
 		So(code, ShouldEqual, commander.ExitUnreachable)
 		So(notes, ShouldContainSubstring, "the change may be made")
@@ -470,8 +470,8 @@
 		c := koshe()
 		c.Accounts[0].Rate++
 		f.file(c)
-		f.service.store.Inject(emulator.Faults{BeforeCommit: func(storer.Txn) error {
-			f.service.store.Inject(emulator.Faults{})
+		f.service.store.Inject(emulator.MemoryFaults{BeforeCommit: func(storer.Txn) error {
+			f.service.store.Inject(emulator.MemoryFaults{})
 			code, _, _ = f.run("apply", path, "--reason", "in between")
 			return nil
 		}})
@@ -484,7 +484,7 @@
 		f := newFleet(t, plainly)
 		code, _, _ := f.run("apply", f.file(koshe()), "--reason", "season")
 		So(code, ShouldEqual, commander.ExitDone)
-		f.service.store.Inject(emulator.Faults{BeforeCommit: func(storer.Txn) error { return errors.New("injected fault") }})
+		f.service.store.Inject(emulator.MemoryFaults{BeforeCommit: func(storer.Txn) error { return errors.New("injected fault") }})
 		code, out, notes := f.run("key", "issue", "craft-fairs", "till-2", "--wait", "50ms")
 		So(code, ShouldEqual, commander.ExitUnreachable)
 		So(out, ShouldBeEmpty)
--- a/server/operators.go
+++ b/server/operators.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
@@ -39,52 +38,27 @@
 		Reason:      r.Reason,
 		Kind:        operator.Kind(r.Kind),
 	})
-	if err != nil && a.Version == 0 {
-		return s.notApplied(n, err)
-	}
-	s.log.ChangeAccepted(a.Version, n, r.Kind)
-	return &messenger.ApplyReply{Version: a.Version, InForce: err == nil && a.InForce, Missing: a.Missing, Warnings: a.Warnings}, nil
+	s.noteChange(n, r.Kind, a, err)
+	return operator.Reply(a, err)
 }
 
-// notApplied answers a change that was not made; a conflict is an answer, any other cause an error.
-func (s *Server) notApplied(name string, err error) (*messenger.ApplyReply, error) {
+func (s *Server) noteChange(name, kind string, a operator.Result, err error) {
 	c := operator.ConflictOf(err)
-	if c == nil {
-		s.log.ChangeFailed(name, err)
-		return nil, twirpError(err)
-	}
-	s.log.ChangeConflict(name, c.Version)
-	return &messenger.ApplyReply{Conflict: &messenger.Conflict{
-		Version:  c.Version,
-		Operator: c.Operator,
-		Reason:   c.Reason,
-		UnixMs:   c.Time.UnixMilli(),
-	}}, nil
-}
-
-func twirpError(err error) error {
 	switch {
-	case errors.Is(err, operator.ErrBadChange), errors.Is(err, operator.ErrInvalid):
-		return twirp.InvalidArgument.Error(err.Error())
-	case errors.Is(err, operator.ErrUnknownVersion):
-		return twirp.NotFound.Error(err.Error())
-	case errors.Is(err, operator.ErrOperationReused):
-		return twirp.AlreadyExists.Error(err.Error())
-	case errors.Is(err, operator.ErrStoreDown):
-		return twirp.Unavailable.Error(err.Error())
-	case errors.Is(err, operator.ErrOutcomeUnknown):
-		return twirp.Unknown.Error(err.Error())
-	case errors.Is(err, operator.ErrBusy):
-		return twirp.Aborted.Error(err.Error())
+	case c != nil:
+		s.log.ChangeConflict(name, c.Version)
+	case a.Version == 0:
+		s.log.ChangeFailed(name, err)
+	default:
+		s.log.ChangeAccepted(a.Version, name, kind)
 	}
-	return twirp.Internal.Error(err.Error())
 }
 
 // Configuration returns the text of a version.
 func (o *operatorService) Configuration(ctx context.Context, r *messenger.ConfigurationRequest) (*messenger.ConfigurationText, error) {
 	v, t, err := o.server.operator.Configuration(ctx, r.Version)
 	if err != nil {
-		return nil, twirpError(err)
+		return nil, operator.TwirpError(err)
 	}
 	return &messenger.ConfigurationText{Version: v, Text: t}, nil
 }
@@ -93,23 +67,9 @@
 func (o *operatorService) Audit(ctx context.Context, r *messenger.AuditRequest) (*messenger.AuditReply, error) {
 	l, err := o.server.operator.Audit(ctx, r.AfterVersion, int(r.Limit))
 	if err != nil {
-		return nil, twirpError(err)
-	}
-	a := &messenger.AuditReply{}
-	for _, i := range l {
-		a.Rows = append(a.Rows, &messenger.AuditRow{
-			Version:     i.Version,
-			BaseVersion: i.BaseVersion,
-			Operator:    i.Operator,
-			Reason:      i.Reason,
-			Kind:        i.Kind,
-			UnixMs:      i.Time.UnixMilli(),
-			Changes:     i.Changes,
-			OperationId: i.OperationID,
-			Instance:    i.Instance,
-		})
+		return nil, operator.TwirpError(err)
 	}
-	return a, nil
+	return operator.AuditReply(l), nil
 }
 
 // Status describes the fleet as this instance sees it.
