--- a/claimer/claims.go
+++ b/claimer/claims.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +23,7 @@
 	defaultBeginTimeout = 2 * time.Second
 	defaultPending      = 4096
 	defaultPendingBytes = 8 << 20
+	lookupRows          = 64
 	// commitTimeout is twice the timeout of storer.Client, for stores without a bound of their own.
 	commitTimeout = 2 * time.Second
 	// settleTime bounds how long outcomes and abandoned claims wait in memory for the store.
@@ -69,6 +69,8 @@
 type Counters struct {
 	// Transactions counts starts, and Conflicts and Failures those without effect or with an unknown one.
 	Transactions, Conflicts, Failures uint64
+	// Lookups counts the reads for resends.
+	Lookups uint64
 	// Unavailable counts the requests refused as not run because no claim could be made.
 	Unavailable uint64
 	// Dropped counts the outcomes and abandoned claims that the store never took.
@@ -98,8 +100,12 @@
 	id   string
 	wake chan struct{}
 
-	mu       sync.Mutex
-	queue    queue
+	mu    sync.Mutex
+	queue queue
+	// lookups holds the inserts whose keys came to this instance before: a resend would fail
+	// the transaction of others, so its row is read first, for which the store has more room.
+	lookups  queue
+	recent   *recent
 	serial   uint64
 	pending  int
 	bytes    int
@@ -125,6 +131,9 @@
 		id:     newID(),
 		wake:   make(chan struct{}, 1),
 		queue:  queue{interval: c.Interval, rows: c.Rows, bytes: c.Bytes, maxFlight: c.InFlight},
+		// Each row may hold an answer of 64 KiB.
+		lookups: queue{interval: c.Interval, rows: lookupRows, bytes: c.Bytes, maxFlight: c.InFlight},
+		recent:  newRecent(),
 	}
 }
 
@@ -283,7 +292,11 @@
 	}
 	c.pending++
 	c.bytes += len(o.row.Body)
-	c.queue.add(o)
+	q := &c.queue
+	if o.kind == insert && c.recent.add(o.key) {
+		q = &c.lookups
+	}
+	q.add(o)
 	c.signal()
 	return true
 }
@@ -311,6 +324,7 @@
 	o.givenUp = true
 	if !o.inFlight {
 		c.queue.remove(o)
+		c.lookups.remove(o)
 		c.withdraw(o)
 	}
 	return Decision{Verdict: Unavailable}
@@ -338,10 +352,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
-	for _, o := range c.queue.inserts {
+	for _, o := range append(c.queue.inserts, c.lookups.inserts...) {
 		c.withdraw(o)
 	}
-	c.queue.inserts = nil
+	c.queue.inserts, c.lookups.inserts = nil, nil
 }
 
 // stop drops what the store has not taken when Run ends.
@@ -349,34 +363,83 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopped = true
-	list := slices.Concat(append(c.queue.repeats, c.queue.inserts, c.queue.others)...)
-	for _, o := range list {
-		c.drop(o)
+	for _, q := range []*queue{&c.queue, &c.lookups} {
+		for _, o := range q.clear() {
+			c.drop(o)
+		}
 	}
-	c.queue.inserts, c.queue.others, c.queue.repeats = nil, nil, nil
 }
 
-// start begins the transactions that are due and returns the time until the next one.
+// start begins the transactions and reads that are due, and returns the time until the next one.
 func (c *Claims) start(ctx context.Context, group *errgroup.Group) (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	write, writes := c.startQueue(&c.queue, func(list []*operation) {
+		c.counters.Transactions++
+		t := c.transaction(list)
+		group.Go(func() error {
+			c.commit(ctx, list, t)
+			return nil
+		})
+	})
+	read, reads := c.startQueue(&c.lookups, func(list []*operation) {
+		c.counters.Lookups++
+		group.Go(func() error {
+			c.lookUp(ctx, list)
+			return nil
+		})
+	})
+	if writes && reads {
+		return min(write, read), true
+	}
+	return max(write, read), writes || reads
+}
+
+func (c *Claims) startQueue(q *queue, send func([]*operation)) (time.Duration, bool) {
 	for {
 		now := c.config.Clock()
-		wait, ok := c.queue.wait(now)
+		wait, ok := q.wait(now)
 		if !ok || wait > 0 {
 			return wait, ok
 		}
-		list := c.live(c.queue.take(now), now)
+		list := c.live(q.take(now), now)
 		if len(list) == 0 {
-			c.queue.inFlight--
+			q.inFlight--
 			continue
 		}
-		c.counters.Transactions++
-		t := c.transaction(list)
-		group.Go(func() error {
-			c.commit(ctx, list, t)
-			return nil
-		})
+		send(list)
+	}
+}
+
+// lookUp reads the rows of keys that came before, and passes on the inserts that may succeed.
+func (c *Claims) lookUp(ctx context.Context, list []*operation) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	var keys []string
+	for _, o := range list {
+		keys = append(keys, o.key)
+	}
+	rows, err := c.config.Store.Read(ctx, keys...)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	defer c.signal()
+	now := c.config.Clock()
+	c.lookups.ended(now, err != nil)
+	current := make(map[string]storer.Row, len(rows))
+	for _, r := range rows {
+		current[r.Key] = r
+	}
+	for _, o := range list {
+		o.inFlight = false
+		// After a failed read the transaction itself finds the row.
+		if err == nil && !c.resolve(o, current[o.key], now) {
+			continue
+		}
+		if o.givenUp {
+			c.withdraw(o)
+			continue
+		}
+		c.queue.add(o)
 	}
 }
 
--- a/claimer/queue.go
+++ b/claimer/queue.go
@@ -64,6 +64,13 @@
 	q.repeats = slices.DeleteFunc(q.repeats, func(l []*operation) bool { return len(l) == 0 })
 }
 
+// clear takes out all operations.
+func (q *queue) clear() []*operation {
+	list := slices.Concat(append(q.repeats, q.inserts, q.others)...)
+	q.inserts, q.others, q.repeats = nil, nil, nil
+	return list
+}
+
 func (q *queue) len() int {
 	n := len(q.inserts) + len(q.others)
 	for _, l := range q.repeats {
--- a/claimer/store_test.go
+++ b/claimer/store_test.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,6 +16,7 @@
 	"pgregory.net/rapid"
 
 	"celeryhead.dev/celeryhead/claimer"
+	"celeryhead.dev/celeryhead/emulator"
 	"celeryhead.dev/celeryhead/responder"
 	"celeryhead.dev/celeryhead/storer"
 )
@@ -35,6 +38,19 @@
 	return r, err
 }
 
+// bare leaves out the values of rows whose checks failed, which the interface of the store allows.
+type bare struct {
+	storer.Store
+}
+
+func (b *bare) Commit(ctx context.Context, t storer.Txn) (storer.Result, error) {
+	r, err := b.Store.Commit(ctx, t)
+	for i := range r.Rows {
+		r.Rows[i].Value = nil
+	}
+	return r, err
+}
+
 // bubble runs a test with one world; start returns Claims whose Run ends with the test.
 func bubble(t *testing.T, rtt time.Duration, test func(t *testing.T, w *world, start func(claimer.Config) *claimer.Claims)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -132,8 +148,8 @@
 		{name: "lost", wait: requestDeadline, want: claimer.OutcomeUnknown},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			bubble(t, 40*time.Millisecond, func(t *testing.T, _ *world, start func(claimer.Config) *claimer.Claims) {
-				a, b := start(claimer.Config{}), start(claimer.Config{})
+			bubble(t, 40*time.Millisecond, func(t *testing.T, w *world, start func(claimer.Config) *claimer.Claims) {
+				a, b, e := start(claimer.Config{}), start(claimer.Config{}), start(claimer.Config{Store: &bare{Store: &link{world: w}}})
 				d := begin(t, a, claim(1), claimer.Run)
 				if c.outcome.Status != 0 {
 					if err := a.Finish(context.Background(), d.Claim, c.outcome); err != nil {
@@ -146,7 +162,10 @@
 				time.Sleep(c.wait)
 				r := claim(1)
 				r.RequestDigest[0] += c.digest
-				checkOutcome(t, begin(t, b, r, c.want), c.outcome)
+				// The first sending to b and e fails the transaction, the second is looked up.
+				for _, claims := range []*claimer.Claims{b, b, e, a} {
+					checkOutcome(t, begin(t, claims, r, c.want), c.outcome)
+				}
 			})
 		})
 	}
@@ -172,6 +191,38 @@
 	}
 }
 
+// Guards against a claim that does not recognize its own row when the reply was lost on a real connection.
+func TestLostReplyOverHTTP(t *testing.T) {
+	e := emulator.NewTable()
+	server := httptest.NewServer(e)
+	defer server.Close()
+	client, err := storer.New(storer.Config{Addresses: []netip.AddrPort{netip.MustParseAddrPort(server.Listener.Addr().String())}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	heal := &hooked{Store: client, after: func(storer.Txn) { e.SetFaults(emulator.Faults{}) }}
+	a, b := claimer.New(claimer.Config{Store: heal, BeginTimeout: time.Minute}), claimer.New(claimer.Config{Store: client, BeginTimeout: time.Minute})
+	group.Go(func() { _ = a.Run(ctx) })
+	group.Go(func() { _ = b.Run(ctx) })
+	r := claim(1)
+	r.Deadline = time.Now().Add(time.Minute)
+	e.SetFaults(emulator.Faults{LoseReplies: true})
+	d := begin(t, a, r, claimer.Run)
+	e.SetFaults(emulator.Faults{LoseReplies: true})
+	if err := a.Finish(ctx, d.Claim, claimer.Outcome{Status: 201, Body: []byte("x")}); err != nil {
+		t.Fatal(err)
+	}
+	checkOutcome(t, begin(t, b, r, claimer.Stored), claimer.Outcome{Status: 201, Body: []byte("x")})
+	if n := a.Counters(); n.Failures != 2 || n.Conflicts != 2 {
+		t.Errorf("counters %+v, want two lost replies that were recognized", n)
+	}
+}
+
 // Guards against more than one transaction start per interval, a first claim that waits for others,
 // and a conflict that fails or delays the other claims of its transaction by more than one repeat.
 func TestBatches(t *testing.T) {
