Use the table service in memory in the tests of claims

The tests of claimer had a table of their own, although emulator.Memory holds the same rows and conditions. The faults stay in the test's link to the store.

--- a/claimer/claims_test.go
+++ b/claimer/claims_test.go
@@ -143,9 +143,7 @@
 	sends.Wait()
 	// Longer than the lateness of commits and the backoff of writes in the background.
 	time.Sleep(3 * time.Minute)
-	w.mu.Lock()
-	w.faulty = 0
-	w.mu.Unlock()
+	w.heal()
 	time.Sleep(time.Minute)
 	checkEnd(l, add())
 	for _, e := range sites {
--- a/claimer/costs_test.go
+++ b/claimer/costs_test.go
@@ -8,7 +8,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"celeryhead.dev/celeryhead/claimer"
@@ -149,36 +148,20 @@
 
 // Compares tickets in an outage, which claims do not survive.
 func TestWaysInOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(1, 40*time.Millisecond)
+	bubble(t, 40*time.Millisecond, func(t *testing.T, w *world, start func(claimer.Config) *claimer.Claims) {
 		w.setOutage(time.Hour)
-		ctx, cancel := context.WithCancel(context.Background())
-		claims := claimer.New(claimer.Config{Store: &link{world: w}, Clock: time.Now})
-		var group sync.WaitGroup
-		defer w.late.Wait()
-		defer group.Wait()
-		defer cancel()
-		group.Go(func() { _ = claims.Run(ctx) })
-		tickets, err := claimer.NewTickets(claimer.TicketConfig{Location: claimer.Location{Instance: "a"}})
-		if err != nil {
-			t.Fatal(err)
-		}
-		run := map[string]int{}
+		claims, tickets := start(claimer.Config{}), newTickets(t, claimer.TicketConfig{})
 		for i := range 100 {
-			if begin(t, claims, claim(i), claimer.Unavailable).Claim != nil {
-				run["claims"]++
-			}
+			begin(t, claims, claim(i), claimer.Unavailable)
 			r := claim(i)
+			var err error
 			if r.Key, err = tickets.Issue(r.Account, time.Now()); err != nil {
 				t.Fatal(err)
 			}
-			if tickets.Begin(r, time.Now()).Verdict == claimer.Run {
-				run["tickets"]++
+			if d := tickets.Begin(r, time.Now()); d.Verdict != claimer.Run {
+				t.Fatalf("verdict %s for a ticket", d.Verdict)
 			}
 		}
-		if run["claims"] != 0 || run["tickets"] != 100 {
-			t.Fatalf("runs of 100 in an outage: %v", run)
-		}
 	})
 }
 
--- a/claimer/tickets_test.go
+++ b/claimer/tickets_test.go
@@ -224,51 +224,49 @@
 
 // Guards against an account that takes the memory of the others, and a full memory that forgets used tickets.
 func TestTicketLimits(t *testing.T) {
-	s, err := claimer.NewTickets(claimer.TicketConfig{Location: claimer.Location{Instance: "a"}, Limit: 4, AccountLimit: 3})
-	if err != nil {
-		t.Fatal(err)
-	}
-	var first claimer.Request
+	s := newTickets(t, claimer.TicketConfig{Limit: 4, AccountLimit: 3})
+	first := ticketRequest(t, s, "x")
 	for i, c := range []struct {
-		account string
+		request claimer.Request
 		want    claimer.Verdict
 	}{
-		{"x", claimer.Run},
-		{"x", claimer.Run},
-		{"x", claimer.Run},
-		{"x", claimer.Unavailable},
-		{"y", claimer.Run},
-		{"y", claimer.Unavailable},
+		{first, claimer.Run},
+		{ticketRequest(t, s, "x"), claimer.Run},
+		{ticketRequest(t, s, "x"), claimer.Run},
+		{ticketRequest(t, s, "x"), claimer.Unavailable},
+		{ticketRequest(t, s, "y"), claimer.Run},
+		{ticketRequest(t, s, "y"), claimer.Unavailable},
+		{first, claimer.InProgress},
 	} {
-		key, err := s.Issue(c.account, start)
-		if err != nil {
-			t.Fatal(err)
-		}
-		r := claimer.Request{Account: c.account, Route: "r", Key: key, Deadline: start.Add(time.Minute)}
-		if i == 0 {
-			first = r
-		}
-		if d := s.Begin(r, start); d.Verdict != c.want {
+		if d := s.Begin(c.request, start); d.Verdict != c.want {
 			t.Fatalf("request %d: verdict %s, want %s", i, d.Verdict, c.want)
 		}
 	}
-	if d := s.Begin(first, start); d.Verdict != claimer.InProgress {
-		t.Fatalf("verdict %s for a used ticket", d.Verdict)
-	}
 }
 
-// Guards against a run that settles the run of a later sending, and against an answer that is
-// forgotten while its request may still run.
-func TestTicketRuns(t *testing.T) {
-	s, err := claimer.NewTickets(claimer.TicketConfig{Location: claimer.Location{Instance: "a"}})
+func newTickets(t *testing.T, c claimer.TicketConfig) *claimer.Tickets {
+	c.Location.Instance = "a"
+	s, err := claimer.NewTickets(c)
 	if err != nil {
 		t.Fatal(err)
 	}
-	key, err := s.Issue("x", start)
+	return s
+}
+
+func ticketRequest(t *testing.T, s *claimer.Tickets, account string) claimer.Request {
+	key, err := s.Issue(account, start)
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := claimer.Request{Account: "x", Route: "r", Key: key, Deadline: start.Add(2 * ticketLife)}
+	return claimer.Request{Account: account, Route: "r", Key: key, Deadline: start.Add(time.Minute)}
+}
+
+// Guards against a run that settles the run of a later sending, and against an answer that is
+// forgotten while its request may still run.
+func TestTicketRuns(t *testing.T) {
+	s := newTickets(t, claimer.TicketConfig{})
+	r := ticketRequest(t, s, "x")
+	r.Deadline = start.Add(2 * ticketLife)
 	old := s.Begin(r, start).Ticket
 	if err := s.Abandon(old); err != nil {
 		t.Fatal(err)
--- a/claimer/world_test.go
+++ b/claimer/world_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
+	"celeryhead.dev/celeryhead/emulator"
 	"celeryhead.dev/celeryhead/storer"
 )
 
@@ -21,44 +21,21 @@
 	// lateness bounds the time after which a commit with an unknown effect may still be applied.
 	lateness time.Duration
 
+	table *emulator.Memory
+
 	mu          sync.Mutex
-	rows        map[string]storer.Row
-	version     uint64
 	outageUntil time.Time
-	commits     int
 	late        sync.WaitGroup
 }
 
 func newWorld(seed uint64, rtt time.Duration) *world {
-	return &world{seed: seed, rtt: rtt, lateness: time.Minute, rows: make(map[string]storer.Row)}
+	return &world{seed: seed, rtt: rtt, lateness: time.Minute, table: emulator.NewMemory()}
 }
 
 func (w *world) apply(t storer.Txn) storer.Result {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.commits++
-	var failed []storer.Row
-	for _, c := range t.Checks {
-		r := w.rows[c.Key]
-		r.Key = c.Key
-		if r.Version != c.Version {
-			failed = append(failed, r)
-		}
-	}
-	if len(failed) > 0 {
-		return storer.Result{Rows: failed}
-	}
-	w.version++
-	var written []storer.Row
-	for _, x := range t.Writes {
-		if x.Delete {
-			delete(w.rows, x.Key)
-			continue
-		}
-		w.rows[x.Key] = storer.Row{Key: x.Key, Version: w.version, Value: x.Value}
-		written = append(written, storer.Row{Key: x.Key, Version: w.version})
-	}
-	return storer.Result{Committed: true, Rows: written}
+	// Without faults of its own the table always answers.
+	r, _ := w.table.Commit(context.Background(), t)
+	return r
 }
 
 func (w *world) down() bool {
@@ -67,6 +44,19 @@
 	return time.Now().Before(w.outageUntil)
 }
 
+// heal ends the faults of commits.
+func (w *world) heal() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faulty = 0
+}
+
+func (w *world) share() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.faulty
+}
+
 func (w *world) setOutage(d time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -74,15 +64,8 @@
 }
 
 func (w *world) count(prefix string) int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	n := 0
-	for k := range w.rows {
-		if strings.HasPrefix(k, prefix) {
-			n++
-		}
-	}
-	return n
+	rows, _ := w.table.List(context.Background(), prefix, "", math.MaxInt)
+	return len(rows)
 }
 
 // link is the store as one instance sees it.
@@ -147,7 +130,7 @@
 	if w.down() && r.IntN(2) == 0 {
 		return storer.Result{}, storer.ErrNotSent
 	}
-	if !w.down() && r.Float64() >= w.faulty {
+	if !w.down() && r.Float64() >= w.share() {
 		time.Sleep(w.rtt / 2)
 		x := w.apply(t)
 		time.Sleep(w.rtt / 2)
@@ -172,36 +155,16 @@
 	return storer.Result{}, storer.ErrUnknown
 }
 
-func (l *link) Read(_ context.Context, keys ...string) ([]storer.Row, error) {
-	w := l.world
-	time.Sleep(w.rtt)
-	if w.down() || !l.gate() {
+func (l *link) Read(ctx context.Context, keys ...string) ([]storer.Row, error) {
+	time.Sleep(l.world.rtt)
+	if l.world.down() || !l.gate() {
 		return nil, storer.ErrUnknown
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var rows []storer.Row
-	for _, k := range keys {
-		if r, ok := w.rows[k]; ok {
-			rows = append(rows, r)
-		}
-	}
-	return rows, nil
+	return l.world.table.Read(ctx, keys...)
 }
 
-func (l *link) List(_ context.Context, prefix, after string, limit int) ([]storer.Row, error) {
-	w := l.world
-	time.Sleep(w.rtt)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var rows []storer.Row
-	for k, r := range w.rows {
-		if strings.HasPrefix(k, prefix) && k > after {
-			rows = append(rows, r)
-		}
-	}
-	slices.SortFunc(rows, func(a, b storer.Row) int { return strings.Compare(a.Key, b.Key) })
-	return rows[:min(limit, len(rows))], nil
+func (l *link) List(ctx context.Context, prefix, after string, limit int) ([]storer.Row, error) {
+	return l.world.table.List(ctx, prefix, after, limit)
 }
 
 func wait(ctx context.Context, d time.Duration) {
--- a/emulator/objects_test.go
+++ b/emulator/objects_test.go
@@ -1,10 +1,9 @@
 package emulator_test
 
 import (
-	"bytes"
-	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"celeryhead.dev/celeryhead/emulator"
@@ -12,38 +11,21 @@
 
 // Guards against objects that are mixed up or lost between PUT and GET.
 func TestObjects(t *testing.T) {
-	s := httptest.NewServer(emulator.NewObjects())
-	defer s.Close()
-	for _, name := range []string{"a", "a/b"} {
-		q, err := http.NewRequest(http.MethodPut, s.URL+"/objects/"+name, bytes.NewBufferString("value of "+name))
-		if err != nil {
-			t.Fatal(err)
+	o := emulator.NewObjects()
+	for _, c := range []struct {
+		method, name string
+		status       int
+	}{
+		{http.MethodPut, "a", http.StatusNoContent},
+		{http.MethodPut, "a/b", http.StatusNoContent},
+		{http.MethodGet, "a", http.StatusOK},
+		{http.MethodGet, "a/b", http.StatusOK},
+		{http.MethodGet, "c", http.StatusNotFound},
+	} {
+		w := httptest.NewRecorder()
+		o.ServeHTTP(w, httptest.NewRequest(c.method, "/objects/"+c.name, strings.NewReader("value of "+c.name)))
+		if w.Code != c.status || w.Code == http.StatusOK && w.Body.String() != "value of "+c.name {
+			t.Errorf("%s %s: %d %q, want %d", c.method, c.name, w.Code, w.Body, c.status)
 		}
-		if status, _ := do(t, q); status != http.StatusNoContent {
-			t.Fatalf("PUT %s: %d", name, status)
-		}
-	}
-	for name, want := range map[string]int{"a": http.StatusOK, "a/b": http.StatusOK, "c": http.StatusNotFound} {
-		q, err := http.NewRequest(http.MethodGet, s.URL+"/objects/"+name, nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		status, body := do(t, q)
-		if status != want || status == http.StatusOK && body != "value of "+name {
-			t.Fatalf("GET %s: %d %q, want %d", name, status, body, want)
-		}
-	}
-}
-
-func do(t *testing.T, q *http.Request) (int, string) {
-	p, err := http.DefaultClient.Do(q)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = p.Body.Close() }()
-	b, err := io.ReadAll(p.Body)
-	if err != nil {
-		t.Fatal(err)
 	}
-	return p.StatusCode, string(b)
 }
