--- a/balancer/target.go
+++ b/balancer/target.go
@@ -169,9 +169,6 @@
 	if a != b {
 		return a < b
 	}
-	if t.state != o.state {
-		return t.state == Healthy
-	}
 	if t.signal.load != o.signal.load {
 		return t.signal.load < o.signal.load
 	}
--- /dev/null
+++ b/balancer/target_test.go
@@ -0,0 +1,60 @@
+package balancer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"celeryhead.dev/celeryhead/balancer"
+)
+
+// Guards against endpoint signals that take out more than half of a pool.
+func TestSignalsLeaveHalfOfThePool(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, now := rapid.IntRange(1, 7).Draw(t, "targets"), epoch
+		p := warm(balancer.Config{}, now, n)
+		for range rapid.IntRange(1, 50).Draw(t, "signals") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			name := fmt.Sprintf("t%d", rapid.IntRange(0, n-1).Draw(t, "target"))
+			p.Observe(now, name, balancer.Signal{Healthy: rapid.IntRange(0, 3).Draw(t, "healthy") == 0})
+			if free := p.Load(now).Free; 2*free < n*slots {
+				t.Fatalf("signals leave %d of %d slots", free, n*slots)
+			}
+		}
+	})
+}
+
+// Guards against requests that fail everywhere and take out a pool whose targets are well.
+func TestFailuresOfRequestsLeaveHalfOfThePool(t *testing.T) {
+	for _, o := range []balancer.Outcome{balancer.Failure, balancer.Timeout, balancer.Broken} {
+		for n := range 5 {
+			now := epoch
+			p := warm(balancer.Config{}, now, n+1)
+			for range 100 {
+				now = now.Add(time.Second / 20)
+				_, a := p.Submit(now, balancer.Work{Deadline: now})
+				for _, s := range a.Starts {
+					p.Finish(now, s.ID, o)
+				}
+				if s := suspects(p, now); 2*s > n+1 {
+					t.Fatalf("outcome %d: %d of %d targets are suspect", o, s, n+1)
+				}
+			}
+			if n > 0 && suspects(p, now) == 0 {
+				t.Fatalf("outcome %d never makes one of %d targets suspect", o, n+1)
+			}
+		}
+	}
+}
+
+func suspects(p *balancer.Pool, now time.Time) int {
+	n := 0
+	for _, s := range p.Statuses(now) {
+		if s.State == balancer.Suspect {
+			n++
+		}
+	}
+	return n
+}
