Add the choice of owners, link budgets and retries to the balancer

An entry instance knows the load of other owners only from reports that lag. Chooser prefers itself with a free slot, then takes the better of two draws weighted by reported free slots, then spills under a byte budget per link.

--- /dev/null
+++ b/balancer/chooser.go
@@ -0,0 +1,198 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"celeryhead.dev/celeryhead/indexer"
+)
+
+const (
+	// reportAge is how long a report of an owner counts; heartbeats carry one every 500 ms.
+	reportAge = 1500 * time.Millisecond
+	// unknownFree is the weight of an owner without a recent report.
+	unknownFree = 0.5
+	// minFree keeps owners whose report says that nothing is free in the choice, as reports lag.
+	minFree = 0.1
+	// linkShare is the part of a link that spilled requests may use.
+	linkShare = 0.5
+	// linkBurst is how much unused budget of a link is kept.
+	linkBurst = time.Second
+	// maxRetries is the number of retries of one request.
+	maxRetries = 2
+	// retryShare is the number of retries per first attempt.
+	retryShare = 0.1
+	// retryBurst is the number of retries that a quiet time saves up.
+	retryBurst = 10
+)
+
+// Owner is an instance that owns targets of the pool.
+type Owner struct {
+	Name, Region string
+	// Suspect owners are chosen only if there is no other.
+	Suspect bool
+}
+
+// ChooserConfig configures a Chooser.
+type ChooserConfig struct {
+	Name, Region string
+	Seed         uint64
+}
+
+// Chooser picks the owner to which an entry instance forwards the requests of one pool.
+type Chooser struct {
+	c       ChooserConfig
+	r       *rand.Rand
+	owners  *indexer.Table[string, owner]
+	links   *indexer.Table[string, Bucket]
+	retries Bucket
+}
+
+type owner struct {
+	Owner
+	slots    int
+	free     float64
+	reported time.Time
+}
+
+// NewChooser returns a Chooser without owners.
+func NewChooser(c ChooserConfig) *Chooser {
+	return &Chooser{
+		c:       c,
+		r:       rand.New(rand.NewPCG(c.Seed, 0)), //nolint:gosec // Choices need to be spread, not secret.
+		owners:  indexer.New[string, owner](),
+		links:   indexer.New[string, Bucket](),
+		retries: Bucket{Burst: retryBurst},
+	}
+}
+
+// Adopt replaces the owners of the pool; reports of those that stay are kept.
+func (c *Chooser) Adopt(os []Owner) {
+	t := indexer.New[string, owner]()
+	for _, o := range os {
+		m := owner{Owner: o}
+		if old := c.owners.Get(o.Name); old != nil {
+			m = *old
+			m.Owner = o
+		}
+		t.Put(o.Name, m)
+	}
+	c.owners = t
+}
+
+// Link sets the capacity of the link to a region in bytes per second and the instances of the own region that share it.
+func (c *Chooser) Link(now time.Time, region string, capacity float64, instances int) {
+	rate := capacity * linkShare / float64(max(instances, 1))
+	b := Bucket{Rate: rate, Burst: rate * linkBurst.Seconds()}
+	if old := c.links.Get(region); old != nil {
+		old.fill(now)
+		b.tokens, b.filled = min(old.tokens, b.Burst), now
+	}
+	c.links.Put(region, b)
+}
+
+// Report records the load that an owner sent along with an answer or a heartbeat.
+func (c *Chooser) Report(now time.Time, name string, l Load) {
+	if o := c.owners.Get(name); o != nil {
+		o.slots, o.free, o.reported = l.Slots, float64(l.Free-l.Queued), now
+	}
+}
+
+// Choose picks an owner for a request of the given size in bytes, both ways together, that was not run at tried.
+// It returns false if no owner remains or the links to other regions have no budget left.
+func (c *Chooser) Choose(now time.Time, size int, tried ...string) (Owner, bool) {
+	if o := c.owners.Get(c.c.Name); o != nil && o.weight(now) >= 1 && !slices.Contains(tried, o.Name) {
+		return o.Owner, true
+	}
+	if o := c.pair(now, c.candidates(tried, func(r string) bool { return r == c.c.Region })); o != nil {
+		return c.take(o), true
+	}
+	o := c.pair(now, c.candidates(tried, func(r string) bool { return r != c.c.Region && c.affords(now, r, size) }))
+	if o == nil {
+		return Owner{}, false
+	}
+	c.links.Get(o.Region).Take(now, float64(size))
+	return c.take(o), true
+}
+
+// take counts the request against the report of o, so that not all requests follow one report.
+func (c *Chooser) take(o *owner) Owner {
+	o.free--
+	return o.Owner
+}
+
+func (c *Chooser) affords(now time.Time, region string, size int) bool {
+	b := c.links.Get(region)
+	return b != nil && b.Has(now, float64(size))
+}
+
+// candidates returns the owners in regions for which f is true; suspects only if there is nobody else.
+func (c *Chooser) candidates(tried []string, f func(region string) bool) []*owner {
+	var good, bad []*owner
+	for _, o := range c.owners.All() {
+		switch {
+		case slices.Contains(tried, o.Name) || !f(o.Region):
+		case o.Suspect:
+			bad = append(bad, o)
+		default:
+			good = append(good, o)
+		}
+	}
+	if len(good) > 0 {
+		return good
+	}
+	return bad
+}
+
+// pair draws two candidates weighted by their free slots and returns the one with more.
+func (c *Chooser) pair(now time.Time, os []*owner) *owner {
+	if len(os) == 0 {
+		return nil
+	}
+	i := c.draw(now, os)
+	if len(os) == 1 {
+		return os[i]
+	}
+	a := os[i]
+	rest := slices.Delete(slices.Clone(os), i, i+1)
+	b := rest[c.draw(now, rest)]
+	if b.weight(now) > a.weight(now) {
+		return b
+	}
+	return a
+}
+
+func (c *Chooser) draw(now time.Time, os []*owner) int {
+	sum := 0.0
+	for _, o := range os {
+		sum += o.weight(now)
+	}
+	x := c.r.Float64() * sum
+	for i, o := range os {
+		x -= o.weight(now)
+		if x < 0 {
+			return i
+		}
+	}
+	return len(os) - 1
+}
+
+// weight is the number of slots that are probably free.
+func (o *owner) weight(now time.Time) float64 {
+	if o.reported.IsZero() || now.Sub(o.reported) > reportAge {
+		return unknownFree
+	}
+	return max(o.free, minFree)
+}
+
+// Attempt counts the first attempt of a request and so earns a part of a retry.
+func (c *Chooser) Attempt() {
+	c.retries.Add(retryShare)
+}
+
+// Retry reports whether a request that was not run may be sent to another owner, and spends a retry if so.
+// Retries counts the earlier retries of the request; deadline is that of its first attempt.
+func (c *Chooser) Retry(now time.Time, retries int, deadline time.Time) bool {
+	return retries < maxRetries && deadline.After(now) && c.retries.Take(now, 1)
+}
--- /dev/null
+++ b/balancer/chooser_test.go
@@ -0,0 +1,123 @@
+package balancer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"celeryhead.dev/celeryhead/balancer"
+)
+
+// Guards against requests forwarded to suspect, tried or distant owners while better ones exist, and link overuse.
+func TestChoose(t *testing.T) {
+	Convey("Given owners in two regions", t, func() {
+		c := balancer.NewChooser(balancer.ChooserConfig{Name: "w1", Region: "west", Seed: 1})
+		c.Adopt([]balancer.Owner{
+			{Name: "w1", Region: "west"}, {Name: "w2", Region: "west"},
+			{Name: "w3", Region: "west", Suspect: true}, {Name: "e1", Region: "east"},
+		})
+		now := epoch
+		c.Report(now, "w1", balancer.Load{Slots: 3, Free: 1})
+		c.Report(now, "w2", balancer.Load{Slots: 3, Free: 3})
+		c.Report(now, "w3", balancer.Load{Slots: 30, Free: 30})
+
+		Convey("the instance itself is chosen while it has a free slot", func() {
+			o, ok := c.Choose(now, 1000)
+			So(ok, ShouldBeTrue)
+			So(o.Name, ShouldEqual, "w1")
+		})
+		Convey("then another owner in the region that is not suspect", func() {
+			c.Report(now, "w1", balancer.Load{Slots: 3})
+			o, _ := c.Choose(now, 1000, "w1")
+			So(o.Name, ShouldEqual, "w2")
+		})
+		Convey("a suspect owner in the region only if no other is left", func() {
+			o, _ := c.Choose(now, 1000, "w1", "w2")
+			So(o.Name, ShouldEqual, "w3")
+		})
+		Convey("another region only within the budget of its link", func() {
+			_, ok := c.Choose(now, 1000, "w1", "w2", "w3")
+			So(ok, ShouldBeFalse)
+			c.Link(now, "east", 14_000, 7)
+			o, ok := c.Choose(now, 1000, "w1", "w2", "w3")
+			So(ok, ShouldBeTrue)
+			So(o.Name, ShouldEqual, "e1")
+			_, ok = c.Choose(now, 1000, "w1", "w2", "w3")
+			So(ok, ShouldBeFalse)
+			now = now.Add(time.Second)
+			_, ok = c.Choose(now, 1000, "w1", "w2", "w3")
+			So(ok, ShouldBeTrue)
+		})
+	})
+}
+
+// Guards against choices that follow one report together, or ignore free slots.
+func TestChooseSpreadsByFreeSlots(t *testing.T) {
+	c := balancer.NewChooser(balancer.ChooserConfig{Name: "entry", Region: "west", Seed: 1})
+	var os []balancer.Owner
+	for i := range 7 {
+		os = append(os, balancer.Owner{Name: fmt.Sprint(i), Region: "west"})
+	}
+	c.Adopt(os)
+	got := map[string]int{}
+	for range 1000 {
+		for i := range 7 {
+			c.Report(epoch, fmt.Sprint(i), balancer.Load{Slots: 6, Free: i % 2 * 6})
+		}
+		round := map[string]int{}
+		for range 18 {
+			o, _ := c.Choose(epoch, 0)
+			got[o.Name]++
+			round[o.Name]++
+			if round[o.Name] > 6+3 {
+				t.Fatalf("%d requests in a row went to an owner with 6 free slots", round[o.Name])
+			}
+		}
+	}
+	for i := range 7 {
+		n := got[fmt.Sprint(i)]
+		if i%2 == 0 && n > 1000 || i%2 == 1 && n < 4500 {
+			t.Fatalf("owner %d with %d free slots was chosen %d times of 18000", i, i%2*6, n)
+		}
+	}
+}
+
+// Guards against a storm of retries.
+func TestRetryBudget(t *testing.T) {
+	c := balancer.NewChooser(balancer.ChooserConfig{})
+	n := 0
+	for range 10_000 {
+		c.Attempt()
+		if c.Retry(epoch, 0, epoch.Add(time.Second)) {
+			n++
+		}
+	}
+	if n > 1000 || n < 990 {
+		t.Fatalf("%d retries of 10000 requests, want a tenth", n)
+	}
+	for range 100 {
+		c.Attempt()
+	}
+	for r := range 3 {
+		if ok := c.Retry(epoch, r, epoch.Add(time.Second)); ok != (r < 2) {
+			t.Fatalf("retry %d of one request allowed: %t", r+1, ok)
+		}
+	}
+	if c.Retry(epoch, 0, epoch) {
+		t.Fatal("retry after the deadline")
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	c := balancer.NewChooser(balancer.ChooserConfig{Name: "entry", Region: "west", Seed: 1})
+	var os []balancer.Owner
+	for i := range 24 {
+		os = append(os, balancer.Owner{Name: fmt.Sprint(i), Region: "west"})
+	}
+	c.Adopt(os)
+	for b.Loop() {
+		c.Choose(epoch, 0)
+	}
+}
