Let newcomers serve but not own, drop the exchange of peer sets

With lists that lag for each entry separately, an early admitted author can be missing from the reading of an instance that holds a valid proof. Only instances listed for list_lag + list_age make changes and own resources, so every fresh reading shows every author, and heartbeats need not carry peer sets.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -58,8 +58,10 @@
 }
 
 type holding struct {
-	owner   Member
-	mine    bool
+	owner Member
+	mine  bool
+	// taken is set once the resource was ready while the instance acted.
+	taken   bool
 	ready   time.Time
 	from    Member
 	version uint64
@@ -227,6 +229,7 @@
 	old, was := h.owner, h.mine
 	h.owner, _ = s.owner(r.Name, r.Part)
 	h.mine = h.owner.is(a.c.Self)
+	h.taken = h.taken && h.mine
 	if steps == 1 && was && h.mine {
 		return
 	}
@@ -246,6 +249,7 @@
 
 // gain starts the wait for the proofs and requests of earlier owners to lapse.
 func (a *Assigner) gain(h *holding, learned time.Time) {
+	h.taken = false
 	h.ready = learned.Add(a.c.Freshness)
 	h.from = Member{}
 	h.residue = Residue{Unknown: true, Until: h.ready.Add(a.c.LargestDeadline)}
@@ -280,10 +284,19 @@
 	}
 }
 
-// MayAct reports whether the instance owns the resource and has waited for earlier owners.
-func (a *Assigner) MayAct(r Resource, now time.Time) bool {
+// Tick takes the resources that are ready. Taking needs acts, tracker.Acts,
+// because only then every earlier owner asks this instance before it renews its
+// proof; keeping them needs active, the own state in the tracker.
+func (a *Assigner) Tick(now time.Time, active, acts bool) {
+	for _, h := range a.holdings.All() {
+		h.taken = h.mine && active && (h.taken || acts && !now.Before(h.ready))
+	}
+}
+
+// MayAct reports whether the instance has taken the resource.
+func (a *Assigner) MayAct(r Resource) bool {
 	h := a.holdings.Get(r)
-	return h != nil && h.mine && !now.Before(h.ready)
+	return h != nil && h.taken
 }
 
 // Owner returns the owner of the resource in the adopted assignment.
--- a/attester/attester.go
+++ b/attester/attester.go
@@ -46,7 +46,9 @@
 	Admitted time.Time
 	// Listed is tracker.ListedAt.
 	Listed time.Time
-	Peers  []Peer
+	// Newcomer is tracker.Newcomer: store reads then need a list reading like heartbeats do.
+	Newcomer bool
+	Peers    []Peer
 }
 
 // evidence is the newest request whose answer counts, and the newest one that
@@ -98,6 +100,7 @@
 	known    uint64
 	admitted time.Time
 	listed   time.Time
+	newcomer bool
 	read     evidence
 	// primed is set by the first store read, or answer of an acting peer, that counts after the admission.
 	primed evidence
@@ -146,7 +149,7 @@
 	if !m.Admitted.Equal(a.admitted) {
 		a.reset(m.Admitted)
 	}
-	a.listed = m.Listed
+	a.listed, a.newcomer = m.Listed, m.Newcomer
 	for _, p := range a.peers.All() {
 		p.seen = false
 	}
@@ -209,8 +212,8 @@
 	Incarnation uint64
 	// Version is the heads version that the peer applies.
 	Version uint64
-	// Active reports that the peer was admitted and not leaving.
-	Active bool
+	// Acts is the peer's tracker.Contact.Acts.
+	Acts bool
 }
 
 // RecordAnswer records an answer to a heartbeat that was sent at sent.
@@ -224,7 +227,7 @@
 		return
 	}
 	p.record(sent, r.Version, a.adopted)
-	if r.Active {
+	if r.Acts {
 		a.primed.record(sent, r.Version, a.adopted)
 	}
 	for i := range a.oldest {
@@ -269,7 +272,11 @@
 	if a.read.counted.IsZero() {
 		return time.Time{}
 	}
-	return earliest(a.read.counted.Add(a.c.Freshness), a.listed.Add(a.c.ListOutage))
+	limit := a.c.ListOutage
+	if a.newcomer {
+		limit = a.c.ListAge
+	}
+	return earliest(a.read.counted.Add(a.c.Freshness), a.listed.Add(limit))
 }
 
 func (a *Attester) roundExpiry(s Scope) time.Time {
--- a/tracker/observe.go
+++ b/tracker/observe.go
@@ -1,16 +1,18 @@
 package tracker
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // ObserveList records a list reading that was requested at requested and arrived at now.
 func (t *Tracker) ObserveList(requested, now time.Time, entries []Entry) {
-	self, ok := find(entries, t.c.Self.Name)
-	t.observeSelf(requested, now, self, ok)
+	t.observeSelf(requested, now, entries)
 	seen := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		seen[e.Name] = true
 		if e.Name != t.c.Self.Name {
-			t.observeEntry(requested, now, e, ok)
+			t.observeEntry(requested, now, e)
 		}
 	}
 	for k, p := range t.peers.All() {
@@ -21,26 +23,10 @@
 	t.admit(now)
 }
 
-func find(entries []Entry, name string) (Entry, bool) {
-	for _, e := range entries {
-		if e.Name == name {
-			return e, true
-		}
-	}
-	return Entry{}, false
-}
-
-func (t *Tracker) observeSelf(requested, now time.Time, e Entry, ok bool) {
-	if ok && e.Incarnation > t.c.Self.Incarnation {
-		t.superseded = true
-		return
-	}
-	// An entry of an earlier incarnation shows that the name is listed, so peers count the name.
-	if ok {
-		if t.first.IsZero() {
-			t.first = now
-		}
-		t.listed = latest(t.listed, requested)
+func (t *Tracker) observeSelf(requested, now time.Time, entries []Entry) {
+	i := slices.IndexFunc(entries, func(e Entry) bool { return e.Name == t.c.Self.Name })
+	if i >= 0 {
+		t.observeOwn(requested, now, entries[i])
 		return
 	}
 	// Within ListLag of the first sight, a reading may still show the time before the registration.
@@ -49,17 +35,35 @@
 	}
 	t.first, t.listed, t.admitted = time.Time{}, time.Time{}, time.Time{}
 	for _, p := range t.peers.All() {
-		p.confirmed, p.together = false, false
+		p.confirmed = false
 	}
+	t.revision++
+}
+
+// observeOwn accepts an entry of an earlier incarnation too: it shows that the
+// name is listed, so peers count the name.
+func (t *Tracker) observeOwn(requested, now time.Time, e Entry) {
+	if e.Incarnation > t.c.Self.Incarnation {
+		t.supersede()
+		return
+	}
+	if t.first.IsZero() {
+		t.first = now
+	}
+	t.listed = latest(t.listed, requested)
+}
+
+func (t *Tracker) supersede() {
+	t.superseded = true
+	t.revision++
 }
 
-func (t *Tracker) observeEntry(requested, now time.Time, e Entry, withSelf bool) {
+func (t *Tracker) observeEntry(requested, now time.Time, e Entry) {
 	if t.ended(requested, e.Instance) {
 		return
 	}
 	p := t.count(now, e.Instance, Listed)
 	p.leaving = e.Leaving
-	p.together = p.together || withSelf
 	p.evidence = now
 	p.absentSince = time.Time{}
 }
@@ -93,7 +97,7 @@
 }
 
 func (t *Tracker) remove(p *peer, d departure) {
-	t.digest ^= digest(p.Instance)
+	t.revision++
 	t.departed.Put(p.Name, d)
 	t.peers.Delete(p.Name)
 }
@@ -103,11 +107,11 @@
 	p := t.peers.Get(i.Name)
 	if p == nil {
 		p = t.peers.Put(i.Name, peer{Instance: i, since: now, evidence: now})
-		t.digest ^= digest(i)
+		t.revision++
 	}
 	p.reasons |= r
 	if i.Incarnation > p.Incarnation {
-		t.digest ^= digest(p.Instance) ^ digest(i)
+		t.revision++
 		p.replace(now, i)
 	}
 	return p
@@ -115,7 +119,7 @@
 
 func (p *peer) replace(now time.Time, i Instance) {
 	if p.Incarnation != 0 {
-		p.announced, p.confirmed, p.together = Joining, false, false
+		p.announced, p.confirmed = Joining, false
 		p.since, p.heard, p.sent = now, time.Time{}, time.Time{}
 	}
 	p.Instance = i
@@ -135,8 +139,9 @@
 		return false
 	}
 	p := t.peers.Get(c.From.Name)
-	// A confirmation from before the own listing would lapse before the listing shows.
-	if !t.first.IsZero() && !sent.Before(t.first) && (c.Same || t.namesSelf(c.Peers)) {
+	// The peer counted the sender before it answered. A confirmation from before
+	// the own listing could lapse before the listing shows.
+	if !t.first.IsZero() && !sent.Before(t.first) {
 		p.confirmed = true
 	}
 	t.admit(now)
@@ -145,7 +150,9 @@
 
 func (t *Tracker) observeContact(now time.Time, c Contact) bool {
 	if c.From.Name == t.c.Self.Name {
-		t.superseded = t.superseded || c.From.Incarnation > t.c.Self.Incarnation
+		if c.From.Incarnation > t.c.Self.Incarnation {
+			t.supersede()
+		}
 		return false
 	}
 	if t.stopped(c.From) {
@@ -162,9 +169,6 @@
 	p.announced = c.State
 	p.heard, p.evidence = now, now
 	p.absentSince = time.Time{}
-	for _, i := range c.Peers {
-		t.observeName(now, i)
-	}
 	return true
 }
 
@@ -173,28 +177,6 @@
 	return d != nil && d.stopped && i.Incarnation <= d.incarnation
 }
 
-// observeName counts an instance that a peer counts. Departed incarnations stay
-// out, since peers would otherwise name them to each other for ever.
-func (t *Tracker) observeName(now time.Time, i Instance) {
-	if i.Name == t.c.Self.Name {
-		return
-	}
-	d := t.departed.Get(i.Name)
-	if d != nil && i.Incarnation <= d.incarnation {
-		return
-	}
-	t.count(now, i, Named)
-}
-
-func (t *Tracker) namesSelf(peers []Instance) bool {
-	for _, i := range peers {
-		if i.Name == t.c.Self.Name {
-			return i.Incarnation == t.c.Self.Incarnation
-		}
-	}
-	return false
-}
-
 // ObserveSent records that a heartbeat was sent to the named peer.
 func (t *Tracker) ObserveSent(now time.Time, name string) {
 	if p := t.peers.Get(name); p != nil {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -1,12 +1,10 @@
 package tracker
 
 import (
-	"encoding/binary"
 	"net/netip"
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/cespare/xxhash/v2"
 
 	"celeryhead.dev/celeryhead/indexer"
 )
@@ -96,7 +94,6 @@
 const (
 	Listed Reason = 1 << iota
 	Contacted
-	Named
 )
 
 // Entry is one instance in a list reading.
@@ -108,14 +105,10 @@
 // Contact is the membership part of a heartbeat or of its answer.
 type Contact struct {
 	From Instance
-	// State is Joining, Active or Leaving as announced, or Gone if the incarnation stopped; only Active senders vouch for newcomers.
+	// State is Joining, Active or Leaving as announced, or Gone if the incarnation stopped.
 	State State
-	// Digest is the sender's Tracker.Digest.
-	Digest uint64
-	// Same is set in an answer if the heartbeat carried the answerer's own digest, so that Peers is left out.
-	Same bool
-	// Peers holds the peer set and the own instance of the answerer, including the instance that it answers.
-	Peers []Instance
+	// Acts is the sender's Tracker.Acts.
+	Acts bool
 }
 
 // Peer is one member of the peer set.
@@ -134,7 +127,6 @@
 	reasons   Reason
 	announced State
 	leaving   bool
-	together  bool
 	confirmed bool
 	since     time.Time
 	heard     time.Time
@@ -160,11 +152,12 @@
 	leaving  bool
 	// superseded reports that a later incarnation of the own name was seen.
 	superseded bool
-	digest     uint64
 	// first is when a reading that shows the own instance first arrived.
 	first    time.Time
 	listed   time.Time
 	admitted time.Time
+	// revision counts the changes of the peer set and of the admission.
+	revision uint64
 	ticked   time.Time
 	resumed  time.Time
 }
@@ -175,21 +168,12 @@
 		return nil, ErrSelf
 	}
 	return &Tracker{
-		digest:   digest(c.Self),
 		c:        c.withDefaults(),
 		peers:    indexer.New[string, peer](),
 		departed: indexer.New[string, departure](),
 	}, nil
 }
 
-// digest hashes a name and incarnation; the digests of a set are combined by exclusive or.
-func digest(i Instance) uint64 {
-	var b [16]byte
-	binary.LittleEndian.PutUint64(b[0:], xxhash.Sum64String(i.Name))
-	binary.LittleEndian.PutUint64(b[8:], i.Incarnation)
-	return xxhash.Sum64(b[:])
-}
-
 // Leave marks the own instance as leaving; it takes no further ownership.
 func (t *Tracker) Leave() {
 	t.leaving = true
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -96,34 +96,14 @@
 	return r
 }
 
-// Digest returns a digest of the names and incarnations of the peer set and the own instance.
-func (t *Tracker) Digest() uint64 {
-	return t.digest
-}
-
-// Heartbeat returns the membership part of a heartbeat.
+// Heartbeat returns the membership part of a heartbeat or of its answer.
 func (t *Tracker) Heartbeat(now time.Time) Contact {
-	return Contact{From: t.c.Self, State: t.Own(now), Digest: t.digest}
+	return Contact{From: t.c.Self, State: t.Own(now), Acts: t.Acts(now)}
 }
 
-// Answer returns the membership part of the answer to c, which was observed before.
-func (t *Tracker) Answer(now time.Time, c Contact) Contact {
-	r := t.Heartbeat(now)
-	r.Same = c.Digest == t.digest
-	if !r.Same {
-		r.Peers = t.Instances()
-	}
-	return r
-}
-
-// Instances returns the peer set and the own instance.
-func (t *Tracker) Instances() []Instance {
-	r := make([]Instance, 0, t.peers.Len()+1)
-	r = append(r, t.c.Self)
-	for _, p := range t.peers.All() {
-		r = append(r, p.Instance)
-	}
-	return r
+// Revision changes whenever Admitted, Newcomer or the members of the peer set do.
+func (t *Tracker) Revision() uint64 {
+	return t.revision
 }
 
 // State returns the membership state of the named instance.
@@ -137,12 +117,13 @@
 	return Gone
 }
 
-// Own returns the state that the own instance announces.
+// Own returns the state that the own instance announces; it stays active without
+// list readings, so that a failing list does not empty assignments and answers.
 func (t *Tracker) Own(now time.Time) State {
 	switch {
 	case t.leaving:
 		return Leaving
-	case t.Acts(now):
+	case !t.Admitted().IsZero() && !t.Newcomer(now):
 		return Active
 	default:
 		return Joining
@@ -173,9 +154,17 @@
 	return false
 }
 
-// Acts reports whether the instance may accept changes and take ownership.
+// Newcomer reports whether the instance has been listed for less than ListLag +
+// ListAge. A list reading in use elsewhere may not show it yet, so its heartbeat
+// answers need not be asked for: it serves, but makes no changes and owns nothing.
+func (t *Tracker) Newcomer(now time.Time) bool {
+	return t.first.IsZero() || now.Before(t.first.Add(t.c.hold()))
+}
+
+// Acts reports whether the instance may make changes and take ownership: every
+// usable list reading shows it, and its own reading shows every instance that may act.
 func (t *Tracker) Acts(now time.Time) bool {
-	return !t.superseded && !t.admitted.IsZero() && now.Before(t.listed.Add(t.c.ListAge))
+	return !t.Admitted().IsZero() && !t.Newcomer(now) && now.Before(t.listed.Add(t.c.ListAge))
 }
 
 // Admitted returns when the instance was admitted, or zero; only evidence requested since then counts for a proof.
@@ -202,27 +191,26 @@
 	return false
 }
 
-// admit lets a newcomer act once every peer counts it, or after ListLag +
-// ListAge, when every instance with a usable list reading sees it.
+// admit lets an instance hold proofs once it is no newcomer. A newcomer holds
+// them only while every peer counts it: otherwise an author that does not see it
+// yet could report a change as confirmed that the newcomer has not applied.
 func (t *Tracker) admit(now time.Time) {
-	if t.first.IsZero() || !t.admitted.IsZero() {
-		return
-	}
-	if !now.Before(t.first.Add(t.c.hold())) || t.vouched() {
+	ok := !t.first.IsZero() && (!t.Newcomer(now) || t.confirmed())
+	switch {
+	case !ok && !t.admitted.IsZero():
+		t.admitted = time.Time{}
+		t.revision++
+	case ok && t.admitted.IsZero():
 		t.admitted = now
+		t.revision++
 	}
 }
 
-// vouched reports whether every peer counts the own incarnation and one of them
-// acts and was listed together with it. Without such a voucher two newcomers
-// whose readings do not show each other yet could both act.
-func (t *Tracker) vouched() bool {
-	ok := false
+func (t *Tracker) confirmed() bool {
 	for _, p := range t.peers.All() {
 		if !p.confirmed {
 			return false
 		}
-		ok = ok || p.together && p.announced == Active
 	}
-	return ok
+	return true
 }
