Feed the tracker's new admission rule to attester and assigner

An instance owns targets and makes changes only once it has been listed for list_lag + list_age; heartbeats carry that instead of peer sets.

--- a/controller/beats.go
+++ b/controller/beats.go
@@ -60,7 +60,7 @@
 			Name:        k.From.Name,
 			Incarnation: k.From.Incarnation,
 			Version:     a.HeadsVersion,
-			Active:      k.State == tracker.Active,
+			Acts:        k.Acts,
 		})
 		c.noteReport(a, now)
 	}
@@ -83,7 +83,7 @@
 	c.attester.RecordVersion(k.From.Name, k.From.Incarnation, b.HeadsVersion, k.State == tracker.Gone)
 	c.noteReport(b, now)
 	c.publish(now)
-	a := c.message(c.tracker.Answer(now, k), now)
+	a := c.message(c.tracker.Heartbeat(now), now)
 	c.mu.Unlock()
 	if b.HeadsVersion > a.HeadsVersion {
 		go c.adoptFromPeer(context.WithoutCancel(ctx), k.From.Name, c.config.Dialer.Peer(k.From))
@@ -144,15 +144,11 @@
 		From:            toMember(c.config.Self),
 		HeadsVersion:    c.attester.Version(),
 		ConfigVersion:   c.view.Load().Heads.ConfigVersion,
-		Digest:          k.Digest,
-		Same:            k.Same,
+		Acts:            k.Acts,
 		ReleasedVersion: c.assigner.Released(now),
 	}
 	b.From.State = s
 	c.addInherited(b, now)
-	for _, i := range k.Peers {
-		b.Peers = append(b.Peers, toMember(i))
-	}
 	return b
 }
 
@@ -176,11 +172,7 @@
 }
 
 func contact(b *messenger.Beat) tracker.Contact {
-	k := tracker.Contact{From: instance(b.GetFrom()), State: state(b.GetFrom().GetState()), Digest: b.Digest, Same: b.Same}
-	for _, m := range b.Peers {
-		k.Peers = append(k.Peers, instance(m))
-	}
-	return k
+	return tracker.Contact{From: instance(b.GetFrom()), State: state(b.GetFrom().GetState()), Acts: b.Acts}
 }
 
 func state(s string) tracker.State {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -171,14 +171,14 @@
 func (c *Controller) MayAct(r assigner.Resource, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.gate.Valid(c.scope(r), now) && c.assigner.MayAct(r, now)
+	return c.gate.Valid(c.scope(r), now) && c.assigner.MayAct(r)
 }
 
 // Owns reports whether this instance owns the resource and has waited for earlier owners, whatever its proof.
-func (c *Controller) Owns(r assigner.Resource, now time.Time) bool {
+func (c *Controller) Owns(r assigner.Resource) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.assigner.MayAct(r, now)
+	return c.assigner.MayAct(r)
 }
 
 // scope returns the proof that ownership of a resource needs; c.mu is held.
@@ -225,9 +225,9 @@
 	if name == c.config.Self.Name {
 		return c.config.Self, true
 	}
-	for _, i := range c.tracker.Instances() {
-		if i.Name == name {
-			return i, true
+	for _, p := range c.tracker.Peers(c.config.Clock()) {
+		if p.Name == name {
+			return p.Instance, true
 		}
 	}
 	return tracker.Instance{}, false
@@ -253,13 +253,11 @@
 func (c *Controller) Stop(ctx context.Context) {
 	c.mu.Lock()
 	c.final = true
-	l := c.tracker.Instances()
+	l := c.others()
 	c.mu.Unlock()
 	var g sync.WaitGroup
 	for _, i := range l {
-		if i.Name != c.config.Self.Name {
-			g.Go(func() { c.beat(ctx, i) })
-		}
+		g.Go(func() { c.beat(ctx, i) })
 	}
 	g.Wait()
 }
@@ -274,6 +272,7 @@
 // publish makes the present state visible to the request path; c.mu is held.
 func (c *Controller) publish(now time.Time) {
 	c.attester.SetMembership(c.membership(now))
+	c.assigner.Tick(now, c.tracker.Own(now) == tracker.Active, c.tracker.Acts(now))
 	c.gate.Publish(c.attester)
 	c.publishLive(now)
 	for _, s := range []attester.Scope{attester.Fleet, attester.Region} {
@@ -282,7 +281,7 @@
 }
 
 func (c *Controller) membership(now time.Time) attester.Membership {
-	m := attester.Membership{Admitted: c.tracker.Admitted(), Listed: c.tracker.ListedAt()}
+	m := attester.Membership{Admitted: c.tracker.Admitted(), Listed: c.tracker.ListedAt(), Newcomer: c.tracker.Newcomer(now)}
 	for _, p := range c.tracker.Peers(now) {
 		m.Peers = append(m.Peers, attester.Peer{Name: p.Name, Incarnation: p.Incarnation, Region: p.Region})
 	}
--- a/controller/loops.go
+++ b/controller/loops.go
@@ -73,10 +73,8 @@
 
 func (c *Controller) others() []tracker.Instance {
 	var r []tracker.Instance
-	for _, i := range c.tracker.Instances() {
-		if i.Name != c.config.Self.Name {
-			r = append(r, i)
-		}
+	for _, p := range c.tracker.Peers(c.config.Clock()) {
+		r = append(r, p.Instance)
 	}
 	return r
 }
--- a/server/pools.go
+++ b/server/pools.go
@@ -112,7 +112,7 @@
 	var r []balancer.Holding
 	for _, t := range c.Targets {
 		k := v.TargetResource(t.Name)
-		if !p.server.control.Owns(k, now) {
+		if !p.server.control.Owns(k) {
 			continue
 		}
 		r = append(r, balancer.Holding{
