Shorten tickets to at most 243 bytes

The server accepts Idempotency-Keys of at most 255 bytes, but a ticket had 258 with 14-byte names of account and instance, and 392 with the longest names, so that requests with tickets would have been refused.

--- a/claimer/doc.go
+++ b/claimer/doc.go
@@ -38,10 +38,10 @@
 //
 // A ticket is an Idempotency-Key that an instance issued; it starts with "ct1." and
 // names account, instance, incarnation, expiry (2 min) and a nonce, authenticated by
-// HMAC-SHA256 under a secret of the incarnation. It is used at that incarnation only,
-// without the store: other instances find it by Locate and forward the request. A used
-// ticket is remembered until it expires, or until the deadline of its request if that
-// is later. When its incarnation is gone, or it is no longer remembered, the outcome is
+// HMAC-SHA256, cut to 128 bits, under a secret of the incarnation. It is used at that
+// incarnation only, without the store: other instances find it by Locate and forward
+// the request. A used ticket is remembered until it expires, or until the deadline of
+// its request if that is later. When its incarnation is gone, or it is no longer remembered, the outcome is
 // unknown. A used ticket is never forgotten to make room: when the memory is full, or
 // the account's share of it, another ticket is refused as not run.
 //
--- a/claimer/ticket.go
+++ b/claimer/ticket.go
@@ -4,18 +4,25 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/base64"
-	"encoding/json"
+	"encoding/binary"
 	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 )
 
+// MaxTicketBytes bounds the length of a ticket, so that servers accept it like other Idempotency-Keys;
+// tickets with the longest names have 243 bytes.
+const MaxTicketBytes = 255
+
 const (
 	// ticketPrefix tells tickets from keys chosen by callers; its digit is the version of the format.
-	ticketPrefix   = "ct1."
-	maxTicketBytes = 1 << 10
-	nonceBytes     = 16
+	ticketPrefix = "ct1."
+	nonceBytes   = 16
+	// maxNameBytes is the longest name that a configuration may have; its length takes one byte.
+	maxNameBytes = 64
+	// signatureBytes is the truncation of HMAC-SHA-256-128 (RFC 4868).
+	signatureBytes = 16
 )
 
 // ErrTicket says that a text is not a ticket.
@@ -54,19 +61,53 @@
 
 // ticket is the readable part of a ticket.
 type ticket struct {
-	Account     string `json:"account"`
-	Instance    string `json:"instance"`
-	Incarnation uint64 `json:"incarnation"`
-	ExpiresMs   int64  `json:"expires_unix_ms"`
-	Nonce       []byte `json:"nonce"`
+	account  string
+	location Location
+	expires  time.Time
+	nonce    [nonceBytes]byte
 }
 
-func (t ticket) location() Location {
-	return Location{Instance: t.Instance, Incarnation: t.Incarnation}
+// encode returns both names, each after a byte with its length, the incarnation, the expiry in Unix milliseconds and the nonce.
+func (t ticket) encode() ([]byte, error) {
+	var b []byte
+	for _, s := range []string{t.account, t.location.Instance} {
+		if len(s) == 0 || len(s) > maxNameBytes {
+			return nil, merry.Wrap(ErrTicket, merry.AppendMessage("name is empty or too long"))
+		}
+		b = binary.AppendUvarint(b, uint64(len(s)))
+		b = append(b, s...)
+	}
+	return binary.Append(b, binary.BigEndian, ticketTail{t.location.Incarnation, t.expires.UnixMilli(), t.nonce})
 }
 
-func (t ticket) expires() time.Time {
-	return time.UnixMilli(t.ExpiresMs)
+// ticketTail holds the fields of fixed length.
+type ticketTail struct {
+	Incarnation uint64
+	ExpiresMs   int64
+	Nonce       [nonceBytes]byte
+}
+
+func decodeTicket(b []byte) (ticket, error) {
+	var names [2]string
+	for i := range names {
+		if len(b) == 0 || b[0] == 0 || b[0] > maxNameBytes || len(b) <= int(b[0]) {
+			return ticket{}, merry.Wrap(ErrTicket)
+		}
+		names[i], b = string(b[1:1+b[0]]), b[1+b[0]:]
+	}
+	var x ticketTail
+	if len(b) != binary.Size(x) {
+		return ticket{}, merry.Wrap(ErrTicket)
+	}
+	if _, err := binary.Decode(b, binary.BigEndian, &x); err != nil {
+		return ticket{}, merry.Wrap(ErrTicket, merry.WithCause(err))
+	}
+	return ticket{
+		account:  names[0],
+		location: Location{Instance: names[1], Incarnation: x.Incarnation},
+		expires:  time.UnixMilli(x.ExpiresMs),
+		nonce:    x.Nonce,
+	}, nil
 }
 
 // IsTicket reports whether an Idempotency-Key has the form of a ticket; callers must not choose such keys.
@@ -80,26 +121,22 @@
 	if err != nil {
 		return Location{}, err
 	}
-	return t.location(), nil
+	return t.location, nil
 }
 
 // sealTicket returns prefix, payload and signature, the latter two in base64 and joined by a dot.
 func sealTicket(secret []byte, t ticket) (string, error) {
-	b, err := json.Marshal(t)
+	b, err := t.encode()
 	if err != nil {
-		return "", merry.Wrap(ErrTicket, merry.WithCause(err))
+		return "", err
 	}
 	text := ticketPrefix + base64.RawURLEncoding.EncodeToString(b)
-	s := text + "." + base64.RawURLEncoding.EncodeToString(sign(secret, text))
-	if len(s) > maxTicketBytes {
-		return "", merry.Wrap(ErrTicket, merry.AppendMessage("account or instance name too long"))
-	}
-	return s, nil
+	return text + "." + base64.RawURLEncoding.EncodeToString(sign(secret, text)), nil
 }
 
 // parseTicket returns the readable part, the signed text and the signature.
 func parseTicket(key string) (t ticket, text string, signature []byte, err error) {
-	if !IsTicket(key) || len(key) > maxTicketBytes {
+	if !IsTicket(key) || len(key) > MaxTicketBytes {
 		return ticket{}, "", nil, merry.Wrap(ErrTicket)
 	}
 	i := strings.LastIndexByte(key, '.')
@@ -116,18 +153,13 @@
 	if err != nil {
 		return ticket{}, "", nil, merry.Wrap(ErrTicket, merry.WithCause(err))
 	}
-	if err := json.Unmarshal(b, &t); err != nil {
-		return ticket{}, "", nil, merry.Wrap(ErrTicket, merry.WithCause(err))
-	}
-	if t.Instance == "" || len(t.Nonce) != nonceBytes {
-		return ticket{}, "", nil, merry.Wrap(ErrTicket)
-	}
-	return t, text, signature, nil
+	t, err = decodeTicket(b)
+	return t, text, signature, err
 }
 
 func sign(secret []byte, text string) []byte {
 	h := hmac.New(sha256.New, secret)
 	// Write of a hash never fails.
 	_, _ = h.Write([]byte(text))
-	return h.Sum(nil)
+	return h.Sum(nil)[:signatureBytes]
 }
--- a/claimer/tickets.go
+++ b/claimer/tickets.go
@@ -92,34 +92,26 @@
 	return t, nil
 }
 
-// Issue returns a ticket for one request of the account, to be used before now plus the life of tickets.
+// Issue returns a ticket for one request of the account, to be used before now plus the life of tickets;
+// its error is ErrTicket for names that are empty or do not fit.
 func (t *Tickets) Issue(account string, now time.Time) (string, error) {
-	if account == "" {
-		return "", merry.Wrap(ErrRequest)
-	}
-	nonce := make([]byte, nonceBytes)
+	x := ticket{account: account, location: t.config.Location, expires: now.Add(t.config.Life)}
 	t.mu.Lock()
-	_, err := io.ReadFull(t.config.Random, nonce)
+	_, err := io.ReadFull(t.config.Random, x.nonce[:])
 	t.mu.Unlock()
 	if err != nil {
 		return "", merry.Prepend(err, "nonce of ticket")
 	}
-	return sealTicket(t.secret, ticket{
-		Account:     account,
-		Instance:    t.config.Location.Instance,
-		Incarnation: t.config.Location.Incarnation,
-		ExpiresMs:   now.Add(t.config.Life).UnixMilli(),
-		Nonce:       nonce,
-	})
+	return sealTicket(t.secret, x)
 }
 
 // Begin decides about one sending whose key is a ticket, without the store.
 func (t *Tickets) Begin(r Request, now time.Time) Decision {
 	p, text, signature, err := parseTicket(r.Key)
-	if err != nil || p.Account != r.Account {
+	if err != nil || p.account != r.Account {
 		return Decision{Verdict: Invalid}
 	}
-	if p.location() != t.config.Location {
+	if p.location != t.config.Location {
 		return Decision{Verdict: OutcomeUnknown}
 	}
 	if !hmac.Equal(signature, sign(t.secret, text)) {
@@ -127,33 +119,32 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	nonce := [nonceBytes]byte(p.Nonce)
-	if u := t.used.Get(nonce); u != nil {
+	if u := t.used.Get(p.nonce); u != nil {
 		return u.decide(r, now)
 	}
-	return t.use(nonce, p, r, now)
+	return t.use(p, r, now)
 }
 
 // use records the first use of a ticket; an expired one may have been used and forgotten.
-func (t *Tickets) use(nonce [nonceBytes]byte, p ticket, r Request, now time.Time) Decision {
-	if !now.Before(p.expires()) {
+func (t *Tickets) use(p ticket, r Request, now time.Time) Decision {
+	if !now.Before(p.expires) {
 		return Decision{Verdict: OutcomeUnknown}
 	}
-	full := t.used.Len() >= t.config.Limit || t.accounts[p.Account] >= t.config.AccountLimit
+	full := t.used.Len() >= t.config.Limit || t.accounts[p.account] >= t.config.AccountLimit
 	if full || r.check() != nil || !now.Before(r.Deadline) {
 		return Decision{Verdict: Unavailable, RetryAfter: unavailableRetry}
 	}
 	t.serial++
-	forget := p.expires()
+	forget := p.expires
 	if r.Deadline.After(forget) {
 		forget = r.Deadline
 	}
-	t.accounts[p.Account]++
-	t.used.Put(nonce, usedTicket{
-		account: p.Account, route: r.Route, digest: r.RequestDigest, serial: t.serial,
+	t.accounts[p.account]++
+	t.used.Put(p.nonce, usedTicket{
+		account: p.account, route: r.Route, digest: r.RequestDigest, serial: t.serial,
 		deadline: r.Deadline, forget: forget, state: claimed,
 	})
-	return Decision{Verdict: Run, Ticket: &TicketRun{nonce: nonce, serial: t.serial, deadline: r.Deadline}}
+	return Decision{Verdict: Run, Ticket: &TicketRun{nonce: p.nonce, serial: t.serial, deadline: r.Deadline}}
 }
 
 func (u *usedTicket) decide(r Request, now time.Time) Decision {
--- a/claimer/tickets_test.go
+++ b/claimer/tickets_test.go
@@ -4,13 +4,17 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"celeryhead.dev/celeryhead/claimer"
+	"celeryhead.dev/celeryhead/composer"
 )
 
 var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
@@ -72,8 +76,9 @@
 func newMachine(t *rapid.T, seen map[claimer.Verdict]int) *machine {
 	m := &machine{now: start, seen: seen}
 	m.places = []claimer.Location{{Instance: "a", Incarnation: 1}, {Instance: "a", Incarnation: 2}, {Instance: "b", Incarnation: 1}}
-	for _, l := range m.places {
-		s, err := claimer.NewTickets(claimer.TicketConfig{Location: l, Limit: 3, AccountLimit: 2, Bytes: 100})
+	for i, l := range m.places {
+		random := rand.NewChaCha8([32]byte{byte(i)})
+		s, err := claimer.NewTickets(claimer.TicketConfig{Location: l, Limit: 3, AccountLimit: 2, Bytes: 100, Random: random})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -261,6 +266,28 @@
 	return claimer.Request{Account: account, Route: "r", Key: key, Deadline: start.Add(time.Minute)}
 }
 
+// Guards against tickets longer than the 255 bytes that the server accepts as an Idempotency-Key:
+// with 14-byte names they had 258.
+func TestTicketLength(t *testing.T) {
+	name := strings.Repeat("n", composer.MaxNameLength)
+	s, err := claimer.NewTickets(claimer.TicketConfig{Location: claimer.Location{Instance: name, Incarnation: math.MaxUint64}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := ticketRequest(t, s, name)
+	if len(r.Key) > 255 {
+		t.Fatalf("ticket of %d bytes", len(r.Key))
+	}
+	if d := s.Begin(r, start); d.Verdict != claimer.Run {
+		t.Fatalf("verdict %s", d.Verdict)
+	}
+	for _, account := range []string{"", strings.Repeat("n", 200)} {
+		if _, err := s.Issue(account, start); !errors.Is(err, claimer.ErrTicket) {
+			t.Fatalf("error %v for an account of %d bytes", err, len(account))
+		}
+	}
+}
+
 // Guards against a run that settles the run of a later sending, and against an answer that is
 // forgotten while its request may still run.
 func TestTicketRuns(t *testing.T) {
@@ -323,7 +350,8 @@
 		f.Fatal(err)
 	}
 	f.Add(key)
-	f.Add("ct1.e30.e30")
+	f.Add("ct1.AXgBYQ.AXgBYQ")
+	f.Add("ct1.QHg.AA")
 	f.Add("ct1.")
 	f.Add("")
 	f.Fuzz(func(t *testing.T, text string) {
