--- /dev/null
+++ b/limiter/part.go
@@ -0,0 +1,140 @@
+package limiter
+
+import (
+	"math"
+	"math/bits"
+	"time"
+)
+
+const (
+	// lapseStep is the resolution of lapses at an owner; it bounds the grants that a part remembers.
+	lapseStep = 10 * time.Millisecond
+	// maxRetry is the longest time after which a part advises to ask again.
+	maxRetry = time.Hour
+)
+
+// Part is one part of the bucket of a client account, at its owner.
+type Part struct {
+	limit  Limit
+	tokens int64
+	// carry is what has flowed in beyond tokens, in billionths of a nanotoken.
+	carry uint64
+	// at is up to when the part has been filled; it lies ahead after a takeover.
+	at          time.Time
+	outstanding int64
+	// grants are ordered by lapse.
+	grants []outstanding
+}
+
+type outstanding struct {
+	tokens int64
+	lapse  time.Time
+}
+
+// NewPart returns an empty part that starts to fill GrantLife after now, when no grant of an earlier owner can be
+// spent any more; the earlier owner must have stopped by now.
+func NewPart(now time.Time, l Limit) *Part {
+	return &Part{limit: l, at: now.Add(GrantLife)}
+}
+
+// SetLimit changes rate and burst from now on; it adds no token, and takes those beyond the burst.
+func (p *Part) SetLimit(now time.Time, l Limit) {
+	p.advance(now)
+	p.limit = l
+	p.tokens = min(p.tokens, max(0, l.Burst-p.outstanding))
+}
+
+// Grant takes up to n tokens and returns how many; if they are fewer than n, it also returns the time until another
+// one may be there.
+func (p *Part) Grant(now time.Time, n int) (int, time.Duration) {
+	p.advance(now)
+	g := max(0, min(int64(n), p.tokens/nano))
+	if g > 0 {
+		p.tokens -= g * nano
+		p.lend(now, g*nano)
+	}
+	if g >= int64(n) {
+		return int(g), 0
+	}
+	return int(g), p.retry(now)
+}
+
+func (p *Part) lend(now time.Time, t int64) {
+	l := p.lapse(now)
+	p.outstanding += t
+	if i := len(p.grants) - 1; i >= 0 && p.grants[i].lapse.Equal(l) {
+		p.grants[i].tokens += t
+		return
+	}
+	p.grants = append(p.grants, outstanding{tokens: t, lapse: l})
+}
+
+// lapse returns when tokens granted now have lapsed at their holder, which counts from an earlier time.
+func (p *Part) lapse(now time.Time) time.Time {
+	if now.Before(p.at) {
+		now = p.at
+	}
+	l := now.Add(GrantLife)
+	if c := l.Truncate(lapseStep); c.Before(l) {
+		return c.Add(lapseStep)
+	}
+	return l
+}
+
+// advance fills the part up to now; what would exceed the burst together with the outstanding tokens is lost.
+func (p *Part) advance(now time.Time) {
+	for len(p.grants) > 0 && !p.grants[0].lapse.After(now) {
+		p.fill(p.grants[0].lapse)
+		p.outstanding -= p.grants[0].tokens
+		p.grants = p.grants[1:]
+	}
+	p.fill(now)
+}
+
+func (p *Part) fill(to time.Time) {
+	d := to.Sub(p.at)
+	if d <= 0 {
+		return
+	}
+	p.at = to
+	room := p.limit.Burst - p.outstanding - p.tokens
+	n, carry := inflow(p.limit.Rate, d, p.carry)
+	if n >= room {
+		p.tokens += max(0, room)
+		p.carry = 0
+		return
+	}
+	p.tokens += n
+	p.carry = carry
+}
+
+// inflow returns the nanotokens that flow in during d, and the remainder in billionths of one.
+func inflow(rate int64, d time.Duration, carry uint64) (int64, uint64) {
+	hi, lo := bits.Mul64(uint64(max(0, rate)), uint64(max(0, d)))
+	lo, c := bits.Add64(lo, carry, 0)
+	hi += c
+	if hi >= nano {
+		return math.MaxInt64, 0
+	}
+	n, rest := bits.Div64(hi, lo, nano)
+	if n > math.MaxInt64 {
+		return math.MaxInt64, 0
+	}
+	return int64(n), rest
+}
+
+// retry returns the time from now until the part holds a whole token if nothing else is granted.
+func (p *Part) retry(now time.Time) time.Duration {
+	q := *p
+	for q.limit.Burst-q.outstanding < nano && len(q.grants) > 0 {
+		q.advance(q.grants[0].lapse)
+	}
+	if q.limit.Burst-q.outstanding < nano || q.limit.Rate <= 0 {
+		return maxRetry
+	}
+	w := q.at.Sub(now)
+	if need := nano - q.tokens; need > 0 {
+		w += time.Duration(float64(need)/float64(q.limit.Rate)*float64(time.Second)) + 1
+	}
+	return min(w, maxRetry)
+}
