--- a/limiter/part.go
+++ b/limiter/part.go
@@ -18,7 +18,7 @@
 	limit  Limit
 	tokens int64
 	// carry is what has flowed in beyond tokens, in billionths of a nanotoken.
-	carry uint64
+	carry int64
 	// at is up to when the part has been filled; it lies ahead after a takeover.
 	at          time.Time
 	outstanding int64
@@ -109,18 +109,18 @@
 }
 
 // inflow returns the nanotokens that flow in during d, and the remainder in billionths of one.
-func inflow(rate int64, d time.Duration, carry uint64) (int64, uint64) {
+func inflow(rate int64, d time.Duration, carry int64) (int64, int64) {
 	hi, lo := bits.Mul64(uint64(max(0, rate)), uint64(max(0, d)))
-	lo, c := bits.Add64(lo, carry, 0)
+	lo, c := bits.Add64(lo, uint64(max(0, carry)), 0)
 	hi += c
 	if hi >= nano {
 		return math.MaxInt64, 0
 	}
 	n, rest := bits.Div64(hi, lo, nano)
-	if n > math.MaxInt64 {
+	if n > math.MaxInt64 || rest >= nano {
 		return math.MaxInt64, 0
 	}
-	return int64(n), rest
+	return int64(n), int64(rest)
 }
 
 // retry returns the time from now until the part holds a whole token if nothing else is granted.
@@ -134,7 +134,7 @@
 	}
 	w := q.at.Sub(now)
 	if need := nano - q.tokens; need > 0 {
-		w += time.Duration(float64(need)/float64(q.limit.Rate)*float64(time.Second)) + 1
+		w += time.Duration((need*nano - q.carry + q.limit.Rate - 1) / q.limit.Rate)
 	}
 	return min(w, maxRetry)
 }
--- /dev/null
+++ b/limiter/part_test.go
@@ -0,0 +1,111 @@
+package limiter_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"celeryhead.dev/celeryhead/limiter"
+)
+
+// TestParts guards against halves that no request fits in, and against sums that differ from the whole.
+func TestParts(t *testing.T) {
+	cases := []struct {
+		rate, burst float64
+		parts       int
+	}{
+		{rate: 0.1, burst: 1, parts: 1},
+		{rate: 100, burst: 1.999999999, parts: 1},
+		{rate: 1, burst: 2, parts: 2},
+		{rate: 1.0 / 3, burst: 2.000000001, parts: 2},
+		{rate: 240, burst: 480, parts: 2},
+		{rate: math.Inf(1), burst: math.Inf(1), parts: 2},
+		{rate: math.NaN(), burst: -1, parts: 1},
+	}
+	for _, c := range cases {
+		ls := limiter.Parts(c.rate, c.burst)
+		var r, b int64
+		for _, l := range ls {
+			r, b = r+l.Rate, b+l.Burst
+			if len(ls) > 1 && l.Burst < 1e9 {
+				t.Errorf("rate %v burst %v: half %v cannot pass a request", c.rate, c.burst, l)
+			}
+		}
+		if len(ls) != c.parts {
+			t.Errorf("rate %v burst %v: %d parts, want %d", c.rate, c.burst, len(ls), c.parts)
+		}
+		if c.rate < 1e9 && (r != int64(math.Round(c.rate*1e9)) || b != int64(math.Round(c.burst*1e9))) {
+			t.Errorf("rate %v burst %v: sums %d and %d", c.rate, c.burst, r, b)
+		}
+	}
+}
+
+// TestRetry guards against advice to come back too early, in vain, or later than needed.
+func TestRetry(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*runs; seed++ {
+		r := rand.New(rand.NewPCG(seed, 1))
+		now := epoch
+		l := limiter.Parts(pick(r, []float64{0.3, 3, 40, 900}), pick(r, []float64{1, 3.7, 12}))[0]
+		p := limiter.NewPart(now, l)
+		for range 50 {
+			now = now.Add(time.Duration(r.Int64N(int64(400 * time.Millisecond))))
+			n := 1 + r.IntN(8)
+			g, retry := p.Grant(now, n)
+			if g >= n {
+				continue
+			}
+			q := *p
+			if g, _ := q.Grant(now.Add(retry-1), 1); g != 0 {
+				t.Fatalf("seed %d: a token was there before %v", seed, retry)
+			}
+			now = now.Add(retry)
+			if g, _ := p.Grant(now, 1); g != 1 {
+				t.Fatalf("seed %d: no token after %v", seed, retry)
+			}
+		}
+	}
+}
+
+// TestOwnerSet guards against parts that lose their tokens, or go on granting, when ownership changes.
+func TestOwnerSet(t *testing.T) {
+	o, now := limiter.NewOwner(), epoch
+	l := limiter.Parts(10, 20)
+	both := []limiter.Owned{{Account: "kiln", Part: 0, Limit: l[0]}, {Account: "kiln", Part: 1, Limit: l[1]}}
+	steps := []struct {
+		after time.Duration
+		owned []limiter.Owned
+		want  [2]limiter.Reply
+	}{
+		{want: [2]limiter.Reply{{NotOwner: true}, {NotOwner: true}}},
+		{owned: both, want: [2]limiter.Reply{{Life: limiter.GrantLife, Retry: 700 * time.Millisecond}, {Life: limiter.GrantLife, Retry: 700 * time.Millisecond}}},
+		{after: time.Hour, owned: both[1:], want: [2]limiter.Reply{{NotOwner: true}, {Tokens: 1, Life: limiter.GrantLife}}},
+		{owned: both, want: [2]limiter.Reply{{Life: limiter.GrantLife, Retry: 700 * time.Millisecond}, {Tokens: 1, Life: limiter.GrantLife}}},
+		{after: time.Second, owned: both, want: [2]limiter.Reply{{Tokens: 1, Life: limiter.GrantLife}, {Tokens: 1, Life: limiter.GrantLife}}},
+	}
+	for i, s := range steps {
+		now = now.Add(s.after)
+		o.Set(now, s.owned)
+		for p, want := range s.want {
+			got := o.Grant(now, "kiln", p, "a", 1, 1)
+			got.Retry = got.Retry.Truncate(time.Microsecond)
+			if got != want {
+				t.Errorf("step %d part %d: %+v, want %+v", i, p, got, want)
+			}
+		}
+	}
+}
+
+func BenchmarkTake(b *testing.B) {
+	h, now := limiter.NewHolder(limiter.HolderConfig{}), epoch
+	l := limiter.Parts(1e6, 2e6)
+	parts := [2]*limiter.Part{limiter.NewPart(now.Add(-time.Hour), l[0]), limiter.NewPart(now.Add(-time.Hour), l[1])}
+	for b.Loop() {
+		now = now.Add(50 * time.Microsecond)
+		_, a := h.Take(now, "kiln", now.Add(time.Second))
+		for _, k := range a.Asks {
+			n, retry := parts[k.Part].Grant(now, k.Tokens)
+			h.Granted(now, k, limiter.Reply{Tokens: n, Life: limiter.GrantLife, Retry: retry})
+		}
+	}
+}
