--- a/limiter/part_test.go
+++ b/limiter/part_test.go
@@ -109,3 +109,37 @@
 		}
 	}
 }
+
+// TestSetLimit guards against tokens given away by a change of rate or burst.
+func TestSetLimit(t *testing.T) {
+	const token = 1_000_000_000
+	cases := []struct {
+		name   string
+		first  int
+		wait   time.Duration
+		limit  limiter.Limit
+		atOnce int
+		// later is what the second after the change adds.
+		later int
+	}{
+		{name: "rate raised", first: 10, wait: 1500 * time.Millisecond, limit: limiter.Limit{Rate: 8 * token, Burst: 10 * token}, atOnce: 1, later: 8},
+		{name: "rate lowered", first: 10, wait: 3500 * time.Millisecond, limit: limiter.Limit{Rate: token, Burst: 10 * token}, atOnce: 3, later: 1},
+		{name: "burst raised", first: 0, wait: time.Minute, limit: limiter.Limit{Rate: token, Burst: 90 * token}, atOnce: 10, later: 1},
+		{name: "burst lowered", first: 0, wait: time.Minute, limit: limiter.Limit{Rate: token, Burst: 4 * token}, atOnce: 4},
+		{name: "burst lowered below what is outstanding", first: 6, wait: 0, limit: limiter.Limit{Rate: token, Burst: 5 * token}, atOnce: 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := limiter.NewPart(epoch.Add(-time.Hour), limiter.Limit{Rate: token, Burst: 10 * token})
+			p.Grant(epoch, c.first)
+			now := epoch.Add(c.wait)
+			p.SetLimit(now, c.limit)
+			if n, _ := p.Grant(now, 100); n != c.atOnce {
+				t.Fatalf("%d tokens at once, want %d", n, c.atOnce)
+			}
+			if n, _ := p.Grant(now.Add(time.Second), 100); c.later > 0 && n != c.later {
+				t.Fatalf("%d tokens later, want %d", n, c.later)
+			}
+		})
+	}
+}
