Let holders say which granted tokens are spent

An owner counted spent tokens as outstanding until they lapsed, and a full bucket does not fill meanwhile: each burst cost half a second of the rate. A request for tokens now says how many tokens of earlier asks are still held; the owner forgets the rest.

--- a/limiter/account.go
+++ b/limiter/account.go
@@ -36,6 +36,7 @@
 
 type grant struct {
 	tokens int
+	part   int
 	lapse  time.Time
 }
 
@@ -105,9 +106,9 @@
 	return s.roundTrip
 }
 
-func (a *account) hold(n int, lapse time.Time) {
+func (a *account) hold(n, part int, lapse time.Time) {
 	i, _ := slices.BinarySearchFunc(a.grants, lapse, func(g grant, t time.Time) int { return g.lapse.Compare(t) })
-	a.grants = slices.Insert(a.grants, i, grant{tokens: n, lapse: lapse})
+	a.grants = slices.Insert(a.grants, i, grant{tokens: n, part: part, lapse: lapse})
 }
 
 // spend takes a token that has not lapsed.
@@ -140,6 +141,16 @@
 	return n
 }
 
+func (a *account) heldOf(part int) int {
+	n := 0
+	for _, g := range a.grants {
+		if g.part == part {
+			n += g.tokens
+		}
+	}
+	return n
+}
+
 // serve gives tokens to waiting requests in their order and refuses those that can get none in time.
 func (a *account) serve(now time.Time, act *Actions) {
 	if len(a.waiting) == 0 {
--- a/limiter/allowance.go
+++ b/limiter/allowance.go
@@ -10,9 +10,9 @@
 	"celeryhead.dev/celeryhead/timer"
 )
 
-// Asker asks the owner of a part for tokens; Ask must return when ctx ends.
+// Asker sends an ask to the owner of its part, as a Request; Ask must return when ctx ends.
 type Asker interface {
-	Ask(ctx context.Context, account string, part, tokens int) (Reply, error)
+	Ask(ctx context.Context, k Ask) (Reply, error)
 }
 
 // AllowanceConfig configures an Allowance.
@@ -142,7 +142,7 @@
 func (l *Allowance) ask(k Ask) {
 	ctx, cancel := context.WithTimeout(l.ctx, l.c.AskTimeout)
 	defer cancel()
-	r, err := l.c.Asker.Ask(ctx, k.Account, k.Part, k.Tokens)
+	r, err := l.c.Asker.Ask(ctx, k)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.c.Clock()
--- a/limiter/allowance_test.go
+++ b/limiter/allowance_test.go
@@ -43,7 +43,8 @@
 	}
 }
 
-func (l *link) Ask(ctx context.Context, account string, part, tokens int) (limiter.Reply, error) {
+func (l *link) Ask(ctx context.Context, k limiter.Ask) (limiter.Reply, error) {
+	part := k.Part
 	l.mu.Lock()
 	cut := l.cut[part]
 	l.asks[part]++
@@ -60,7 +61,7 @@
 	case <-ctx.Done():
 		return limiter.Reply{}, ctx.Err()
 	}
-	return l.owners[part].Grant(time.Now(), account, part, "a", 1, tokens), nil
+	return l.owners[part].Grant(time.Now(), k.Account, part, limiter.Request{Holder: "a", Incarnation: 1, Ask: k.ID, Tokens: k.Tokens, Held: k.Held}), nil
 }
 
 func newAllowance(t *testing.T, k limiter.Asker) *limiter.Allowance {
--- a/limiter/holder.go
+++ b/limiter/holder.go
@@ -34,10 +34,13 @@
 
 // Ask is a request for tokens to send to the owner of a part.
 type Ask struct {
+	// ID rises with each ask of a Holder.
 	ID      uint64
 	Account string
 	Part    int
 	Tokens  int
+	// Held is how many tokens of earlier asks for the part may still be spent.
+	Held int
 	// Sent is when the life of the tokens begins.
 	Sent time.Time
 }
@@ -131,7 +134,7 @@
 	s.answer(now, k, r)
 	n := min(r.Tokens, k.Tokens)
 	if n > 0 {
-		a.hold(n, k.Sent.Add(min(r.Life, GrantLife)))
+		a.hold(n, k.Part, k.Sent.Add(min(r.Life, GrantLife)))
 	}
 	return h.advance(now, k.Account, a)
 }
@@ -170,6 +173,7 @@
 	for _, k := range a.asks(now) {
 		h.lastAsk++
 		k.ID, k.Account, k.Sent = h.lastAsk, name, now
+		k.Held = a.heldOf(k.Part)
 		a.sides[k.Part].ask(now, k)
 		act.Asks = append(act.Asks, k)
 	}
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -14,9 +14,7 @@
 const (
 	instances   = 3
 	stepsPerRun = 1500
-	// lapseStep is the resolution at which owners round lapses up.
-	lapseStep  = 10 * time.Millisecond
-	askTimeout = 250 * time.Millisecond
+	askTimeout  = 250 * time.Millisecond
 )
 
 var (
@@ -190,7 +188,7 @@
 		w.burst = max(w.burst, f.burst())
 	}
 	if f.burst() < old {
-		s := f.now.Add(limiter.GrantLife + lapseStep)
+		s := f.now.Add(limiter.GrantLife)
 		f.windows = append(f.windows, &window{start: s, at: s, level: new(big.Int), burst: f.burst()})
 	}
 }
@@ -286,7 +284,7 @@
 	m := f.machines[g.from]
 	if g.reply == nil {
 		o := f.machines[g.to]
-		r := o.owner.Grant(f.clock(o), "kiln", g.ask.Part, "a", uint64(g.holder), g.ask.Tokens)
+		r := o.owner.Grant(f.clock(o), "kiln", g.ask.Part, request(g.ask, g.from, g.holder))
 		g.reply = &r
 		f.messages = append(f.messages, g)
 		return
@@ -328,6 +326,10 @@
 	m.paused = f.r.IntN(10) == 0
 }
 
+func request(k limiter.Ask, from, incarnation int) limiter.Request {
+	return limiter.Request{Holder: fmt.Sprint(from), Incarnation: uint64(incarnation), Ask: k.ID, Tokens: k.Tokens, Held: k.Held}
+}
+
 // hoard lets an instance obtain tokens whose requests end before they arrive.
 func (f *fleet) hoard() {
 	f.take()
@@ -397,7 +399,7 @@
 		return
 	}
 	o := f.machines[f.owners[p]]
-	r := o.owner.Grant(f.clock(o), "kiln", p, "a", 1, pick(f.r, []int{1, 3, 40}))
+	r := o.owner.Grant(f.clock(o), "kiln", p, limiter.Request{Holder: "loan", Tokens: pick(f.r, []int{1, 3, 40})})
 	f.loans = append(f.loans, loan{tokens: r.Tokens, lapse: f.now.Add(r.Life)})
 }
 
--- a/limiter/owner.go
+++ b/limiter/owner.go
@@ -64,14 +64,14 @@
 	}
 }
 
-// Grant takes up to tokens of a part for a holder. The proof of freshness of the owner must be valid at now.
-func (o *Owner) Grant(now time.Time, account string, part int, _ string, _ uint64, tokens int) Reply {
+// Grant takes tokens of a part for a holder. The proof of freshness of the owner must be valid at now.
+func (o *Owner) Grant(now time.Time, account string, part int, q Request) Reply {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	p := o.parts.Get(partKey{account, part})
 	if p == nil {
 		return Reply{NotOwner: true}
 	}
-	n, retry := p.Grant(now, tokens)
+	n, retry := p.Grant(now, q)
 	return Reply{Tokens: n, Life: GrantLife, Retry: retry}
 }
--- a/limiter/part.go
+++ b/limiter/part.go
@@ -3,15 +3,23 @@
 import (
 	"math"
 	"math/bits"
+	"slices"
 	"time"
 )
 
-const (
-	// lapseStep is the resolution of lapses at an owner; it bounds the grants that a part remembers.
-	lapseStep = 10 * time.Millisecond
-	// maxRetry is the longest time after which a part advises to ask again.
-	maxRetry = time.Hour
-)
+// maxRetry is the longest time after which a part advises to ask again.
+const maxRetry = time.Hour
+
+// Request is what a holder says to the owner of a part.
+type Request struct {
+	Holder      string
+	Incarnation uint64
+	// Ask numbers the requests of an incarnation; it rises, also over accounts and parts.
+	Ask    uint64
+	Tokens int
+	// Held is how many tokens of earlier asks for this part may still be spent; the others were spent or given up.
+	Held int
+}
 
 // Part is one part of the bucket of a client account, at its owner.
 type Part struct {
@@ -27,8 +35,11 @@
 }
 
 type outstanding struct {
-	tokens int64
-	lapse  time.Time
+	holder      string
+	incarnation uint64
+	ask         uint64
+	tokens      int64
+	lapse       time.Time
 }
 
 // NewPart returns an empty part that starts to fill GrantLife after now, when no grant of an earlier owner can be
@@ -44,41 +55,51 @@
 	p.tokens = min(p.tokens, max(0, l.Burst-p.outstanding))
 }
 
-// Grant takes up to n tokens and returns how many; if they are fewer than n, it also returns the time until another
-// one may be there.
-func (p *Part) Grant(now time.Time, n int) (int, time.Duration) {
+// Grant takes up to q.Tokens tokens and returns how many; if they are fewer, it also returns the time until another one
+// may be there.
+func (p *Part) Grant(now time.Time, q Request) (int, time.Duration) {
 	p.advance(now)
-	g := max(0, min(int64(n), p.tokens/nano))
+	p.settle(q)
+	g := max(0, min(int64(q.Tokens), p.tokens/nano))
 	if g > 0 {
 		p.tokens -= g * nano
-		p.lend(now, g*nano)
+		p.lend(now, q, g*nano)
 	}
-	if g >= int64(n) {
+	if g >= int64(q.Tokens) {
 		return int(g), 0
 	}
 	return int(g), p.retry(now)
 }
 
-func (p *Part) lend(now time.Time, t int64) {
-	l := p.lapse(now)
-	p.outstanding += t
-	if i := len(p.grants) - 1; i >= 0 && p.grants[i].lapse.Equal(l) {
-		p.grants[i].tokens += t
-		return
-	}
-	p.grants = append(p.grants, outstanding{tokens: t, lapse: l})
-}
-
-// lapse returns when tokens granted now have lapsed at their holder, which counts from an earlier time.
-func (p *Part) lapse(now time.Time) time.Time {
+// lend records tokens as outstanding until they have lapsed at the holder, which counts from an earlier time.
+func (p *Part) lend(now time.Time, q Request, t int64) {
 	if now.Before(p.at) {
 		now = p.at
 	}
-	l := now.Add(GrantLife)
-	if c := l.Truncate(lapseStep); c.Before(l) {
-		return c.Add(lapseStep)
+	p.outstanding += t
+	p.grants = append(p.grants, outstanding{
+		holder: q.Holder, incarnation: q.Incarnation, ask: q.Ask,
+		tokens: t,
+		lapse:  now.Add(GrantLife),
+	})
+}
+
+// settle forgets grants of earlier asks of the holder but for the tokens that it still holds. Those may be of any of the
+// grants; counting them in the grants that lapse last is never too little. What the holder said stays true when its
+// message arrives late or twice.
+func (p *Part) settle(q Request) {
+	held := int64(max(0, q.Held)) * nano
+	for i := len(p.grants) - 1; i >= 0; i-- {
+		g := &p.grants[i]
+		if g.holder != q.Holder || g.incarnation != q.Incarnation || g.ask >= q.Ask {
+			continue
+		}
+		spent := max(0, g.tokens-held)
+		held -= g.tokens - spent
+		g.tokens -= spent
+		p.outstanding -= spent
 	}
-	return l
+	p.grants = slices.DeleteFunc(p.grants, func(g outstanding) bool { return g.tokens == 0 })
 }
 
 // advance fills the part up to now; what would exceed the burst together with the outstanding tokens is lost.
--- a/limiter/part_test.go
+++ b/limiter/part_test.go
@@ -51,16 +51,16 @@
 		for range 50 {
 			now = now.Add(time.Duration(r.Int64N(int64(400 * time.Millisecond))))
 			n := 1 + r.IntN(8)
-			g, retry := p.Grant(now, n)
+			g, retry := p.Grant(now, limiter.Request{Tokens: n})
 			if g >= n {
 				continue
 			}
 			q := *p
-			if g, _ := q.Grant(now.Add(retry-1), 1); g != 0 {
+			if g, _ := q.Grant(now.Add(retry-1), limiter.Request{Tokens: 1}); g != 0 {
 				t.Fatalf("seed %d: a token was there before %v", seed, retry)
 			}
 			now = now.Add(retry)
-			if g, _ := p.Grant(now, 1); g != 1 {
+			if g, _ := p.Grant(now, limiter.Request{Tokens: 1}); g != 1 {
 				t.Fatalf("seed %d: no token after %v", seed, retry)
 			}
 		}
@@ -87,7 +87,7 @@
 		now = now.Add(s.after)
 		o.Set(now, s.owned)
 		for p, want := range s.want {
-			got := o.Grant(now, "kiln", p, "a", 1, 1)
+			got := o.Grant(now, "kiln", p, limiter.Request{Tokens: 1})
 			got.Retry = got.Retry.Truncate(time.Microsecond)
 			if got != want {
 				t.Errorf("step %d part %d: %+v, want %+v", i, p, got, want)
@@ -104,7 +104,7 @@
 		now = now.Add(50 * time.Microsecond)
 		_, a := h.Take(now, "kiln", now.Add(time.Second))
 		for _, k := range a.Asks {
-			n, retry := parts[k.Part].Grant(now, k.Tokens)
+			n, retry := parts[k.Part].Grant(now, limiter.Request{Ask: k.ID, Tokens: k.Tokens, Held: k.Held})
 			h.Granted(now, k, limiter.Reply{Tokens: n, Life: limiter.GrantLife, Retry: retry})
 		}
 	}
@@ -131,13 +131,13 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			p := limiter.NewPart(epoch.Add(-time.Hour), limiter.Limit{Rate: token, Burst: 10 * token})
-			p.Grant(epoch, c.first)
+			p.Grant(epoch, limiter.Request{Tokens: c.first})
 			now := epoch.Add(c.wait)
 			p.SetLimit(now, c.limit)
-			if n, _ := p.Grant(now, 100); n != c.atOnce {
+			if n, _ := p.Grant(now, limiter.Request{Tokens: 100}); n != c.atOnce {
 				t.Fatalf("%d tokens at once, want %d", n, c.atOnce)
 			}
-			if n, _ := p.Grant(now.Add(time.Second), 100); c.later > 0 && n != c.later {
+			if n, _ := p.Grant(now.Add(time.Second), limiter.Request{Tokens: 100}); c.later > 0 && n != c.later {
 				t.Fatalf("%d tokens later, want %d", n, c.later)
 			}
 		})
