--- /dev/null
+++ b/breaker/breaker_test.go
@@ -0,0 +1,222 @@
+package breaker_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"celeryhead.dev/celeryhead/breaker"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func fingerprint(account, path string) breaker.Fingerprint {
+	return breaker.Request{Account: account, Route: "r", Method: "POST", Path: path}.Fingerprint()
+}
+
+// fleet is a number of instances whose strikes reach the peers after a delay, twice.
+type fleet struct {
+	members []*breaker.Breaker
+	pending []delivery
+	crashes int
+}
+
+type delivery struct {
+	at     time.Time
+	to     int
+	strike breaker.Strike
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{}
+	for range n {
+		f.members = append(f.members, breaker.New(breaker.Config{}))
+	}
+	return f
+}
+
+// run reports whether the request ran, and crashed its target, at instance i.
+func (f *fleet) run(now time.Time, i int, p breaker.Fingerprint, delay time.Duration) bool {
+	f.pending = slices.DeleteFunc(f.pending, func(d delivery) bool {
+		if d.at.After(now) {
+			return false
+		}
+		f.members[d.to].Strike(now, d.strike)
+		return true
+	})
+	if !f.members[i].Blocked(now, p).IsZero() {
+		return false
+	}
+	f.crashes++
+	s := breaker.Strike{ID: fmt.Sprint(i, "-", f.crashes), Fingerprint: p, At: now}
+	f.members[i].Strike(now, s)
+	for to := range f.members {
+		f.pending = append(f.pending, delivery{now.Add(delay), to, s}, delivery{now.Add(2 * delay), to, s})
+	}
+	return true
+}
+
+// Guards against a request that its caller sends again at one instance after the other and that crashes target after target.
+func TestResentRequestCrashesFewTargets(t *testing.T) {
+	const instances, delay, gap = 7, 100 * time.Millisecond, 500 * time.Millisecond
+	for _, c := range []struct {
+		name  string
+		gap   time.Duration
+		limit int
+	}{
+		{"resent after the strike reached the peers", gap, 2},
+		// Within the delay of a strike each instance may run the request once more.
+		{"resent at once everywhere", 0, instances},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(instances)
+			bad, good := fingerprint("a", "/bad"), fingerprint("a", "/good")
+			now := start
+			for i := range 100 {
+				f.run(now, i%instances, bad, delay)
+				if !f.members[i%instances].Blocked(now, good).IsZero() {
+					t.Fatal("another request of the account is blocked")
+				}
+				now = now.Add(c.gap)
+				if i%instances == instances-1 {
+					now = now.Add(gap)
+				}
+			}
+			if f.crashes > c.limit {
+				t.Fatalf("%d targets crashed, want at most %d", f.crashes, c.limit)
+			}
+			if now = now.Add(breaker.DefaultBlock); !f.run(now, 0, bad, delay) {
+				t.Fatal("still blocked after the block has passed")
+			}
+		})
+	}
+}
+
+// Guards against refusals of requests that only ran on a target that dies for other reasons.
+func TestDyingTargetBlocksNothing(t *testing.T) {
+	b := breaker.New(breaker.Config{})
+	for i := range 1000 {
+		now := start.Add(time.Duration(i) * time.Second)
+		f := fingerprint("a", fmt.Sprint("/", i))
+		b.Strike(now, breaker.Strike{ID: fmt.Sprint(i), Fingerprint: f, At: now})
+		if !b.Blocked(now, f).IsZero() {
+			t.Fatalf("request %d is blocked after one strike", i)
+		}
+	}
+}
+
+// Guards against a state that depends on the order or the number of deliveries, and against blocks that are too long, too short or wrong.
+func TestBlocksMatchModel(t *testing.T) {
+	paths := []breaker.Fingerprint{fingerprint("a", "/1"), fingerprint("a", "/2"), fingerprint("b", "/1")}
+	rapid.Check(t, func(t *rapid.T) {
+		all := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) breaker.Strike {
+			return breaker.Strike{
+				ID:          rapid.StringMatching("[a-z]{6}").Draw(t, "id"),
+				Fingerprint: rapid.SampledFrom(paths).Draw(t, "fingerprint"),
+				At:          start.Add(time.Duration(rapid.IntRange(0, 15*60).Draw(t, "second")) * time.Second),
+			}
+		}), 0, 8).Draw(t, "strikes")
+		now := start.Add(15 * time.Minute)
+		a, b := breaker.New(breaker.Config{}), breaker.New(breaker.Config{})
+		for _, s := range all {
+			a.Strike(now, s)
+		}
+		for _, s := range rapid.Permutation(append(slices.Clone(all), all...)).Draw(t, "deliveries") {
+			b.Strike(now, s)
+		}
+		// A third instance learns only from the second.
+		c := breaker.New(breaker.Config{})
+		for _, s := range b.Strikes(now, 100) {
+			c.Strike(now, s)
+		}
+		for _, f := range paths {
+			want := model(all, f, now)
+			for _, m := range []*breaker.Breaker{a, b, c} {
+				if got := m.Blocked(now, f); !got.Equal(want) {
+					t.Fatalf("blocked until %v, want %v", got, want)
+				}
+				if m.Tick(now); !m.Blocked(now, f).Equal(want) {
+					t.Fatalf("a tick changed the block")
+				}
+			}
+		}
+	})
+}
+
+// model compares all pairs of strikes.
+func model(all []breaker.Strike, f breaker.Fingerprint, now time.Time) (until time.Time) {
+	for _, x := range all {
+		for _, y := range all {
+			d := y.At.Sub(x.At)
+			if x.ID == y.ID || x.Fingerprint != f || y.Fingerprint != f || d < 0 || d > breaker.DefaultWindow {
+				continue
+			}
+			if u := y.At.Add(breaker.DefaultBlock); u.After(until) && now.Before(u) {
+				until = u
+			}
+		}
+	}
+	return until
+}
+
+// Guards against a table that grows with the number of crashing requests, and against one that forgets a block for a single strike.
+func TestTableIsBounded(t *testing.T) {
+	const limit = 10
+	b := breaker.New(breaker.Config{Max: limit})
+	bad := fingerprint("a", "/bad")
+	for i := range 100 * limit {
+		f := fingerprint("a", fmt.Sprint("/", i))
+		if i < breaker.DefaultThreshold {
+			f = bad
+		}
+		b.Strike(start, breaker.Strike{ID: fmt.Sprint(i), Fingerprint: f, At: start.Add(time.Duration(i))})
+	}
+	if b.Len() != limit || b.Blocked(start, bad).IsZero() {
+		t.Fatalf("%d fingerprints, blocked until %v", b.Len(), b.Blocked(start, bad))
+	}
+	if b.Tick(start.Add(time.Hour)); b.Len() != 0 {
+		t.Fatalf("%d fingerprints left after an hour", b.Len())
+	}
+}
+
+// Guards against bodies that arrive changed after their digest was taken, and digests that depend on how a body arrives.
+func TestBodyDigest(t *testing.T) {
+	seen := map[breaker.BodyDigest]string{}
+	for _, n := range []int{0, 1, breaker.DigestPrefix - 1, breaker.DigestPrefix, breaker.DigestPrefix + 1, 3 * breaker.DigestPrefix} {
+		for _, fill := range []string{"a", "b"} {
+			body := strings.Repeat(fill, n)
+			d, r, err := breaker.ReadBody(strings.NewReader(body), int64(n))
+			var b []byte
+			if r != nil {
+				b, _ = io.ReadAll(r)
+			}
+			if err != nil || !bytes.Equal(b, []byte(body)) {
+				t.Fatalf("%d bytes: %v, body of %d bytes", n, err, len(b))
+			}
+			if o, ok := seen[d]; ok && o != body {
+				t.Fatalf("%d bytes of %q share a digest with %d of %q", n, fill, len(o), o[:1])
+			}
+			seen[d] = body
+			if u, _, _ := breaker.ReadBody(strings.NewReader(body), -1); n > 0 && n < breaker.DigestPrefix && u != d {
+				t.Fatalf("%d bytes: the digest depends on the declared length", n)
+			}
+		}
+	}
+}
+
+func BenchmarkBlocked(b *testing.B) {
+	k := breaker.New(breaker.Config{})
+	for i := range breaker.DefaultMax {
+		k.Strike(start, breaker.Strike{ID: "x", Fingerprint: fingerprint("a", fmt.Sprint(i)), At: start})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		k.Blocked(start, fingerprint("a", "17"))
+	}
+}
