Wire allowances, choice of owners, crash strikes and metrics into the server

Requests take a token from their account's bucket, whose parts are granted by their owners over Peer.Grant; moved requests also take one from the bucket that holds their shift to its cap, and go to their home region without one. Owners of a pool are chosen by balancer.Chooser; strikes go to every peer at once and again in heartbeats.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -63,6 +63,7 @@
 	// adopting serializes adoptions, which may wait for a fetch.
 	adopting sync.Mutex
 	kick     chan struct{}
+	started  time.Time
 
 	mu       sync.Mutex
 	tracker  *tracker.Tracker
@@ -121,7 +122,8 @@
 	}
 	k.view.Store(v)
 	k.live.Store(&[]steerer.Instance{})
-	k.lapsed = [2]time.Time{c.Clock(), c.Clock()}
+	k.started = c.Clock()
+	k.lapsed = [2]time.Time{k.started, k.started}
 	return k, nil
 }
 
@@ -347,7 +349,11 @@
 	return c.reports[name].configVersion
 }
 
-// ProofAge returns the age of the proof in the fleet scope.
-func (c *Controller) ProofAge(now time.Time) time.Duration {
-	return now.Sub(c.gate.Expiry(attester.Fleet).Add(-c.config.Timing.Freshness))
+// ProofAge returns the age of the proof in a scope, or since the start if there has been none.
+func (c *Controller) ProofAge(s attester.Scope, now time.Time) time.Duration {
+	e := c.gate.Expiry(s)
+	if e.IsZero() {
+		return now.Sub(c.started)
+	}
+	return now.Sub(e.Add(-c.config.Timing.Freshness))
 }
--- a/controller/view.go
+++ b/controller/view.go
@@ -3,10 +3,12 @@
 import (
 	"net/netip"
 	"strings"
+	"time"
 
 	"celeryhead.dev/celeryhead/assigner"
 	"celeryhead.dev/celeryhead/authenticator"
 	"celeryhead.dev/celeryhead/composer"
+	"celeryhead.dev/celeryhead/limiter"
 	"celeryhead.dev/celeryhead/recorder"
 	"celeryhead.dev/celeryhead/router"
 	"celeryhead.dev/celeryhead/steerer"
@@ -27,6 +29,8 @@
 	Keys          *authenticator.Table
 	Routes        *router.Table
 	Steering      *steerer.Table
+	// Limits holds the limits of each bucket's parts by its name.
+	Limits map[string][]limiter.Limit
 }
 
 // newView returns the view of a heads row; a configuration that is the same as in the old view is not parsed again.
@@ -58,7 +62,7 @@
 
 func (v *View) copyConfig(o *View) {
 	v.Text, v.Config, v.Accounts, v.Pools = o.Text, o.Config, o.Accounts, o.Pools
-	v.TargetRegions, v.Keys, v.Routes = o.TargetRegions, o.Keys, o.Routes
+	v.TargetRegions, v.Keys, v.Routes, v.Limits = o.TargetRegions, o.Keys, o.Routes, o.Limits
 }
 
 func (v *View) setConfig(c composer.Config) {
@@ -83,6 +87,7 @@
 	}
 	v.Keys = authenticator.New(c.Accounts)
 	v.Routes = router.New(c.Routes)
+	v.Limits = limits(c)
 }
 
 func steps(h recorder.Heads) map[string]int {
@@ -100,8 +105,25 @@
 	shiftPrefix  = "shift/"
 )
 
-// BucketParts is the number of parts into which an account's bucket is divided if its burst allows.
-const BucketParts = 2
+// capBurst is the time over which the requests that a shift moves may gather.
+const capBurst = time.Second
+
+// ShiftBucket names the bucket that holds a shift to its cap; no account has ':' in its name.
+func ShiftBucket(shift string) string {
+	return "shift:" + shift
+}
+
+// limits returns the limits of the buckets of accounts and shifts.
+func limits(c composer.Config) map[string][]limiter.Limit {
+	m := make(map[string][]limiter.Limit, len(c.Accounts)+len(c.Shifts))
+	for _, a := range c.Accounts {
+		m[a.Name] = limiter.Parts(a.Rate, a.Burst)
+	}
+	for _, s := range c.Shifts {
+		m[ShiftBucket(s.Name)] = limiter.Parts(s.Cap, max(1, s.Cap*capBurst.Seconds()))
+	}
+	return m
+}
 
 // targetOf returns the target whose resource has the name.
 func targetOf(r assigner.Resource) (string, bool) {
@@ -128,8 +150,8 @@
 	for n := range v.TargetRegions {
 		r = append(r, v.TargetResource(n))
 	}
-	for n := range v.Accounts {
-		for p := range BucketParts {
+	for n, ls := range v.Limits {
+		for p := range ls {
 			r = append(r, BucketResource(n, p))
 		}
 	}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -205,11 +206,11 @@
 	}
 	var b strings.Builder
 	b.WriteString(n + "{")
-	for i := 0; i < len(labels); i += 2 {
-		if i > 0 {
+	for p := range slices.Chunk(labels, 2) {
+		if b.Len() > len(n)+1 {
 			b.WriteByte(',')
 		}
-		_, _ = fmt.Fprintf(&b, "%s=%q", labels[i], labels[i+1])
+		_, _ = fmt.Fprintf(&b, "%s=%q", p[0], p[1])
 	}
 	b.WriteByte('}')
 	return b.String()
--- /dev/null
+++ b/server/allowances.go
@@ -0,0 +1,127 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/twitchtv/twirp"
+
+	"celeryhead.dev/celeryhead/controller"
+	"celeryhead.dev/celeryhead/limiter"
+	"celeryhead.dev/celeryhead/messenger"
+	"celeryhead.dev/celeryhead/responder"
+)
+
+// reassignBuckets gives the limiter the bucket parts that this instance owns now.
+func (s *Server) reassignBuckets(v *controller.View, now time.Time) {
+	var r []limiter.Owned
+	for n, ls := range v.Limits {
+		for i, l := range ls {
+			if s.control.Owns(controller.BucketResource(n, i)) {
+				r = append(r, limiter.Owned{Account: n, Part: i, Limit: l})
+			}
+		}
+	}
+	s.buckets.Set(now, r)
+}
+
+// asker asks the owners of bucket parts for tokens.
+type asker struct {
+	server *Server
+}
+
+var errNoOwner = merry.Sentinel("bucket part has no owner")
+
+// Ask asks this instance or another one.
+func (a asker) Ask(ctx context.Context, k limiter.Ask) (limiter.Reply, error) {
+	s := a.server
+	if k.Part >= len(s.control.View().Limits[k.Account]) {
+		return limiter.Reply{NotOwner: true}, nil
+	}
+	i, ok := s.control.Owner(controller.BucketResource(k.Account, k.Part))
+	if !ok {
+		return limiter.Reply{}, errNoOwner
+	}
+	if i.Name == s.self.Name {
+		return s.grant(k.Account, k.Part, limiter.Request{
+			Holder:      s.self.Name,
+			Incarnation: s.self.Incarnation,
+			Ask:         k.ID,
+			Tokens:      k.Tokens,
+			Held:        k.Held,
+		}), nil
+	}
+	r, err := s.links.Peer(i).Grant(ctx, &messenger.GrantRequest{
+		Account:     k.Account,
+		Part:        uint32(k.Part),   //nolint:gosec // At most two parts.
+		Tokens:      uint32(k.Tokens), //nolint:gosec // Asks are bounded by the burst.
+		Incarnation: s.self.Incarnation,
+		Ask:         k.ID,
+		Held:        uint32(k.Held), //nolint:gosec // Bounded by the burst.
+	})
+	if err != nil {
+		return limiter.Reply{}, err
+	}
+	return limiter.Reply{
+		Tokens:   int(r.Tokens),
+		Life:     time.Duration(r.LifeUs) * time.Microsecond,
+		Retry:    time.Duration(r.RetryUs) * time.Microsecond,
+		NotOwner: r.NotOwner,
+	}, nil
+}
+
+// grant takes tokens of a part that this instance owns.
+func (s *Server) grant(account string, part int, q limiter.Request) limiter.Reply {
+	now := s.clock()
+	if !s.control.MayAct(controller.BucketResource(account, part), now) {
+		return limiter.Reply{NotOwner: true}
+	}
+	return s.buckets.Grant(now, account, part, q)
+}
+
+// Grant gives tokens of a bucket part.
+func (p *peerService) Grant(ctx context.Context, r *messenger.GrantRequest) (*messenger.GrantReply, error) {
+	n := identity(ctx)
+	if n == "" {
+		return nil, twirp.PermissionDenied.Error("the certificate names no instance")
+	}
+	a := p.server.grant(r.Account, int(r.Part), limiter.Request{
+		Holder:      n,
+		Incarnation: r.Incarnation,
+		Ask:         r.Ask,
+		Tokens:      int(r.Tokens),
+		Held:        int(r.Held),
+	})
+	return &messenger.GrantReply{
+		Tokens:   uint32(a.Tokens), //nolint:gosec // Bounded by the burst.
+		LifeUs:   a.Life.Microseconds(),
+		RetryUs:  a.Retry.Microseconds(),
+		NotOwner: a.NotOwner,
+	}, nil
+}
+
+// allow takes a token of the request's account.
+func (s *Server) allow(ctx context.Context, c *call) *responder.Refusal {
+	if c.route.Open {
+		return nil
+	}
+	if f := s.allowance.Take(ctx, c.account.Name, c.deadline); f != nil {
+		return f
+	}
+	c.admitted = true
+	return nil
+}
+
+// place decides in which region a request of a moved block is served: beyond the cap of the shift it goes back to the home region.
+func (s *Server) place(ctx context.Context, c *call) {
+	v := s.control.View()
+	b := v.Steering.Find(c.caller)
+	h := v.Steering.Shift(b)
+	if h == nil || h.To != s.self.Region {
+		return
+	}
+	if f := s.allowance.Take(ctx, controller.ShiftBucket(h.Name), c.deadline); f != nil {
+		c.region = h.From
+	}
+}
--- a/server/callers.go
+++ b/server/callers.go
@@ -60,6 +60,7 @@
 		s.refuse(w, &responder.Refusal{Status: http.StatusBadRequest, Reason: responder.BadRequest, Ran: responder.NotRun, Message: "address must be an IP address"})
 		return
 	}
+	s.meter.Lookup()
 	v := s.control.View()
 	k := v.Steering.Answer(a, s.control.Live())
 	if len(k.Instances) == 0 {
--- /dev/null
+++ b/server/choosers.go
@@ -0,0 +1,128 @@
+package server
+
+import (
+	"sync"
+	"time"
+
+	"celeryhead.dev/celeryhead/balancer"
+	"celeryhead.dev/celeryhead/controller"
+	"celeryhead.dev/celeryhead/messenger"
+	"celeryhead.dev/celeryhead/tracker"
+)
+
+// megabit is one Mbit/s in bytes per second.
+const megabit = 1e6 / 8
+
+// answerBytes is the size that an answer is expected to have when a request goes to another region.
+const answerBytes = 8 << 10
+
+// choosers pick the owner to which a request goes, for each pool and region of preference.
+type choosers struct {
+	server *Server
+
+	mu sync.Mutex
+	m  map[chooserKey]*balancer.Chooser
+	// instances holds the owners that are known, with their addresses.
+	instances map[string]tracker.Instance
+}
+
+type chooserKey struct {
+	pool, region string
+}
+
+func newChoosers(s *Server) *choosers {
+	return &choosers{server: s, m: map[chooserKey]*balancer.Chooser{}, instances: map[string]tracker.Instance{}}
+}
+
+// reassign applies the present owners of every pool.
+func (c *choosers) reassign(v *controller.View, now time.Time) {
+	owners := map[string][]balancer.Owner{}
+	instances := map[string]tracker.Instance{}
+	for _, p := range v.Config.Pools {
+		seen := map[string]bool{}
+		for _, t := range p.Targets {
+			i, ok := c.server.control.Owner(v.TargetResource(t.Name))
+			if !ok || seen[i.Name] {
+				continue
+			}
+			seen[i.Name] = true
+			instances[i.Name] = i
+			owners[p.Name] = append(owners[p.Name], balancer.Owner{Name: i.Name, Region: i.Region, Suspect: c.server.control.Suspected(i.Name)})
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.instances = instances
+	for _, p := range v.Config.Pools {
+		for _, r := range v.Config.Regions {
+			c.get(p.Name, r.Name).Adopt(owners[p.Name])
+		}
+		c.link(v, p.Name, now)
+	}
+}
+
+// link shares the links of the own region among its instances.
+func (c *choosers) link(v *controller.View, pool string, now time.Time) {
+	n := 0
+	for _, i := range c.server.control.Live() {
+		if i.Region == c.server.self.Region {
+			n++
+		}
+	}
+	for _, l := range v.Config.Links {
+		if l.From == c.server.self.Region {
+			c.get(pool, l.From).Link(now, l.To, l.Megabits*megabit, max(n, 1))
+		}
+	}
+}
+
+// get returns the chooser of a pool that prefers a region; c.mu is held.
+func (c *choosers) get(pool, region string) *balancer.Chooser {
+	k := chooserKey{pool, region}
+	h, ok := c.m[k]
+	if !ok {
+		h = balancer.NewChooser(balancer.ChooserConfig{Name: c.server.self.Name, Region: region, Seed: c.server.self.Incarnation})
+		c.m[k] = h
+	}
+	return h
+}
+
+// report records the loads in a heartbeat.
+func (c *choosers) report(b *messenger.Beat, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range b.Loads {
+		for k, h := range c.m {
+			if k.pool == l.Pool {
+				h.Report(now, b.GetFrom().GetName(), balancer.Load{Slots: int(l.Slots), Free: int(l.Free), Queued: int(l.Queued)})
+			}
+		}
+	}
+}
+
+// choose picks an owner that was not tried.
+func (c *choosers) choose(k *call, now time.Time, tried []string) (owner, bool) {
+	var own balancer.Load
+	if p := c.server.pools.get(k.route.Pool); p != nil {
+		own = p.Load()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.get(k.route.Pool, k.region)
+	h.Report(now, c.server.self.Name, own)
+	if len(tried) == 0 {
+		h.Attempt()
+	}
+	o, ok := h.Choose(now, len(k.body.head)+answerBytes, tried...)
+	if !ok {
+		return owner{}, false
+	}
+	return owner{name: o.Name, address: c.instances[o.Name].Peer}, true
+}
+
+// retry reports whether a request that was not run may go to another owner.
+func (c *choosers) retry(k *call, now time.Time, retries int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.get(k.route.Pool, k.region).Retry(now, retries, k.deadline)
+}
--- a/server/entry.go
+++ b/server/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"strings"
 	"time"
@@ -13,6 +14,7 @@
 	"celeryhead.dev/celeryhead/composer"
 	"celeryhead.dev/celeryhead/controller"
 	"celeryhead.dev/celeryhead/forwarder"
+	"celeryhead.dev/celeryhead/meter"
 	"celeryhead.dev/celeryhead/responder"
 )
 
@@ -26,33 +28,63 @@
 	account  composer.Account
 	identity authenticator.Identity
 	deadline time.Time
-	// region is where the request entered.
+	// region is where the request entered, or its home region if a shift is at its cap.
 	region string
-	body   *body
-	digest [32]byte
+	// caller is the address of the caller.
+	caller netip.Addr
+	// admitted is true once the request has taken a token of its account.
+	admitted bool
+	body     *body
+	digest   [32]byte
 	// passed is true if another instance accepted the request and passed it on because of its ticket.
 	passed bool
 }
 
 // enter serves a request of a caller.
 func (s *Server) enter(w http.ResponseWriter, r *http.Request) {
+	start := s.clock()
 	c, f := s.accept(w, r)
+	defer func() { s.observe(c, f, start) }()
+	if f == nil {
+		f = s.serve(r.Context(), w, c)
+	}
 	if f != nil {
 		s.refuse(w, f)
-		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(c.deadline.Sub(s.clock())))
+}
+
+// serve answers an accepted request or returns why it is refused.
+func (s *Server) serve(ctx context.Context, w http.ResponseWriter, c *call) *responder.Refusal {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(c.deadline.Sub(s.clock())))
 	defer cancel()
+	if f := s.checkCrash(c); f != nil {
+		return f
+	}
+	if f := s.allow(ctx, c); f != nil {
+		return f
+	}
+	s.place(ctx, c)
 	if !c.route.Idempotent {
-		s.enterOnce(ctx, w, c)
-		return
+		return s.enterOnce(ctx, w, c)
 	}
 	a, f := s.forward(ctx, c)
 	if f != nil {
-		s.refuse(w, f)
-		return
+		return f
 	}
 	s.copy(w, c, a)
+	return nil
+}
+
+// observe counts a request; c is as far as the request came.
+func (s *Server) observe(c *call, f *responder.Refusal, start time.Time) {
+	now := s.clock()
+	s.meter.Observe(meter.Request{
+		Route:    c.route.Name,
+		Account:  c.account.Name,
+		Duration: now.Sub(start),
+		Refusal:  f,
+		Admitted: c.admitted,
+	}, now)
 }
 
 // copy sends the answer to the caller; a broken answer breaks the caller's connection.
@@ -69,31 +101,35 @@
 
 var errAborted = errors.New("the answer or the caller's connection broke off")
 
-// accept checks a request up to the point where it may use its allowance.
+// accept checks a request up to the point where it may use its allowance; the call is never nil.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*call, *responder.Refusal) {
 	now := s.clock()
+	c := &call{region: s.self.Region}
 	if f := checkTarget(r.URL); f != nil {
-		return nil, f
+		return c, f
 	}
 	v := s.control.View()
 	t, found, allowed := v.Routes.Find(r.Method, r.URL.Path)
 	if !allowed {
-		return nil, noRoute(found)
+		return c, noRoute(found)
 	}
-	c := &call{route: t, region: s.self.Region}
+	c.route = t
 	var f *responder.Refusal
 	if c.deadline, f = deadline(r, t, now); f != nil {
-		return nil, f
+		return c, f
 	}
 	if f := s.authenticate(v, c, r, now); f != nil {
-		return nil, f
+		return c, f
+	}
+	if p, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
+		c.caller = p.Addr()
 	}
 	c.request = outgoing(r)
 	if err := authenticator.Strip(c.request.Header, c.request.URL); err != nil {
-		return nil, badRequest(err.Error())
+		return c, badRequest(err.Error())
 	}
 	if c.body, f = s.readBody(w, r); f != nil {
-		return nil, f
+		return c, f
 	}
 	c.request.ContentLength = c.body.length
 	c.digest = c.body.digest()
--- a/server/forward.go
+++ b/server/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/hex"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -14,29 +13,26 @@
 	"celeryhead.dev/celeryhead/responder"
 )
 
-// maxRetries bounds how often a request that did not run is offered to another owner.
-const maxRetries = 2
-
 // forward has a request run through an owner of its pool; a request that may have run is never sent again.
 func (s *Server) forward(ctx context.Context, c *call) (*forwarder.Answer, *responder.Refusal) {
-	tried := map[string]bool{}
-	var last *responder.Refusal
-	for range maxRetries + 1 {
-		o, ok := s.chooseOwner(c, tried)
+	var tried []string
+	last := noOwner()
+	for {
+		o, ok := s.choosers.choose(c, s.clock(), tried)
 		if !ok {
-			break
+			return nil, last
 		}
-		tried[o.name] = true
 		a, f := s.sendTo(ctx, c, o)
 		if f == nil || f.Ran != responder.NotRun || !mayRetry(f) || !c.body.whole() || ctx.Err() != nil {
 			return a, f
 		}
 		last = f
+		if !s.choosers.retry(c, s.clock(), len(tried)) {
+			return nil, last
+		}
+		tried = append(tried, o.name)
+		s.meter.Retry()
 	}
-	if last == nil {
-		last = noOwner()
-	}
-	return nil, last
 }
 
 // mayRetry reports whether another owner may have what this one lacked.
@@ -54,29 +50,6 @@
 	address netip.AddrPort
 }
 
-// chooseOwner prefers this instance if it has a free slot.
-func (s *Server) chooseOwner(c *call, tried map[string]bool) (owner, bool) {
-	p := s.pools.get(c.route.Pool)
-	if p != nil && !tried[s.self.Name] && p.Load().Free > 0 {
-		return owner{name: s.self.Name}, true
-	}
-	var r []owner
-	v := s.control.View()
-	seen := map[string]bool{}
-	for _, t := range v.Pools[c.route.Pool].Targets {
-		i, ok := s.control.Owner(v.TargetResource(t.Name))
-		if !ok || seen[i.Name] || tried[i.Name] || s.control.Suspected(i.Name) {
-			continue
-		}
-		seen[i.Name] = true
-		r = append(r, owner{name: i.Name, address: i.Peer})
-	}
-	if len(r) == 0 {
-		return owner{}, false
-	}
-	return r[rand.IntN(len(r))], true //nolint:gosec // Spreading load needs no secret.
-}
-
 func (s *Server) sendTo(ctx context.Context, c *call, o owner) (*forwarder.Answer, *responder.Refusal) {
 	if o.name == s.self.Name {
 		return s.run(ctx, c)
--- a/server/once.go
+++ b/server/once.go
@@ -29,16 +29,15 @@
 }
 
 // enterOnce serves a request that must run at most once.
-func (s *Server) enterOnce(ctx context.Context, w http.ResponseWriter, c *call) {
+func (s *Server) enterOnce(ctx context.Context, w http.ResponseWriter, c *call) *responder.Refusal {
 	k := c.request.Header.Get(headerIdempotencyKey)
 	if k == "" || len(k) > maxIdempotencyKey {
-		s.refuse(w, &responder.Refusal{
+		return &responder.Refusal{
 			Status:  http.StatusBadRequest,
 			Reason:  responder.IdempotencyKeyMissing,
 			Ran:     responder.NotRun,
 			Message: "this route needs an Idempotency-Key of at most 255 bytes",
-		})
-		return
+		}
 	}
 	q := claimer.Request{
 		Account:       c.account.Name,
@@ -48,34 +47,32 @@
 		Deadline:      c.deadline,
 	}
 	if claimer.IsTicket(k) {
-		s.enterTicket(ctx, w, c, q)
-		return
+		return s.enterTicket(ctx, w, c, q)
 	}
 	d, err := s.claims.Begin(ctx, q)
 	if err != nil {
-		s.refuse(w, badRequest(err.Error()))
-		return
+		return badRequest(err.Error())
 	}
-	s.decide(ctx, w, c, d)
+	return s.decide(ctx, w, c, d)
 }
 
 // decide answers a sending that must not run, or runs it.
-func (s *Server) decide(ctx context.Context, w http.ResponseWriter, c *call, d claimer.Decision) {
+func (s *Server) decide(ctx context.Context, w http.ResponseWriter, c *call, d claimer.Decision) *responder.Refusal {
 	if f := d.Refusal(); f != nil {
-		s.refuse(w, f)
-		return
+		return f
 	}
 	switch {
 	case d.Verdict == claimer.Stored:
 		replay(w, d.Outcome)
+		return nil
 	case d.Ticket != nil:
-		s.runOnce(ctx, w, c, settlement{
+		return s.runOnce(ctx, w, c, settlement{
 			deadline: d.Ticket.Deadline(),
 			finish:   func(_ context.Context, o claimer.Outcome) error { return s.tickets.Finish(d.Ticket, o) },
 			abandon:  func(context.Context) error { return s.tickets.Abandon(d.Ticket) },
 		})
 	default:
-		s.runOnce(ctx, w, c, settlement{
+		return s.runOnce(ctx, w, c, settlement{
 			deadline: d.Claim.Deadline(),
 			finish:   func(ctx context.Context, o claimer.Outcome) error { return s.claims.Finish(ctx, d.Claim, o) },
 			abandon:  func(ctx context.Context) error { return s.claims.Abandon(ctx, d.Claim) },
@@ -84,7 +81,7 @@
 }
 
 // runOnce runs a claimed request to its end although its caller may leave, so that a resend finds the outcome.
-func (s *Server) runOnce(ctx context.Context, w http.ResponseWriter, c *call, l settlement) {
+func (s *Server) runOnce(ctx context.Context, w http.ResponseWriter, c *call, l settlement) *responder.Refusal {
 	if l.deadline.Before(c.deadline) {
 		c.deadline = l.deadline
 	}
@@ -95,14 +92,12 @@
 		if f.Ran == responder.NotRun {
 			s.settle(c, l.abandon)
 		}
-		s.refuse(w, f)
-		return
+		return f
 	}
 	o, err := takeOutcome(a)
 	if err != nil {
 		_ = a.Body.Close()
-		s.refuse(w, targetFailed(responder.Unknown))
-		return
+		return targetFailed(responder.Unknown)
 	}
 	finish := func() { s.settle(c, func(ctx context.Context) error { return l.finish(ctx, o) }) }
 	if len(o.Body) <= claimer.MaxBodyBytes {
@@ -113,6 +108,7 @@
 		a.Body = &endBody{ReadCloser: a.Body, head: bytes.NewReader(o.Body), end: finish}
 	}
 	s.copy(w, c, a)
+	return nil
 }
 
 // takeOutcome reads an answer up to one byte more than is stored.
--- a/server/operators.go
+++ b/server/operators.go
@@ -84,7 +84,7 @@
 		FleetFresh:     s.control.Valid(attester.Fleet, now),
 		RegionFresh:    s.control.Valid(attester.Region, now),
 		StoreReachable: s.control.StoreReachable(),
-		ProofAgeMs:     s.control.ProofAge(now).Milliseconds(),
+		ProofAgeMs:     s.control.ProofAge(attester.Fleet, now).Milliseconds(),
 		Instances:      s.instanceStatus(now),
 	}
 	s.targetStatus(r)
@@ -97,6 +97,15 @@
 			HeldBecause: s.control.Held(h.Name),
 		})
 	}
+	for _, a := range s.meter.Accounts() {
+		r.Accounts = append(r.Accounts, &messenger.AccountStatus{
+			Name:              a.Name,
+			Admitted:          a.Admitted,
+			RefusedOverRate:   a.OverRate,
+			RefusedWithinRate: a.WithinRate,
+			P99Ms:             float64(a.P99.Microseconds()) / 1000,
+		})
+	}
 	return r, nil
 }
 
--- a/server/owner.go
+++ b/server/owner.go
@@ -66,6 +66,7 @@
 	}
 	r := *c.request
 	r.Body = c.body.open()
+	s.started.count(s.clock())
 	a, err := s.targets.Do(ctx, forwarder.Call{
 		Address:  t,
 		Request:  &r,
@@ -171,6 +172,7 @@
 		return balancer.Broken
 	}
 	s.log.StrikeRecorded(c.account.Name, c.route.Name, target)
+	s.strike(c)
 	return balancer.Crash
 }
 
@@ -261,6 +263,7 @@
 		return nil, f
 	}
 	c.request.ContentLength = c.body.length
+	c.digest = c.body.digest()
 	return c, nil
 }
 
--- a/server/peers.go
+++ b/server/peers.go
@@ -56,11 +56,6 @@
 	return a, nil
 }
 
-// Grant gives tokens of a bucket part.
-func (p *peerService) Grant(context.Context, *messenger.GrantRequest) (*messenger.GrantReply, error) {
-	return &messenger.GrantReply{NotOwner: true}, nil
-}
-
 // FetchHeads returns the heads row.
 func (p *peerService) FetchHeads(context.Context, *messenger.FetchHeadsRequest) (*messenger.HeadsRow, error) {
 	return p.server.control.FetchHeads(), nil
@@ -74,8 +69,3 @@
 	}
 	return t, nil
 }
-
-// Strike records a request that crashed a target.
-func (p *peerService) Strike(context.Context, *messenger.StrikeNotice) (*messenger.Empty, error) {
-	return &messenger.Empty{}, nil
-}
--- a/server/pools.go
+++ b/server/pools.go
@@ -86,6 +86,8 @@
 	if changed {
 		p.server.log.TargetsChanged(owned)
 	}
+	p.server.reassignBuckets(v, now)
+	p.server.choosers.reassign(v, now)
 }
 
 // ensure returns the pool with its present configuration.
@@ -177,9 +179,11 @@
 	return false
 }
 
-// Fill adds loads and residues to a heartbeat.
+// Fill adds loads, residues, strikes and the rate to a heartbeat.
 func (p *pools) Fill(b *messenger.Beat) {
 	now := p.server.clock()
+	b.Strikes = p.server.notices(now)
+	b.Rate = p.server.started.perSecond(now)
 	for _, o := range p.all() {
 		l := o.Load()
 		if l.Slots > 0 || l.Queued > 0 {
@@ -200,5 +204,10 @@
 	}
 }
 
-// Receive takes a peer's loads.
-func (p *pools) Receive(*messenger.Beat) {}
+// Receive takes a peer's loads and strikes.
+func (p *pools) Receive(b *messenger.Beat) {
+	p.server.choosers.report(b, p.server.clock())
+	for _, n := range b.Strikes {
+		p.server.recordStrike(n)
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -14,13 +14,16 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"celeryhead.dev/celeryhead/breaker"
 	"celeryhead.dev/celeryhead/certifier"
 	"celeryhead.dev/celeryhead/claimer"
 	"celeryhead.dev/celeryhead/controller"
 	"celeryhead.dev/celeryhead/forwarder"
+	"celeryhead.dev/celeryhead/limiter"
 	"celeryhead.dev/celeryhead/lister"
 	"celeryhead.dev/celeryhead/loader"
 	"celeryhead.dev/celeryhead/logger"
+	"celeryhead.dev/celeryhead/meter"
 	"celeryhead.dev/celeryhead/operator"
 	"celeryhead.dev/celeryhead/storer"
 	"celeryhead.dev/celeryhead/timer"
@@ -49,15 +52,21 @@
 	clock    timer.Clock
 	self     tracker.Instance
 
-	control  *controller.Controller
-	store    *storer.Client
-	links    *links
-	targets  *forwarder.Forwarder
-	peers    *forwarder.Forwarder
-	pools    *pools
-	claims   *claimer.Claims
-	tickets  *claimer.Tickets
-	operator *operator.Operator
+	control   *controller.Controller
+	store     *storer.Client
+	links     *links
+	targets   *forwarder.Forwarder
+	peers     *forwarder.Forwarder
+	pools     *pools
+	choosers  *choosers
+	buckets   *limiter.Owner
+	meter     *meter.Meter
+	strikes   strikes
+	started   rate
+	allowance *limiter.Allowance
+	claims    *claimer.Claims
+	tickets   *claimer.Tickets
+	operator  *operator.Operator
 
 	callersTLS, peersTLS, operatorsTLS *tls.Config
 
@@ -89,6 +98,11 @@
 	s.targets = forwarder.New(forwarder.Config{MaxConnections: maxTargetConnections})
 	s.peers = forwarder.New(forwarder.Config{TLS: t, MaxConnections: maxPeerConnections, MaxIdle: maxPeerConnections})
 	s.pools = newPools(s)
+	s.choosers = newChoosers(s)
+	s.buckets = limiter.NewOwner()
+	s.meter = meter.New()
+	s.strikes.breaker = breaker.New(breaker.Config{})
+	s.allowance = limiter.NewAllowance(limiter.AllowanceConfig{Asker: asker{server: s}})
 	s.claims = claimer.New(claimer.Config{Store: s.store})
 	s.tickets, err = claimer.NewTickets(claimer.TicketConfig{
 		Location: claimer.Location{Instance: s.self.Name, Incarnation: s.self.Incarnation},
@@ -207,6 +221,7 @@
 	case err = <-failed:
 	}
 	cancel()
+	s.allowance.Close()
 	g.Wait()
 	for _, l := range ls {
 		_ = l.server.Close()
@@ -236,9 +251,8 @@
 // runSweeps deletes expired claims.
 func (s *Server) runSweeps(ctx context.Context) {
 	w := claimer.NewSweeper(claimer.SweeperConfig{Store: s.store})
-	if err := w.Run(ctx); err != nil && ctx.Err() == nil {
-		s.log.ListenerFailed("sweeper", err)
-	}
+	// Run returns only the end of ctx.
+	_ = w.Run(ctx)
 }
 
 // tickInterval is how often idle connections and old tickets are dropped.
--- a/server/tickets.go
+++ b/server/tickets.go
@@ -49,39 +49,37 @@
 }
 
 // enterTicket serves a request with a ticket at the incarnation that issued it.
-func (s *Server) enterTicket(ctx context.Context, w http.ResponseWriter, c *call, q claimer.Request) {
+func (s *Server) enterTicket(ctx context.Context, w http.ResponseWriter, c *call, q claimer.Request) *responder.Refusal {
 	l, err := claimer.Locate(q.Key)
 	if err != nil {
-		s.refuse(w, claimer.Decision{Verdict: claimer.Invalid}.Refusal())
-		return
+		return claimer.Decision{Verdict: claimer.Invalid}.Refusal()
 	}
 	self := claimer.Location{Instance: s.self.Name, Incarnation: s.self.Incarnation}
 	i, known := s.control.Instance(l.Instance)
 	switch l.Place(self, known) {
 	case claimer.Here:
-		s.decide(ctx, w, c, s.tickets.Begin(q, s.clock()))
+		return s.decide(ctx, w, c, s.tickets.Begin(q, s.clock()))
 	case claimer.Elsewhere:
-		s.passTicket(ctx, w, c, i)
-	case claimer.Gone:
-		s.refuse(w, outcomeUnknown())
+		return s.passTicket(ctx, w, c, i)
+	default:
+		return outcomeUnknown()
 	}
 }
 
 // passTicket has the issuing instance decide. If it does not answer, an earlier sending may have run there.
-func (s *Server) passTicket(ctx context.Context, w http.ResponseWriter, c *call, i tracker.Instance) {
+func (s *Server) passTicket(ctx context.Context, w http.ResponseWriter, c *call, i tracker.Instance) *responder.Refusal {
 	if c.passed {
-		s.refuse(w, outcomeUnknown())
-		return
+		return outcomeUnknown()
 	}
 	a, f := s.hop(ctx, c, owner{name: i.Name, address: i.Peer}, enterPath)
 	if f != nil {
 		if f.Reason == responder.NoOwner {
 			f = outcomeUnknown()
 		}
-		s.refuse(w, f)
-		return
+		return f
 	}
 	s.copy(w, c, a)
+	return nil
 }
 
 func outcomeUnknown() *responder.Refusal {
@@ -103,8 +101,9 @@
 		return
 	}
 	c.passed = true
-	c.digest = c.body.digest()
 	ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(c.deadline.Sub(s.clock())))
 	defer cancel()
-	s.enterOnce(ctx, w, c)
+	if f := s.enterOnce(ctx, w, c); f != nil {
+		s.refuse(w, f)
+	}
 }
