Bound ownership by list readings or answers of every peer

An owner that left the list and gets no readings went on with store reads, while a cut peer that applied an older assignment forgot it after list_lag + list_age and regained its proof from heartbeats. Seen in testdata/unlisted_owner.json before the change: a1 and a2#2 both act on {t3 b 0}.

--- a/attester/attester.go
+++ b/attester/attester.go
@@ -9,6 +9,7 @@
 // Defaults of the settings in Config.
 const (
 	DefaultFreshness  = 3 * time.Second
+	DefaultListLag    = 10 * time.Second
 	DefaultListAge    = 3 * time.Second
 	DefaultListOutage = 30 * time.Minute
 )
@@ -16,10 +17,14 @@
 // Scope says which changes a proof covers.
 type Scope uint8
 
-// Fleet covers every change, Region only the assignment of the own region.
+// The scopes.
 const (
+	// Fleet covers every change; keyed requests, grants to callers and changes need it.
 	Fleet Scope = iota
+	// Region covers the assignment of the own region; owning its targets needs it.
 	Region
+	// FleetOwner covers the assignment of the fleet; owning its resources needs it.
+	FleetOwner
 	scopes
 )
 
@@ -27,6 +32,8 @@
 type Config struct {
 	Region    string
 	Freshness time.Duration
+	// ListLag bounds how old the state shown by a list reading is.
+	ListLag time.Duration
 	// ListAge is how long a list reading supports proofs from heartbeats.
 	ListAge time.Duration
 	// ListOutage is how long a list reading supports proofs from store reads.
@@ -111,6 +118,7 @@
 // New returns an attester that has adopted no version and holds no proof.
 func New(c Config) *Attester {
 	setDefault(&c.Freshness, DefaultFreshness)
+	setDefault(&c.ListLag, DefaultListLag)
 	setDefault(&c.ListAge, DefaultListAge)
 	setDefault(&c.ListOutage, DefaultListOutage)
 	a := &Attester{c: c, peers: indexer.New[string, peer]()}
@@ -260,7 +268,7 @@
 	if a.adopted == 0 || a.admitted.IsZero() || a.primed.counted.IsZero() {
 		return time.Time{}
 	}
-	return latest(a.readExpiry(), a.roundExpiry(s))
+	return latest(a.readExpiry(s), a.roundExpiry(s))
 }
 
 // Valid reports whether the proof of the scope holds at now.
@@ -268,25 +276,46 @@
 	return now.Before(a.Expiry(s))
 }
 
-func (a *Attester) readExpiry() time.Time {
+func (a *Attester) readExpiry(s Scope) time.Time {
 	if a.read.counted.IsZero() {
 		return time.Time{}
 	}
-	limit := a.c.ListOutage
-	if a.newcomer {
-		limit = a.c.ListAge
-	}
-	return earliest(a.read.counted.Add(a.c.Freshness), a.listed.Add(limit))
+	return earliest(a.read.counted.Add(a.c.Freshness), a.readLimit(s))
 }
 
-func (a *Attester) roundExpiry(s Scope) time.Time {
-	if a.known > a.adopted {
-		return time.Time{}
+// readLimit returns until when a store read proves anything without a list
+// reading. A peer with an older assignment forgets an owner that left the list
+// once it heard nothing from it for ListLag + ListAge, so an owner goes on only
+// while it sees itself listed or every peer answers.
+func (a *Attester) readLimit(s Scope) time.Time {
+	listed := a.listed.Add(a.c.ListAge)
+	outage := a.listed.Add(a.c.ListOutage)
+	switch {
+	case a.newcomer:
+		return listed
+	case s == Fleet:
+		return outage
+	}
+	o := a.oldestOf(s)
+	if o.none {
+		return outage
 	}
+	return earliest(outage, latest(listed, o.at.Add(a.c.ListLag+a.c.ListAge)))
+}
+
+func (a *Attester) oldestOf(s Scope) oldest {
 	o := &a.oldest[s]
 	if o.dirty {
 		*o = a.findOldest(s)
 	}
+	return *o
+}
+
+func (a *Attester) roundExpiry(s Scope) time.Time {
+	if a.known > a.adopted {
+		return time.Time{}
+	}
+	o := a.oldestOf(s)
 	// Every peer listed before the reading is in the set only while the reading is fresh.
 	limit := a.listed.Add(a.c.ListAge)
 	if o.none {
