--- a/balancer/chooser.go
+++ b/balancer/chooser.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"celeryhead.dev/celeryhead/indexer"
+	"celeryhead.dev/celeryhead/responder"
 )
 
 const (
@@ -46,7 +47,7 @@
 	r       *rand.Rand
 	owners  *indexer.Table[string, owner]
 	links   *indexer.Table[string, Bucket]
-	retries Bucket
+	retries *RetryPolicy[*responder.Refusal]
 }
 
 type owner struct {
@@ -59,11 +60,13 @@
 // NewChooser returns a Chooser without owners.
 func NewChooser(c ChooserConfig) *Chooser {
 	return &Chooser{
-		c:       c,
-		r:       rand.New(rand.NewPCG(c.Seed, 0)), //nolint:gosec // Choices need to be spread, not secret.
-		owners:  indexer.New[string, owner](),
-		links:   indexer.New[string, Bucket](),
-		retries: Bucket{Burst: retryBurst},
+		c:      c,
+		r:      rand.New(rand.NewPCG(c.Seed, 0)), //nolint:gosec // Choices need to be spread, not secret.
+		owners: indexer.New[string, owner](),
+		links:  indexer.New[string, Bucket](),
+		retries: NewRetryPolicy(RetryConfig[*responder.Refusal]{
+			Retryable: notRun, Max: maxRetries, Share: retryShare, Burst: retryBurst,
+		}),
 	}
 }
 
@@ -145,7 +148,7 @@
 	return bad
 }
 
-// pair draws two candidates weighted by their free slots and returns the one with more.
+// pair draws two candidates weighted by their free slots and returns the one with more room for its size.
 func (c *Chooser) pair(now time.Time, os []*owner) *owner {
 	if len(os) == 0 {
 		return nil
@@ -157,7 +160,7 @@
 	a := os[i]
 	rest := slices.Delete(slices.Clone(os), i, i+1)
 	b := rest[c.draw(now, rest)]
-	if b.weight(now) > a.weight(now) {
+	if b.room(now) > a.room(now) {
 		return b
 	}
 	return a
@@ -178,21 +181,36 @@
 	return len(os) - 1
 }
 
+// room is the share of slots that are probably free, negative if works wait for them.
+func (o *owner) room(now time.Time) float64 {
+	if !o.known(now) {
+		return 0
+	}
+	return o.free / float64(max(o.slots, 1))
+}
+
+func (o *owner) known(now time.Time) bool {
+	return !o.reported.IsZero() && now.Sub(o.reported) <= reportAge
+}
+
 // weight is the number of slots that are probably free.
 func (o *owner) weight(now time.Time) float64 {
-	if o.reported.IsZero() || now.Sub(o.reported) > reportAge {
+	if !o.known(now) {
 		return unknownFree
 	}
 	return max(o.free, minFree)
 }
 
-// Attempt counts the first attempt of a request and so earns a part of a retry.
+// Attempt counts the first attempt of a request for the retry budget.
 func (c *Chooser) Attempt() {
-	c.retries.Add(retryShare)
+	c.retries.Attempt()
+}
+
+// Retry reports whether a refused request may be sent to another owner; see RetryPolicy.Allow.
+func (c *Chooser) Retry(now time.Time, r *responder.Refusal, retries int, deadline time.Time) bool {
+	return c.retries.Allow(now, r, retries, deadline)
 }
 
-// Retry reports whether a request that was not run may be sent to another owner, and spends a retry if so.
-// Retries counts the earlier retries of the request; deadline is that of its first attempt.
-func (c *Chooser) Retry(now time.Time, retries int, deadline time.Time) bool {
-	return retries < maxRetries && deadline.After(now) && c.retries.Take(now, 1)
+func notRun(r *responder.Refusal) bool {
+	return r != nil && r.Ran == responder.NotRun
 }
--- a/balancer/chooser_test.go
+++ b/balancer/chooser_test.go
@@ -8,6 +8,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"celeryhead.dev/celeryhead/balancer"
+	"celeryhead.dev/celeryhead/responder"
 )
 
 // Guards against requests forwarded to suspect, tried or distant owners while better ones exist, and link overuse.
@@ -84,13 +85,27 @@
 	}
 }
 
-// Guards against a storm of retries.
+// Guards against a choice between full owners that ignores how many works wait there.
+func TestChooseAvoidsLongQueues(t *testing.T) {
+	c := balancer.NewChooser(balancer.ChooserConfig{Name: "entry", Region: "west", Seed: 1})
+	c.Adopt([]balancer.Owner{{Name: "long", Region: "west"}, {Name: "short", Region: "west"}})
+	c.Report(epoch, "long", balancer.Load{Slots: 3, Queued: 12})
+	c.Report(epoch, "short", balancer.Load{Slots: 6, Queued: 13})
+	for i := range 10 {
+		if o, _ := c.Choose(epoch, 0); o.Name != "short" {
+			t.Fatalf("request %d goes to the owner where 4 works a slot wait, not 2", i)
+		}
+	}
+}
+
+// Guards against a storm of retries, and against a second run of a request.
 func TestRetryBudget(t *testing.T) {
 	c := balancer.NewChooser(balancer.ChooserConfig{})
+	refusal := &responder.Refusal{Ran: responder.NotRun}
 	n := 0
 	for range 10_000 {
 		c.Attempt()
-		if c.Retry(epoch, 0, epoch.Add(time.Second)) {
+		if c.Retry(epoch, refusal, 0, epoch.Add(time.Second)) {
 			n++
 		}
 	}
@@ -101,13 +116,16 @@
 		c.Attempt()
 	}
 	for r := range 3 {
-		if ok := c.Retry(epoch, r, epoch.Add(time.Second)); ok != (r < 2) {
+		if ok := c.Retry(epoch, refusal, r, epoch.Add(time.Second)); ok != (r < 2) {
 			t.Fatalf("retry %d of one request allowed: %t", r+1, ok)
 		}
 	}
-	if c.Retry(epoch, 0, epoch) {
+	if c.Retry(epoch, refusal, 0, epoch) {
 		t.Fatal("retry after the deadline")
 	}
+	if c.Retry(epoch, &responder.Refusal{Ran: responder.Unknown}, 0, epoch.Add(time.Second)) {
+		t.Fatal("retry of a request that may have run")
+	}
 }
 
 func BenchmarkChoose(b *testing.B) {
--- /dev/null
+++ b/balancer/measure_test.go
@@ -0,0 +1,191 @@
+package balancer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"celeryhead.dev/celeryhead/balancer"
+)
+
+var policies = []struct {
+	name string
+	run  func(*simulation) result
+}{
+	{"least loaded, 500 ms old", func(m *simulation) result { return m.run(&independent{simulation: m}) }},
+	{"two choices, 500 ms old", func(m *simulation) result { return m.run(&independent{simulation: m, choices: 2}) }},
+	{"send, retry on shed", func(m *simulation) result {
+		m.sheds = true
+		return m.run(&independent{simulation: m, choices: 2, retry: true, retries: balancer.Bucket{Burst: 10}})
+	}},
+	{"leased slots", func(m *simulation) result { m.sheds = true; return m.run(newOwned(m, true)) }},
+	{"one owner (this design)", func(m *simulation) result { m.sheds = true; return m.run(newOwned(m, false)) }},
+}
+
+// Policies by their place in the table.
+const (
+	leastLoaded = iota
+	twoChoices
+	retryOnShed
+	leasedSlots
+	oneOwner
+)
+
+var deployments = []setting{
+	{name: "Koshe", hop: 500 * time.Microsecond, far: 20 * time.Millisecond, link: 4000e6 / 8},
+	{name: "Es Batu", hop: 1400 * time.Microsecond, far: 55 * time.Millisecond, link: 280e6 / 8},
+}
+
+// measure runs a policy on pools of 16 and 12 targets and adds the results up.
+func measure(i int, s setting) result {
+	var sum result
+	for n, targets := range []int{16, 12} {
+		s.targets = targets
+		r := policies[i].run(newSimulation(s, uint64(n+1)))
+		if n == 0 {
+			sum = r
+			continue
+		}
+		sum.add(r)
+	}
+	return sum
+}
+
+func (r *result) add(o result) {
+	r.latency.Merge(o.latency)
+	r.all.Merge(o.all)
+	r.sent, r.served, r.refused = r.sent+o.sent, r.served+o.served, r.refused+o.refused
+	r.overshoots, r.wasted = r.overshoots+o.overshoots, r.wasted+o.wasted
+	r.busy, r.ticks = r.busy+o.busy, r.ticks+o.ticks
+	for i := range simAccounts {
+		r.offered[i] += o.offered[i]
+		r.ok[i] += o.ok[i]
+	}
+}
+
+// milliseconds returns a quantile of h.
+func milliseconds(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
+
+// worst is the share of its requests that the worst-served account had served.
+func (r *result) worst() float64 {
+	w := 1.0
+	for i, n := range r.offered {
+		w = min(w, float64(r.ok[i])/float64(max(n, 1)))
+	}
+	return w
+}
+
+// worstOther leaves out the first account, which sends too much.
+func (r *result) worstOther() float64 {
+	o := *r
+	o.offered[0] = 0
+	o.ok[0] = 1
+	return o.worst()
+}
+
+func (r *result) row(t *testing.T, title, name string) {
+	n := float64(max(r.sent, 1))
+	t.Logf("| %s | %s | %d | %.0f | %.0f | %.0f | %.2f | %.1f | %.1f | %.2f | %.2f |", title, name, r.overshoots,
+		milliseconds(r.latency, 50), milliseconds(r.latency, 99), milliseconds(r.all, 99), 100*float64(r.refused)/n, 100*float64(r.wasted)/n,
+		100*(1-float64(r.busy)/float64(r.ticks)), 100*float64(r.served)/n, 100*r.worstOther())
+}
+
+// Guards against a design that overshoots, is slower than independent choice, or starves accounts.
+func TestPolicies(t *testing.T) {
+	for _, s := range deployments {
+		for _, load := range []float64{0.6, 0.9, 1.2} {
+			s.load, s.noisy = load, load > 1
+			var rs []result
+			for i := range policies {
+				r := measure(i, s)
+				r.row(t, fmt.Sprintf("%s %.0f %%", s.name, load*100), policies[i].name)
+				rs = append(rs, r)
+			}
+			checkPolicies(t, load, rs)
+		}
+	}
+}
+
+func checkPolicies(t *testing.T, load float64, rs []result) {
+	own := rs[oneOwner]
+	if own.overshoots != 0 {
+		t.Errorf("load %.1f: the design overshoots %d times", load, own.overshoots)
+	}
+	if load == 0.9 {
+		for _, i := range []int{leastLoaded, twoChoices} {
+			// Over all requests, since a policy that refuses slow ones looks fast over the served ones.
+			if a, b := milliseconds(own.all, 99), milliseconds(rs[i].all, 99); a > b {
+				t.Errorf("load %.1f: p99 is %.0f ms, %.0f ms with %s", load, a, b, policies[i].name)
+			}
+		}
+	}
+	// The other accounts together ask for 70 % of capacity, so they are owed all of it.
+	if load > 1 && own.worstOther() < 0.95 {
+		t.Errorf("load %.1f: an account within its share had %.1f %% served", load, 100*own.worstOther())
+	}
+	checkClaim(t, load, rs)
+}
+
+// checkClaim tests that admitting work before it is sent beats sending it and having it refused or aborted under load.
+func checkClaim(t *testing.T, load float64, rs []result) {
+	own := rs[oneOwner]
+	for _, i := range []int{leastLoaded, twoChoices, retryOnShed} {
+		if load >= 0.9 && (own.served < rs[i].served || own.wasted > rs[i].wasted) {
+			t.Errorf("load %.1f: %d served and %d wasted, %d and %d with %s",
+				load, own.served, own.wasted, rs[i].served, rs[i].wasted, policies[i].name)
+		}
+	}
+}
+
+// Guards against an owner's death, a lying load endpoint or lost health endpoints that cost more than their share.
+func TestFailures(t *testing.T) {
+	faults := []struct {
+		name string
+		set  func(*setting)
+	}{
+		{"none", func(*setting) {}},
+		{"load endpoint lies", func(s *setting) { s.lying = true }},
+		{"all health endpoints fail", func(s *setting) { s.signals = true }},
+		{"owner dies", func(s *setting) { s.death = true }},
+	}
+	for _, d := range deployments {
+		var base result
+		for n, f := range faults {
+			s := d
+			s.load = 0.6
+			f.set(&s)
+			for _, i := range []int{leastLoaded, twoChoices, oneOwner} {
+				if s.death && i != oneOwner {
+					continue
+				}
+				r := measure(i, s)
+				r.row(t, d.name+" 60 %, "+f.name, policies[i].name)
+				if i != oneOwner {
+					continue
+				}
+				if n == 0 {
+					base = r
+				}
+				checkFailure(t, f.name, s, base, r)
+			}
+		}
+	}
+}
+
+func checkFailure(t *testing.T, name string, s setting, base, r result) {
+	if r.overshoots != 0 {
+		t.Errorf("%s: %d overshoots", name, r.overshoots)
+	}
+	// The dead owner held at most a seventh of the slots, so the others have room for the load.
+	share := 0.99
+	if s.death {
+		share = 0.9
+	}
+	if got, want := float64(r.served)/float64(r.sent), share*float64(base.served)/float64(base.sent); got < want {
+		t.Errorf("%s: %.3f of the requests served, want %.3f", name, got, want)
+	}
+}
--- a/balancer/pool.go
+++ b/balancer/pool.go
@@ -24,7 +24,7 @@
 	ServiceTime time.Duration
 	// Reserve is the share of slots, in [0,1), that remote work leaves free.
 	Reserve float64
-	// QueuePerSlot limits the queue, in works per slot owned; the default is 8.
+	// QueuePerSlot limits the queue, in works per slot owned; the default is 4.
 	QueuePerSlot int
 	// Grace is how long after its deadline a work may still run because clocks differ; the default is 100 ms.
 	Grace time.Duration
@@ -32,7 +32,8 @@
 
 func (c Config) withDefaults() Config {
 	if c.QueuePerSlot == 0 {
-		c.QueuePerSlot = 8
+		// With 8, p99 at 90 % load was half as long again and goodput at 120 % no higher (docs/measurements.d/balancer.md).
+		c.QueuePerSlot = 4
 	}
 	if c.Grace == 0 {
 		c.Grace = 100 * time.Millisecond
--- /dev/null
+++ b/balancer/simulation_test.go
@@ -0,0 +1,559 @@
+package balancer_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"celeryhead.dev/celeryhead/balancer"
+	"celeryhead.dev/celeryhead/responder"
+)
+
+const (
+	simDeadline = time.Second
+	simWarmUp   = 2 * time.Second
+	simLength   = 8 * time.Second
+	reportEvery = 500 * time.Millisecond
+	// meanService is the mean of (*simulation).service.
+	meanService = 43200 * time.Microsecond
+	// targetBacklog is how many works beyond its slots a target accepts if it does not shed.
+	targetBacklog = 12
+	simAccounts   = 8
+)
+
+// setting is one deployment of docs/design.md, section 1.5, seen from one pool.
+type setting struct {
+	name    string
+	targets int
+	// hop and far are one-way latencies within and between regions.
+	hop, far time.Duration
+	// link is in bytes per second.
+	link float64
+	// load is the offered load as a share of capacity; noisy lets the first account send 5 times as much as others.
+	load  float64
+	noisy bool
+	// lying makes the first target report that it is idle; signals makes all health endpoints fail.
+	lying, signals bool
+	// death kills the first instance in the middle of the run.
+	death bool
+}
+
+// event is a function that runs at a time.
+type event struct {
+	at  time.Time
+	seq int
+	f   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	n := len(*e) - 1
+	x := (*e)[n]
+	*e = (*e)[:n]
+	return x
+}
+
+// request is one request of a caller.
+type request struct {
+	account, entry int
+	at             time.Time
+	tries          int
+	tried          []string
+	done           bool
+}
+
+// simTarget runs works in slots and keeps a backlog or sheds.
+type simTarget struct {
+	region, running int
+	backlog         []func()
+	reported        int
+}
+
+// policy sends a request that arrived at an entry instance.
+type policy interface {
+	send(r *request)
+}
+
+type simulation struct {
+	setting
+	now     time.Time
+	queue   events
+	seq     int
+	r       *rand.Rand
+	targets []*simTarget
+	// sheds says that targets refuse works beyond their slots instead of keeping them.
+	sheds  bool
+	dead   bool
+	result result
+}
+
+// result is what the callers and targets saw.
+type result struct {
+	// latency is in microseconds; all counts a refused request as one that took its whole deadline.
+	latency, all                      *hdrhistogram.Histogram
+	sent, served, refused, overshoots int
+	// wasted counts works that were sent to a target and shed or aborted there.
+	wasted      int
+	busy, ticks int
+	offered, ok [simAccounts]int
+}
+
+// regionOf places entry instances and targets: 3, 2 and 2 of 7 instances.
+func regionOf(instance int) int {
+	return []int{0, 0, 0, 1, 1, 2, 2}[instance]
+}
+
+func newSimulation(s setting, seed uint64) *simulation {
+	m := &simulation{setting: s, now: epoch, r: rand.New(rand.NewPCG(seed, 0))}
+	m.result.latency, m.result.all = hdrhistogram.New(1, 10_000_000, 3), hdrhistogram.New(1, 10_000_000, 3)
+	for i := range s.targets {
+		m.targets = append(m.targets, &simTarget{region: i % 3})
+	}
+	return m
+}
+
+func (m *simulation) after(d time.Duration, f func()) {
+	m.seq++
+	heap.Push(&m.queue, event{at: m.now.Add(d), seq: m.seq, f: f})
+}
+
+// every runs f now and then each period.
+func (m *simulation) every(d time.Duration, f func()) {
+	f()
+	m.after(d, func() { m.every(d, f) })
+}
+
+// service draws a service time: 20 to 60 ms, five times that for one work in 50.
+func (m *simulation) service() time.Duration {
+	d := time.Duration(20_000+m.r.IntN(40_001)) * time.Microsecond
+	if m.r.IntN(50) == 0 {
+		d *= 5
+	}
+	return d
+}
+
+func (m *simulation) run(p policy) result {
+	rate := m.load * float64(m.setting.targets*slots) / meanService.Seconds()
+	m.arrive(p, rate)
+	m.every(10*time.Millisecond, m.sample)
+	m.every(reportEvery, m.report)
+	end := epoch.Add(simLength)
+	for m.queue.Len() > 0 && m.queue[0].at.Before(end) {
+		e := heap.Pop(&m.queue).(event)
+		m.now = e.at
+		e.f()
+	}
+	return m.result
+}
+
+func (m *simulation) arrive(p policy, rate float64) {
+	m.after(time.Duration(m.r.ExpFloat64()/rate*float64(time.Second)), func() {
+		m.arrive(p, rate)
+		// Callers of a region gather at its first instance, which takes half of them or more.
+		region := m.r.IntN(m.setting.targets) % 3
+		entry := []int{0, 3, 5}[region]
+		if m.r.IntN(2) == 0 {
+			entry += 1 + m.r.IntN([]int{2, 1, 1}[region])
+		}
+		r := &request{account: m.account(), entry: entry, at: m.now}
+		if m.dead && entry == 0 {
+			// Callers use the next instance of their look-up answer.
+			r.entry = 1
+		}
+		if m.counts(r) {
+			m.result.sent++
+			m.result.offered[r.account]++
+		}
+		p.send(r)
+	})
+}
+
+func (m *simulation) account() int {
+	if !m.noisy {
+		return m.r.IntN(simAccounts)
+	}
+	return max(0, m.r.IntN(simAccounts+4)-4)
+}
+
+func (m *simulation) counts(r *request) bool {
+	return r.at.Sub(epoch) >= simWarmUp && r.at.Sub(epoch) < simLength-simDeadline
+}
+
+func (m *simulation) sample() {
+	if m.now.Sub(epoch) < simWarmUp {
+		return
+	}
+	for _, t := range m.targets {
+		m.result.busy += min(t.running, slots)
+	}
+	m.result.ticks += len(m.targets) * slots
+}
+
+func (m *simulation) report() {
+	for i, t := range m.targets {
+		t.reported = t.running + len(t.backlog)
+		if m.lying && i == 0 {
+			t.reported = 0
+		}
+	}
+}
+
+// served ends a request with a whole answer.
+func (m *simulation) served(r *request) {
+	if r.done {
+		return
+	}
+	r.done = true
+	if !m.counts(r) {
+		return
+	}
+	d := m.now.Sub(r.at)
+	if d > simDeadline {
+		m.refuse()
+		return
+	}
+	m.result.served++
+	m.result.ok[r.account]++
+	_ = m.result.latency.RecordValue(d.Microseconds())
+	_ = m.result.all.RecordValue(d.Microseconds())
+}
+
+func (m *simulation) refused(r *request) {
+	if !r.done && m.counts(r) {
+		m.refuse()
+	}
+	r.done = true
+}
+
+func (m *simulation) refuse() {
+	m.result.refused++
+	_ = m.result.all.RecordValue(simDeadline.Microseconds())
+}
+
+// deliver lets a work arrive at a target; reply is called there when it ends.
+func (m *simulation) deliver(i int, r *request, reply func(balancer.Outcome)) {
+	t := m.targets[i]
+	if t.running+len(t.backlog) >= slots {
+		m.result.overshoots++
+	}
+	work := func() {
+		t.running++
+		m.after(m.service(), func() {
+			t.running--
+			reply(balancer.Success)
+			m.next(t)
+		})
+	}
+	switch {
+	case t.running < slots:
+		work()
+	case m.sheds || len(t.backlog) >= targetBacklog:
+		m.result.wasted++
+		reply(balancer.Shed)
+	default:
+		t.backlog = append(t.backlog, func() {
+			if m.now.Sub(r.at) > simDeadline {
+				m.result.wasted++
+				reply(balancer.Timeout)
+				m.next(t)
+				return
+			}
+			work()
+		})
+	}
+}
+
+func (m *simulation) next(t *simTarget) {
+	if len(t.backlog) == 0 || t.running >= slots {
+		return
+	}
+	f := t.backlog[0]
+	t.backlog = t.backlog[1:]
+	f()
+}
+
+// independent entry instances choose a target of their region by the last reported load.
+type independent struct {
+	*simulation
+	// choices is the number of targets compared, 0 for all.
+	choices int
+	retries balancer.Bucket
+	retry   bool
+}
+
+func (p *independent) send(r *request) {
+	p.retries.Add(0.1)
+	p.try(r)
+}
+
+func (p *independent) try(r *request) {
+	best := -1
+	for n := 0; n < p.choices || p.choices == 0 && n < len(p.targets); n++ {
+		i := n
+		if p.choices > 0 {
+			i = p.r.IntN(len(p.targets))
+		}
+		switch t := p.targets[i]; {
+		case t.region != regionOf(r.entry):
+			if p.choices > 0 {
+				n--
+			}
+		case best < 0 || t.reported < p.targets[best].reported:
+			best = i
+		}
+	}
+	if p.signals && p.now.Sub(epoch) > simWarmUp {
+		// All health endpoints fail, and an instance that trusts them finds no target.
+		p.refused(r)
+		return
+	}
+	p.after(p.hop, func() {
+		p.deliver(best, r, func(o balancer.Outcome) { p.after(p.hop, func() { p.end(r, o) }) })
+	})
+}
+
+func (p *independent) end(r *request, o balancer.Outcome) {
+	if o == balancer.Success {
+		p.served(r)
+		return
+	}
+	r.tries++
+	if p.retry && r.tries <= 2 && p.now.Sub(r.at) < simDeadline && p.retries.Take(p.now, 1) {
+		p.try(r)
+		return
+	}
+	p.refused(r)
+}
+
+// owned is the design: one pool for each owner. With leased set, slots are split over all instances and not forwarded.
+type owned struct {
+	*simulation
+	leased  bool
+	pools   []*balancer.Pool
+	chooser []*balancer.Chooser
+	pending []map[balancer.ID]*pending
+}
+
+type pending struct {
+	r     *request
+	reply func(balancer.Outcome, balancer.Load)
+}
+
+func newOwned(m *simulation, leased bool) *owned {
+	p := &owned{simulation: m, leased: leased}
+	for i := range 7 {
+		c := balancer.NewChooser(balancer.ChooserConfig{Name: fmt.Sprint(i), Region: fmt.Sprint(regionOf(i)), Seed: uint64(i)})
+		var os []balancer.Owner
+		for j := range 7 {
+			os = append(os, balancer.Owner{Name: fmt.Sprint(j), Region: fmt.Sprint(regionOf(j))})
+		}
+		c.Adopt(os)
+		for r := range 3 {
+			c.Link(m.now, fmt.Sprint(r), m.link, 2)
+		}
+		p.chooser = append(p.chooser, c)
+		p.pools = append(p.pools, balancer.New(balancer.Config{ServiceTime: meanService, Reserve: 0.1}))
+		p.pending = append(p.pending, map[balancer.ID]*pending{})
+		p.adopt(i)
+	}
+	m.every(10*time.Millisecond, p.tick)
+	m.every(reportEvery, p.heartbeat)
+	if m.death {
+		m.after(simLength/2, p.kill)
+	}
+	return p
+}
+
+// adopt gives instance i its targets.
+func (p *owned) adopt(i int) {
+	var hs []balancer.Holding
+	for j, t := range p.targets {
+		n := p.share(i, j, t)
+		if n == 0 {
+			continue
+		}
+		h := balancer.Holding{Target: fmt.Sprint(j), Slots: n}
+		if p.dead && t.region == 0 {
+			// Works of the dead owner may run until their deadline, counted from the last time it may have started one.
+			h.Residues = []balancer.Residue{{Slots: balancer.AllSlots, Until: p.now.Add(simDeadline)}}
+		}
+		hs = append(hs, h)
+	}
+	_, a := p.pools[i].Adopt(p.now, hs)
+	p.apply(i, a)
+}
+
+// share is the number of slots of target j that instance i holds.
+func (p *owned) share(i, j int, t *simTarget) int {
+	if regionOf(i) != t.region {
+		return 0
+	}
+	first, n := []int{0, 3, 5}[t.region], []int{3, 2, 2}[t.region]
+	if !p.leased {
+		owner := first + j/3%n
+		if p.dead && owner == 0 {
+			owner = 1 + j/9%2
+		}
+		if owner == i {
+			return slots
+		}
+		return 0
+	}
+	m := 0
+	for s := range slots {
+		if first+(j/3*slots+s)%n == i {
+			m++
+		}
+	}
+	return m
+}
+
+func (p *owned) tick() {
+	for i := range p.pools {
+		if !p.dead || i != 0 {
+			p.apply(i, p.pools[i].Tick(p.now))
+		}
+	}
+	for i, pool := range p.pools {
+		for j := 0; p.signals && p.now.Sub(epoch) > simWarmUp && j < len(p.targets); j++ {
+			p.apply(i, pool.Observe(p.now, fmt.Sprint(j), balancer.Signal{}))
+		}
+		if p.lying {
+			p.apply(i, pool.Observe(p.now, "0", balancer.Signal{Healthy: true}))
+		}
+	}
+}
+
+func (p *owned) heartbeat() {
+	for i, c := range p.chooser {
+		for j, pool := range p.pools {
+			if i != j {
+				c.Report(p.now, fmt.Sprint(j), pool.Load(p.now))
+			}
+		}
+	}
+}
+
+// kill ends instance 0; the others learn of it after 1.5 s and own its targets 5 s after its death.
+func (p *owned) kill() {
+	p.dead = true
+	for _, w := range p.pending[0] {
+		p.refused(w.r)
+	}
+	p.after(1500*time.Millisecond, func() {
+		for _, c := range p.chooser {
+			var os []balancer.Owner
+			for j := range 6 {
+				os = append(os, balancer.Owner{Name: fmt.Sprint(j + 1), Region: fmt.Sprint(regionOf(j + 1))})
+			}
+			c.Adopt(os)
+		}
+	})
+	p.after(5*time.Second, func() {
+		p.adopt(1)
+		p.adopt(2)
+	})
+}
+
+func (p *owned) send(r *request) {
+	p.chooser[r.entry].Attempt()
+	p.forward(r)
+}
+
+func (p *owned) forward(r *request) {
+	c := p.chooser[r.entry]
+	c.Report(p.now, fmt.Sprint(r.entry), p.pools[r.entry].Load(p.now))
+	o, ok := c.Choose(p.now, 4096, r.tried...)
+	if p.leased {
+		o, ok = balancer.Owner{Name: fmt.Sprint(r.entry)}, len(r.tried) == 0
+	}
+	if !ok {
+		p.refused(r)
+		return
+	}
+	var i int
+	_, _ = fmt.Sscan(o.Name, &i)
+	d := p.distance(r.entry, i)
+	r.tried = append(r.tried, o.Name)
+	p.after(d, func() {
+		p.submit(i, r, func(x balancer.Outcome, l balancer.Load) {
+			p.after(d, func() {
+				c.Report(p.now, o.Name, l)
+				p.end(r, x)
+			})
+		})
+	})
+}
+
+func (p *owned) distance(a, b int) time.Duration {
+	switch {
+	case a == b:
+		return 0
+	case regionOf(a) == regionOf(b):
+		return p.hop
+	}
+	return p.far
+}
+
+func (p *owned) end(r *request, o balancer.Outcome) {
+	if o == balancer.Success {
+		p.served(r)
+		return
+	}
+	r.tries++
+	x := &responder.Refusal{Ran: responder.NotRun}
+	if !r.done && p.chooser[r.entry].Retry(p.now, x, r.tries-1, r.at.Add(simDeadline)) {
+		p.forward(r)
+		return
+	}
+	p.refused(r)
+}
+
+func (p *owned) submit(i int, r *request, reply func(balancer.Outcome, balancer.Load)) {
+	if p.dead && i == 0 {
+		// The connection is refused, so the request has not run.
+		reply(balancer.NotSent, balancer.Load{})
+		return
+	}
+	id, a := p.pools[i].Submit(p.now, balancer.Work{
+		Account: fmt.Sprint(r.account), Rate: 1,
+		Deadline: r.at.Add(simDeadline), Remote: regionOf(i) != regionOf(r.entry),
+	})
+	p.pending[i][id] = &pending{r: r, reply: reply}
+	p.apply(i, a)
+}
+
+func (p *owned) apply(i int, a balancer.Actions) {
+	for _, s := range a.Starts {
+		var j int
+		_, _ = fmt.Sscan(s.Target, &j)
+		p.after(p.hop, func() {
+			p.deliver(j, p.pending[i][s.ID].r, func(o balancer.Outcome) { p.after(p.hop, func() { p.finish(i, s.ID, o) }) })
+		})
+	}
+	for _, r := range a.Refused {
+		w := p.pending[i][r.ID]
+		delete(p.pending[i], r.ID)
+		w.reply(balancer.NotSent, p.pools[i].Load(p.now))
+	}
+}
+
+func (p *owned) finish(i int, id balancer.ID, o balancer.Outcome) {
+	if p.dead && i == 0 {
+		return
+	}
+	w := p.pending[i][id]
+	delete(p.pending[i], id)
+	p.apply(i, p.pools[i].Finish(p.now, id, o))
+	w.reply(o, p.pools[i].Load(p.now))
+}
--- a/balancer/target_test.go
+++ b/balancer/target_test.go
@@ -58,3 +58,28 @@
 	}
 	return n
 }
+
+// Guards against work sent to targets that cannot be reached, and against a return with all slots at once.
+func TestUnreachableTargetsAreEjectedAndReturn(t *testing.T) {
+	for _, c := range []struct {
+		outcome balancer.Outcome
+		needed  int
+	}{{balancer.ConnectFailure, 2}, {balancer.Crash, 1}} {
+		now := epoch
+		p := warm(balancer.Config{}, now, 1)
+		for range c.needed {
+			if suspects(p, now) != 0 {
+				t.Fatalf("outcome %d ejects after fewer than %d", c.outcome, c.needed)
+			}
+			_, a := p.Submit(now, balancer.Work{Deadline: now.Add(time.Second)})
+			p.Finish(now, a.Starts[0].ID, c.outcome)
+		}
+		_, a := p.Submit(now, balancer.Work{Deadline: now.Add(time.Minute)})
+		if suspects(p, now) != 1 || len(a.Refused) != 1 || a.Refused[0].Refusal.RetryAfter < time.Second {
+			t.Fatalf("outcome %d: %d suspects, refused %v", c.outcome, suspects(p, now), a.Refused)
+		}
+		if free := p.Load(now.Add(time.Second)).Free; free != 1 {
+			t.Fatalf("outcome %d: the target returns with %d slots", c.outcome, free)
+		}
+	}
+}
