--- a/balancer/pool.go
+++ b/balancer/pool.go
@@ -32,7 +32,7 @@
 
 func (c Config) withDefaults() Config {
 	if c.QueuePerSlot == 0 {
-		// With 8, p99 at 90 % load was half as long again and goodput at 120 % no higher (docs/measurements.d/balancer.md).
+		// With 8, p99 at 90 % load was 1.5 to 2 times as long and goodput at 120 % lower (docs/measurements.d/balancer.md).
 		c.QueuePerSlot = 4
 	}
 	if c.Grace == 0 {
