--- /dev/null
+++ b/launcher/operate_test.go
@@ -0,0 +1,158 @@
+package launcher_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"celeryhead.dev/celeryhead/composer"
+	"celeryhead.dev/celeryhead/launcher"
+)
+
+// operate runs the operators' command against the deployment and returns its output and exit code.
+func (s *system) operate(args ...string) (string, int) {
+	s.t.Helper()
+	a := []string{"--ca", s.Operator.Authority, "--cert", s.Operator.Certificate, "--key", s.Operator.Key}
+	for _, i := range s.Instances {
+		a = append(a, "--server", i.Operators.String())
+	}
+	c := exec.Command(filepath.Join(bin, "celeryhead"), append(a, args...)...)
+	var b bytes.Buffer
+	c.Stdout, c.Stderr = &b, &b
+	err := c.Run()
+	var x *exec.ExitError
+	if err != nil && !errors.As(err, &x) {
+		s.t.Fatal(err)
+	}
+	return b.String(), c.ProcessState.ExitCode()
+}
+
+// change edits the configuration and applies it.
+func (s *system) change(reason string, edit func(*composer.Config)) {
+	s.t.Helper()
+	edit(&s.Configuration)
+	var b bytes.Buffer
+	if err := composer.Print(&b, s.Configuration); err != nil {
+		s.t.Fatal(err)
+	}
+	p := filepath.Join(s.dir, "change.toml")
+	if err := os.WriteFile(p, b.Bytes(), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	if out, code := s.operate("apply", p, "--reason", reason); code != 0 {
+		s.t.Fatalf("apply: exit code %d: %s", code, out)
+	}
+}
+
+// ticket asks an instance for a ticket.
+func (s *system) ticket(i *launcher.Instance) string {
+	s.t.Helper()
+	a := s.send(i, order{method: http.MethodPost, path: "/v1/tickets", account: "almaty-markets"})
+	var k struct {
+		Ticket string `json:"ticket"`
+	}
+	if err := json.Unmarshal([]byte(a.body), &k); err != nil || k.Ticket == "" {
+		s.t.Fatalf("ticket: %v: %s", a, a.body)
+	}
+	return k.Ticket
+}
+
+// follow reads through the first instance of a look-up answer; the answer is used once.
+func (s *system) follow(r *rand.Rand, id string) []sending {
+	var l struct {
+		Instances []struct {
+			Address netip.AddrPort `json:"address"`
+		} `json:"instances"`
+	}
+	a := s.send(s.pick(r), order{method: http.MethodGet, path: fmt.Sprintf("/v1/lookup?address=10.%d.%d.1", 1+r.IntN(3), 1+r.IntN(8))})
+	if a.err != nil {
+		// The instance that was asked is gone; the caller asks another one.
+		return nil
+	}
+	if err := json.Unmarshal([]byte(a.body), &l); err != nil || len(l.Instances) == 0 {
+		s.t.Errorf("look-up: %v: %s", a, a.body)
+		return nil
+	}
+	i := s.ByAddress(l.Instances[0].Address)
+	return []sending{s.send(i, order{method: http.MethodGet, path: "/permits/1?repeat=200", account: "almaty-markets", key: id})}
+}
+
+// Guards the operators' command against the running system: what it says must be what the instances do.
+func TestOperatorsCommand(t *testing.T) {
+	s := start(t, launcher.Config{})
+	file := filepath.Join(s.dir, "configuration.toml")
+	Convey("Given a running deployment with version 1", t, func() {
+		Convey("an operator's commands work one after another", func() {
+			out, code := s.operate("check", file)
+			So(code, ShouldEqual, 0)
+			out, code = s.operate("status")
+			So(code, ShouldEqual, 0)
+			So(out, ShouldContainSubstring, s.Instances[6].Name)
+			out, code = s.operate("key", "issue", "winter-fair", "second", "--reason", "new stall")
+			So(code, ShouldEqual, 0)
+			secret := ""
+			for f := range strings.FieldsSeq(out) {
+				if strings.HasPrefix(f, "ch_winter-fair_second_") {
+					secret = f
+				}
+			}
+			So(secret, ShouldNotBeBlank)
+			for _, i := range s.Instances {
+				a := s.send(i, order{method: http.MethodGet, path: "/permits/1", header: http.Header{"X-Api-Key": {secret}}})
+				So(a.reason, ShouldNotEqual, "key_invalid")
+			}
+			out, code = s.operate("key", "withdraw", "winter-fair", "second", "--reason", "stall closed")
+			So(code, ShouldEqual, 0)
+			for _, i := range s.Instances {
+				a := s.send(i, order{method: http.MethodGet, path: "/permits/1", header: http.Header{"X-Api-Key": {secret}}})
+				So(a.reason, ShouldEqual, "key_invalid")
+			}
+			out, code = s.operate("plan", file)
+			So(code, ShouldEqual, 0)
+			out, code = s.operate("rollback", "2", "--restore-keys", "--reason", "practice")
+			So(code, ShouldEqual, 0)
+			out, code = s.operate("audit", "--json")
+			So(code, ShouldEqual, 0)
+			for _, w := range []string{"new stall", "stall closed", "practice", "key_withdraw", "demo"} {
+				So(w, ShouldBeIn, found(out, w))
+			}
+			So(strings.Contains(out, secret), ShouldBeFalse)
+			_, code = s.operate("check", filepath.Join(s.dir, "authority.pem"))
+			So(code, ShouldEqual, 1)
+		})
+	})
+}
+
+// found returns the words that out holds, so that a failure does not print all of out.
+func found(out string, words ...string) []string {
+	return slices.DeleteFunc(words, func(w string) bool { return !strings.Contains(out, w) })
+}
+
+// Guards the listeners of peers and operators against strangers.
+func TestStrangersGetNothing(t *testing.T) {
+	s := start(t, launcher.Config{Instances: 3})
+	i := s.Instances[0]
+	for _, a := range []netip.AddrPort{i.Peers, i.Operators} {
+		for _, scheme := range []string{"http", "https"} {
+			p, err := s.client.Get(scheme + "://" + a.String() + "/twirp/celeryhead.messenger.Operator/Status")
+			if err == nil {
+				_ = p.Body.Close()
+				if p.StatusCode < http.StatusBadRequest {
+					t.Errorf("%s://%v answered a stranger with status %d", scheme, a, p.StatusCode)
+				}
+			}
+		}
+	}
+}
--- a/server/forward.go
+++ b/server/forward.go
@@ -27,7 +27,7 @@
 			return a, f
 		}
 		last = f
-		if !s.choosers.retry(c, s.clock(), len(tried)) {
+		if !s.choosers.retry(c, f, s.clock(), len(tried)) {
 			return nil, last
 		}
 		tried = append(tried, o.name)
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -34,7 +34,7 @@
 	}
 	for _, o := range s.pools.all() {
 		l := o.Load()
-		m.Pools[o.config.Name] = meter.Pool{Slots: l.Slots, Free: l.Free, Queued: l.Queued}
+		m.Pools[o.name] = meter.Pool{Slots: l.Slots, Free: l.Free, Queued: l.Queued}
 	}
 	for n, c := range map[string]attester.Scope{"fleet": attester.Fleet, "region": attester.Region} {
 		m.ProofAges[n] = s.control.ProofAge(c, now)
--- a/server/pools.go
+++ b/server/pools.go
@@ -29,6 +29,8 @@
 // ownedPool is the part of a pool that this instance owns.
 type ownedPool struct {
 	*balancer.Dispatcher
+	name string
+	// config and holding belong to Reassign.
 	config  composer.Pool
 	holding map[string]balancer.Holding
 	stop    context.CancelFunc
@@ -79,7 +81,7 @@
 		}
 	}
 	for _, o := range p.all() {
-		if _, ok := v.Pools[o.config.Name]; !ok && o.adopt(nil) {
+		if _, ok := v.Pools[o.name]; !ok && o.adopt(nil) {
 			changed = true
 		}
 	}
@@ -104,7 +106,7 @@
 		return o
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	o = &ownedPool{Dispatcher: balancer.NewDispatcher(k, p.server.clock), config: c, stop: cancel}
+	o = &ownedPool{Dispatcher: balancer.NewDispatcher(k, p.server.clock), name: c.Name, config: c, stop: cancel}
 	go o.Run(ctx)
 	p.pools[c.Name] = o
 	return o
@@ -188,7 +190,7 @@
 		l := o.Load()
 		if l.Slots > 0 || l.Queued > 0 {
 			b.Loads = append(b.Loads, &messenger.PoolLoad{
-				Pool:   o.config.Name,
+				Pool:   o.name,
 				Slots:  uint32(l.Slots),  //nolint:gosec // Counts of slots are small.
 				Free:   uint32(l.Free),   //nolint:gosec // Counts of slots are small.
 				Queued: uint32(l.Queued), //nolint:gosec // Queues are bounded.
--- a/server/probes.go
+++ b/server/probes.go
@@ -38,7 +38,7 @@
 	v := s.control.View()
 	var g sync.WaitGroup
 	for _, o := range s.pools.all() {
-		p := v.Pools[o.config.Name]
+		p := v.Pools[o.name]
 		if p.HealthPath == "" {
 			continue
 		}
