Let the limiter regain yield that a late report made it lose

Tokens that were spent but not yet reported count as outstanding, so a part that seemed full lost its yield until the report came: callers within their rate were refused wrongly. The owner now remembers the lost spans for one grant life and regains them when a report states when the tokens were spent. Reports no longer hold up the next ask, several asks may be under way, unspent tokens are returned, and the first share has a whole burst.

--- a/limiter/amount.go
+++ b/limiter/amount.go
@@ -11,8 +11,11 @@
 // GrantLife is how long a grant may be spent, from the sending of its ask.
 const GrantLife = 500 * time.Millisecond
 
-// ownerLife is how long an owner counts a grant as outstanding: clocks of two machines may differ in rate by up to 0.5 %.
-const ownerLife = GrantLife + GrantLife/200
+// driftShare bounds the difference in rate between the clocks of two machines: a 200th.
+const driftShare = 200
+
+// ownerLife is how long an owner counts a grant as outstanding.
+const ownerLife = GrantLife + GrantLife/driftShare
 
 // minSplitBurst is the burst below which a bucket is not divided: each share must be able to hold a whole token.
 const minSplitBurst = 2 * Token
@@ -25,13 +28,14 @@
 	Burst int64
 }
 
-// Shares divides a bucket with the rate in tokens per second and the burst in tokens.
+// Shares divides a bucket with the rate in tokens per second and the burst in tokens. The first share of the burst is
+// whole, since two halves of a token in two shares cannot be spent.
 func Shares(rate, burst float64) []Share {
 	s := Share{Rate: int64(rate * float64(Token)), Burst: int64(burst * float64(Token))}
 	if s.Burst < minSplitBurst {
 		return []Share{s}
 	}
-	half := Share{Rate: s.Rate / 2, Burst: s.Burst / 2}
+	half := Share{Rate: s.Rate / 2, Burst: s.Burst / 2 / Token * Token}
 	return []Share{half, {Rate: s.Rate - half.Rate, Burst: s.Burst - half.Burst}}
 }
 
@@ -75,3 +79,12 @@
 	}
 	return time.Duration(q)
 }
+
+// durationOf returns the time, rounded down, in which the rate yields the amount.
+func durationOf(rate, amount int64) time.Duration {
+	d := timeFor(rate, amount)
+	if n, _ := accrue(rate, d, 0); n > amount {
+		d--
+	}
+	return d
+}
--- a/limiter/holder.go
+++ b/limiter/holder.go
@@ -13,7 +13,7 @@
 	// DefaultReportAfter is how long spent tokens stay unreported while nothing is asked for.
 	DefaultReportAfter = 100 * time.Millisecond
 	// DefaultPatience is the longest RetryAfter for which requests should wait rather than be refused.
-	DefaultPatience = 100 * time.Millisecond
+	DefaultPatience = 200 * time.Millisecond
 	// DefaultReach is the time of demand that a grant covers beyond the round trip.
 	DefaultReach = 50 * time.Millisecond
 )
@@ -56,21 +56,25 @@
 	sequence uint64
 	// grants is in order of sending.
 	grants []held
-	// pending is the ask without answer, if sent is not zero.
-	pending Ask
-	sent    time.Time
-	// asked is when the last ask was sent.
+	// pending holds the asks for tokens without answer.
+	pending []pending
+	// asked is when the last ask for tokens was sent.
 	asked time.Time
 	// empty is the time until which asking gains nothing.
 	empty     time.Time
 	roundTrip time.Duration
 }
 
+type pending struct {
+	ask  Ask
+	sent time.Time
+}
+
 type held struct {
 	sequence              uint64
 	size, spent, returned int
-	lapses                time.Time
-	// changed is when tokens were first spent or returned that no answered ask has reported, or zero.
+	lapses, lastSpent     time.Time
+	// changed is when the first tokens were spent or returned that no ask has reported, or zero.
 	changed time.Time
 }
 
@@ -109,6 +113,7 @@
 		return false
 	}
 	best.spent++
+	best.lastSpent = now
 	best.change(now)
 	return true
 }
@@ -120,16 +125,17 @@
 	need := h.need(now, waiting)
 	for i := range h.parts {
 		s := &h.parts[i]
-		if !s.sent.IsZero() || now.Sub(s.asked) < h.config.Interval {
-			continue
-		}
-		if need > 0 && !now.Before(s.empty) {
-			return s.ask(now, need), true
+		if need > 0 && !now.Before(s.empty) && now.Sub(s.asked) >= h.config.Interval {
+			s.asked = now
+			a := s.ask(now, need)
+			s.pending = append(s.pending, pending{ask: a, sent: now})
+			return a, true
 		}
 		if !h.config.KeepUnspent {
 			h.giveBack(s, now)
 		}
 		if s.unreported(now.Add(-h.config.ReportAfter)) {
+			// Nothing waits for the answer; if the ask is lost, the owner counts the tokens until they lapse.
 			return s.ask(now, 0), true
 		}
 	}
@@ -138,48 +144,57 @@
 
 // Answer takes over a grant; an answer to an ask that was given up is ignored.
 func (h *Holder) Answer(now time.Time, r Reply) {
-	s := h.source(r.Part)
-	if s == nil || s.sent.IsZero() || r.Sequence != s.pending.Sequence {
+	s, p, ok := h.settle(r.Part, r.Sequence)
+	if !ok {
 		return
 	}
-	s.roundTrip = (3*s.roundTrip + now.Sub(s.sent)) / 4
+	s.roundTrip = (3*s.roundTrip + now.Sub(p.sent)) / 4
 	if r.Tokens > 0 {
-		s.grants = append(s.grants, held{sequence: r.Sequence, size: r.Tokens, lapses: s.sent.Add(GrantLife)})
+		s.grants = append(s.grants, held{sequence: r.Sequence, size: r.Tokens, lapses: p.sent.Add(GrantLife)})
 	}
-	if r.Tokens < s.pending.Tokens {
+	if r.Tokens < p.ask.Tokens {
 		s.empty = now.Add(r.RetryAfter)
 	}
-	for _, p := range s.pending.Reports {
-		s.confirm(p)
-	}
-	s.sent = time.Time{}
 }
 
 // Fail gives an ask up. Should it have been granted after all, the next ask returns the grant.
 func (h *Holder) Fail(now time.Time, a Ask) {
-	s := h.source(a.Part)
-	if s == nil || s.sent.IsZero() || a.Sequence != s.pending.Sequence {
+	s, p, ok := h.settle(a.Part, a.Sequence)
+	if !ok {
 		return
 	}
-	if a.Tokens > 0 {
-		lost := held{sequence: a.Sequence, size: a.Tokens, returned: a.Tokens, lapses: s.sent.Add(GrantLife)}
-		lost.change(now)
-		s.grants = append(s.grants, lost)
-	}
+	lost := held{sequence: a.Sequence, size: a.Tokens, returned: a.Tokens, lapses: p.sent.Add(GrantLife)}
+	lost.change(now)
+	s.grants = append(s.grants, lost)
 	s.empty = now.Add(unreachableFor)
-	s.sent = time.Time{}
+}
+
+// settle takes an ask from those without answer.
+func (h *Holder) settle(part int, sequence uint64) (*source, pending, bool) {
+	for i := range h.parts {
+		s := &h.parts[i]
+		if s.part != part {
+			continue
+		}
+		for j, p := range s.pending {
+			if p.ask.Sequence == sequence {
+				s.pending = slices.Delete(s.pending, j, j+1)
+				return s, p, true
+			}
+		}
+	}
+	return nil, pending{}, false
 }
 
 // Hopeless reports whether the newest of the requests that wait should be refused, and after what time its caller may
 // send it again. The caller asks again with one request less until the answer is false.
 func (h *Holder) Hopeless(now time.Time, waiting int) (time.Duration, bool) {
+	if h.asked() >= waiting {
+		return 0, false
+	}
 	wait := time.Duration(math.MaxInt64)
 	for i := range h.parts {
-		s := &h.parts[i]
-		if !s.sent.IsZero() && s.pending.Tokens >= waiting {
-			return 0, false
-		}
-		wait = min(wait, max(0, s.empty.Sub(now)))
+		wait = min(wait, max(0, h.parts[i].empty.Sub(now)))
 	}
 	if h.config.Rate > 0 && len(h.parts) > 0 {
 		wait += time.Duration(float64(waiting-1) / h.config.Rate * float64(time.Second))
@@ -198,6 +213,17 @@
 	return n
 }
 
+// asked returns the number of tokens in asks without answer.
+func (h *Holder) asked() int {
+	n := 0
+	for i := range h.parts {
+		for _, p := range h.parts[i].pending {
+			n += p.ask.Tokens
+		}
+	}
+	return n
+}
+
 // need returns the number of tokens to ask for: what waits and what is likely to come until the next grant can be there.
 func (h *Holder) need(now time.Time, waiting int) int {
 	rate := h.decayed(now) / demandMemory.Seconds()
@@ -205,12 +231,7 @@
 	for i := range h.parts {
 		trip = max(trip, h.parts[i].roundTrip)
 	}
-	inHand := h.Tokens(now)
-	for i := range h.parts {
-		if s := &h.parts[i]; !s.sent.IsZero() {
-			inHand += s.pending.Tokens
-		}
-	}
+	inHand := h.Tokens(now) + h.asked()
 	low := waiting + int(rate*trip.Seconds())
 	if inHand >= low && waiting <= inHand {
 		return 0
@@ -221,7 +242,7 @@
 
 // giveBack returns the tokens of grants that lapse before a new grant could replace them, if demand will not use them.
 func (h *Holder) giveBack(s *source, now time.Time) {
-	spare := h.Tokens(now) - int(math.Ceil(h.decayed(now)/demandMemory.Seconds()*(s.roundTrip+h.config.Reach).Seconds()))
+	spare := h.Tokens(now) - int(math.Round(h.decayed(now)/demandMemory.Seconds()*(s.roundTrip+h.config.Reach).Seconds()))
 	for i := range s.grants {
 		g := &s.grants[i]
 		soon := g.lapses.Sub(now) < GrantLife/2
@@ -246,24 +267,18 @@
 	return h.demand * math.Exp(-now.Sub(h.noted).Seconds()/demandMemory.Seconds())
 }
 
-func (h *Holder) source(part int) *source {
-	for i := range h.parts {
-		if h.parts[i].part == part {
-			return &h.parts[i]
-		}
-	}
-	return nil
-}
-
+// ask makes an ask with all changes that have not been reported.
 func (s *source) ask(now time.Time, tokens int) Ask {
 	s.sequence++
 	a := Ask{Part: s.part, Sequence: s.sequence, Tokens: tokens}
-	for _, g := range s.grants {
-		if !g.changed.IsZero() {
-			a.Reports = append(a.Reports, Report{Sequence: g.sequence, Spent: g.spent, Returned: g.returned})
+	for i := range s.grants {
+		g := &s.grants[i]
+		if g.changed.IsZero() {
+			continue
 		}
+		a.Reports = append(a.Reports, Report{Sequence: g.sequence, Spent: g.spent, Returned: g.returned, Age: now.Sub(g.lastSpent)})
+		g.changed = time.Time{}
 	}
-	s.pending, s.sent, s.asked = a, now, now
 	return a
 }
 
@@ -272,16 +287,6 @@
 	return slices.ContainsFunc(s.grants, func(g held) bool { return !g.changed.IsZero() && !g.changed.After(t) })
 }
 
-// confirm notes that the owner knows the report.
-func (s *source) confirm(r Report) {
-	for i := range s.grants {
-		g := &s.grants[i]
-		if g.sequence == r.Sequence && g.spent == r.Spent && g.returned == r.Returned {
-			g.changed = time.Time{}
-		}
-	}
-}
-
 func (g *held) left(now time.Time) int {
 	if !now.Before(g.lapses) {
 		return 0
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -114,6 +114,17 @@
 	}
 }
 
+// checkLeaks demands that a part is full again once all grants have lapsed.
+func (w *world) checkLeaks(t *rapid.T) {
+	w.now = w.now.Add(time.Minute)
+	for i, s := range limiter.Shares(w.rate, w.burst) {
+		r := w.parts[i].Grant(w.now, limiter.HolderID{Name: "last"}, limiter.Ask{Part: i, Sequence: 1, Tokens: 100})
+		if want := int(s.Burst / limiter.Token); r.Tokens != want {
+			t.Fatalf("part %d grants %d after a pause, want %d", i, r.Tokens, want)
+		}
+	}
+}
+
 // take removes element i of s unless it is kept to be delivered once more.
 func take[T any](s *[]T, i int, keep bool) T {
 	v := (*s)[i]
@@ -137,6 +148,7 @@
 				w.step(t)
 			}
 			w.check(t)
+			w.checkLeaks(t)
 		}))
 	}
 }
@@ -237,6 +249,52 @@
 	}
 }
 
+// Guards against yield that was lost while the part seemed full and is regained twice, or beyond what was spent.
+func TestLostYieldIsRegainedOnce(t *testing.T) {
+	const burst = 4
+	share := limiter.Share{Rate: 10 * limiter.Token, Burst: burst * limiter.Token}
+	a, b := limiter.HolderID{Name: "a"}, limiter.HolderID{Name: "b"}
+	spent := func(sequence uint64, n int, age time.Duration) limiter.Ask {
+		return limiter.Ask{Sequence: sequence, Reports: []limiter.Report{{Sequence: 1, Spent: n, Age: age}}}
+	}
+	// One token is lost in 105 ms; two reports of one token each regain it once.
+	p := limiter.NewPart(limiter.PartConfig{Share: share, Active: start})
+	now := start.Add(time.Minute)
+	p.Grant(now, a, limiter.Ask{Sequence: 1, Tokens: 2})
+	now = now.Add(105 * time.Millisecond)
+	p.Grant(now, a, spent(2, 1, 105*time.Millisecond))
+	p.Grant(now, a, spent(3, 2, 105*time.Millisecond))
+	if r := p.Grant(now, b, limiter.Ask{Sequence: 1, Tokens: burst}); r.Tokens != 3 {
+		t.Errorf("granted %d after two reports, want 3", r.Tokens)
+	}
+	// Five tokens are lost until the grant of the first holder lapses, but only one token of the second was spent.
+	p = limiter.NewPart(limiter.PartConfig{Share: share, Active: start})
+	now = start.Add(time.Minute)
+	p.Grant(now, a, limiter.Ask{Sequence: 1, Tokens: 3})
+	p.Grant(now.Add(time.Millisecond), b, limiter.Ask{Sequence: 1, Tokens: 1})
+	now = now.Add(503 * time.Millisecond)
+	p.Grant(now, b, spent(2, 1, 502*time.Millisecond))
+	if r := p.Grant(now, a, limiter.Ask{Sequence: 2, Tokens: burst}); r.Tokens != 1 {
+		t.Errorf("granted %d after a lapse, want 1", r.Tokens)
+	}
+}
+
+// Guards against a report that makes the last token look as old as the first one spent.
+func TestReportStatesAgeOfLastSpending(t *testing.T) {
+	w := newWorld(10, 8, 1)
+	w.now = w.now.Add(time.Minute)
+	w.send(0, 2)
+	w.answer(w.deliver(w.asks[0]))
+	w.spend(0, 1)
+	w.now = w.now.Add(60 * time.Millisecond)
+	w.spend(0, 1)
+	w.now = w.now.Add(limiter.DefaultReportAfter - 60*time.Millisecond)
+	a, ok := w.holders[0].Next(w.now, 0)
+	if want := limiter.DefaultReportAfter - 60*time.Millisecond; !ok || len(a.Reports) != 1 || a.Reports[0].Age != want {
+		t.Fatalf("ask %+v, want a report with age %v", a, want)
+	}
+}
+
 // Guards against rounding: asking often must not move the time at which a token is there.
 func TestFractionalRatesDoNotDrift(t *testing.T) {
 	for _, rate := range []float64{0.0003, 1.0 / 3, 0.7, 7.3} {
--- a/limiter/part.go
+++ b/limiter/part.go
@@ -29,6 +29,8 @@
 	Sequence uint64
 	Spent    int
 	Returned int
+	// Age is the time since the last of the spent tokens was spent.
+	Age time.Duration
 }
 
 // Reply answers an Ask.
@@ -56,9 +58,11 @@
 	outstanding int64
 	// last is when tokens were last added.
 	last time.Time
+	// lost holds the spans of the last ownerLife in which the part was full and what its rate yielded was lost.
+	lost []span
 	// grants is in order of lapse, since all grants live equally long.
 	grants *indexer.Table[grantKey, grant]
-	// newest holds the last reply to each holder, for repeated asks.
+	// newest holds the last reply to an ask of each holder for tokens, for repeated asks.
 	newest *indexer.Table[HolderID, answered]
 }
 
@@ -72,6 +76,10 @@
 	lapses                time.Time
 }
 
+type span struct {
+	from, to time.Time
+}
+
 type answered struct {
 	reply Reply
 	at    time.Time
@@ -91,7 +99,10 @@
 func (p *Part) Grant(now time.Time, h HolderID, a Ask) Reply {
 	p.advance(now)
 	for _, r := range a.Reports {
-		p.report(grantKey{h, r.Sequence}, r)
+		p.report(now, grantKey{h, r.Sequence}, r)
+	}
+	if a.Tokens <= 0 {
+		return Reply{Part: a.Part, Sequence: a.Sequence}
 	}
 	if n := p.newest.Get(h); n != nil && a.Sequence <= n.reply.Sequence {
 		if a.Sequence == n.reply.Sequence {
@@ -116,7 +127,7 @@
 // Adjust changes the share; what is outstanding stays so.
 func (p *Part) Adjust(now time.Time, s Share) {
 	p.advance(now)
-	p.share = s
+	p.share, p.lost = s, nil
 	p.limit()
 }
 
@@ -148,11 +159,55 @@
 		return
 	}
 	n, rem := accrue(p.share.Rate, now.Sub(p.last), p.rem)
+	if room := max(0, p.share.Burst-p.outstanding-p.tokens); n > room {
+		p.lose(now, durationOf(p.share.Rate, n-room))
+	}
 	p.rem, p.last = rem, now
 	p.tokens = min(n, p.share.Burst) + p.tokens
 	p.limit()
 }
 
+// lose notes that the yield of the last d was lost.
+func (p *Part) lose(now time.Time, d time.Duration) {
+	for len(p.lost) > 0 && now.Sub(p.lost[0].to) > ownerLife {
+		p.lost = p.lost[1:]
+	}
+	from := now.Add(-min(d, ownerLife))
+	if n := len(p.lost); n > 0 && !from.After(p.lost[n-1].to) {
+		p.lost[n-1].to = now
+		return
+	}
+	p.lost = append(p.lost, span{from, now})
+}
+
+// regain returns up to most nanotokens of what was lost since then. Tokens that were spent at that time left room that
+// the owner did not know of; each lost yield is regained at most once.
+func (p *Part) regain(since time.Time, most int64) int64 {
+	var got int64
+	var left []span
+	for _, s := range p.lost {
+		low := s.from
+		if since.After(low) {
+			low = since
+		}
+		if got >= most || !low.Before(s.to) {
+			left = append(left, s)
+			continue
+		}
+		if low.After(s.from) {
+			left = append(left, span{s.from, low})
+		}
+		n, _ := accrue(p.share.Rate, s.to.Sub(low), 0)
+		if n > most-got {
+			n = most - got
+			left = append(left, span{low.Add(timeFor(p.share.Rate, n)), s.to})
+		}
+		got += n
+	}
+	p.lost = left
+	return got
+}
+
 // limit keeps tokens and outstanding tokens together within the burst.
 func (p *Part) limit() {
 	if most := max(0, p.share.Burst-p.outstanding); p.tokens >= most {
@@ -161,17 +216,21 @@
 }
 
 // report takes over counts that are newer than the known ones.
-func (p *Part) report(k grantKey, r Report) {
+func (p *Part) report(now time.Time, k grantKey, r Report) {
 	g := p.grants.Get(k)
 	if g == nil {
 		return
 	}
-	before := g.held()
+	before, known := g.held(), g.spent
 	g.spent = max(g.spent, min(r.Spent, g.size-g.returned))
 	back := max(0, min(r.Returned, g.size-g.spent)-g.returned)
 	g.returned += back
 	p.outstanding += g.held() - before
 	p.tokens += int64(back) * Token
+	if n := g.spent - known; n > 0 {
+		// The holder's clock may run faster, which would make the age too large.
+		p.tokens += p.regain(now.Add(-(r.Age - r.Age/driftShare)), int64(n)*Token)
+	}
 	p.limit()
 }
 
