Let requests wait for a new owner, and prefer owners that serve

A rolling restart under load refused 1 request in 20 as no_owner: requests went to owners that wait for an earlier one, since these reported no load and an unknown load counted as half a free slot. Owners now report pools without slots, the chooser prefers owners that serve, and a request waits for an owner within its deadline. A started instance announces itself as joining until its first proof. The target stand-in refuses connections while it is down; before, the kernel accepted them and a crash looked like a broken connection.

--- a/balancer/chooser.go
+++ b/balancer/chooser.go
@@ -108,15 +108,17 @@
 	if o := c.owners.Get(c.c.Name); o != nil && o.weight(now) >= 1 && !slices.Contains(tried, o.Name) {
 		return o.Owner, true
 	}
-	if o := c.pair(now, c.candidates(tried, func(r string) bool { return r == c.c.Region })); o != nil {
-		return c.take(o), true
-	}
-	o := c.pair(now, c.candidates(tried, func(r string) bool { return r != c.c.Region && c.affords(now, r, size) }))
-	if o == nil {
-		return Owner{}, false
+	// An owner of another region that serves is better than one of this region that does not.
+	for _, serving := range []bool{true, false} {
+		if o := c.pair(now, c.candidates(now, tried, serving, func(r string) bool { return r == c.c.Region })); o != nil {
+			return c.take(o), true
+		}
+		if o := c.pair(now, c.candidates(now, tried, serving, func(r string) bool { return r != c.c.Region && c.affords(now, r, size) })); o != nil {
+			c.links.Get(o.Region).Take(now, float64(size))
+			return c.take(o), true
+		}
 	}
-	c.links.Get(o.Region).Take(now, float64(size))
-	return c.take(o), true
+	return Owner{}, false
 }
 
 // take counts the request against the report of o, so that not all requests follow one report.
@@ -130,22 +132,20 @@
 	return b != nil && b.Has(now, float64(size))
 }
 
-// candidates returns the owners in regions for which f is true; suspects only if there is nobody else.
-func (c *Chooser) candidates(tried []string, f func(region string) bool) []*owner {
-	var good, bad []*owner
+// candidates returns the owners in regions for which f is true, either those that serve or those that are
+// suspect or report no slots, because they wait for an earlier owner.
+func (c *Chooser) candidates(now time.Time, tried []string, serving bool, f func(region string) bool) []*owner {
+	var r []*owner
 	for _, o := range c.owners.All() {
-		switch {
-		case slices.Contains(tried, o.Name) || !f(o.Region):
-		case o.Suspect:
-			bad = append(bad, o)
-		default:
-			good = append(good, o)
+		if !slices.Contains(tried, o.Name) && f(o.Region) && o.serves(now) == serving {
+			r = append(r, o)
 		}
 	}
-	if len(good) > 0 {
-		return good
-	}
-	return bad
+	return r
+}
+
+func (o *owner) serves(now time.Time) bool {
+	return !o.Suspect && (o.slots > 0 || now.Sub(o.reported) > reportAge)
 }
 
 // pair draws two candidates weighted by their free slots and returns the one with more room for its size.
--- a/controller/beats.go
+++ b/controller/beats.go
@@ -137,8 +137,12 @@
 // message returns the heartbeat that carries a contact; c.mu is held.
 func (c *Controller) message(k tracker.Contact, now time.Time) *messenger.Beat {
 	s := k.State.String()
-	if c.final {
+	switch {
+	case c.final:
 		s = stateStopped
+	case !c.served && k.State == tracker.Active:
+		// Until its first proof an instance would refuse the requests of callers that are sent to it.
+		s = tracker.Joining.String()
 	}
 	b := &messenger.Beat{
 		From:            toMember(c.config.Self),
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -71,8 +71,10 @@
 	assigner *assigner.Assigner
 	final    bool
 	// blank is true if the last read of the store found no heads row.
-	blank    bool
-	valid    [2]bool
+	blank bool
+	valid [2]bool
+	// served is true once the instance has held a proof of the fleet scope.
+	served   bool
 	lapsed   [2]time.Time
 	members  map[string]tracker.State
 	reports  map[string]report
@@ -324,6 +326,7 @@
 		return
 	}
 	c.valid[s] = v
+	c.served = c.served || v && s == attester.Fleet
 	n := scopeNames[s]
 	if v {
 		c.config.Log.ProofRegained(n, now.Sub(c.lapsed[s]))
--- a/emulator/target.go
+++ b/emulator/target.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
@@ -101,7 +102,7 @@
 	report   TargetReport
 	inFlight int
 	open     map[net.Conn]*atomic.Bool
-	down     time.Time
+	listener *targetListener
 	drained  time.Time
 	server   *http.Server
 }
@@ -119,8 +120,10 @@
 
 // Serve accepts connections on l until it is closed.
 func (t *Target) Serve(l net.Listener) error {
+	t.listener = &targetListener{Listener: l, address: l.Addr(), target: t, up: make(chan struct{})}
+	close(t.listener.up)
 	t.server = &http.Server{Handler: t.router, ReadHeaderTimeout: time.Minute}
-	if err := t.server.Serve(&targetListener{Listener: l, target: t}); !errors.Is(err, http.ErrServerClosed) {
+	if err := t.server.Serve(t.listener); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
@@ -267,8 +270,8 @@
 
 // crash breaks every connection and refuses new ones until the restart.
 func (t *Target) crash() {
+	t.listener.down(t.config.Restart)
 	t.mu.Lock()
-	t.down = time.Now().Add(t.config.Restart)
 	open := slices.Collect(maps.Keys(t.open))
 	t.mu.Unlock()
 	for _, c := range open {
@@ -330,19 +333,27 @@
 	return false
 }
 
-// targetListener counts connections, refuses those beyond the limit and lets them go silent.
+// targetListener counts connections, closes those beyond the limit, and refuses all while the target is down.
 type targetListener struct {
 	net.Listener
-	target *Target
+	address net.Addr
+	target  *Target
+
+	mu sync.Mutex
+	// up is closed while the target accepts connections.
+	up chan struct{}
 }
 
 // Accept returns the next connection that the target has room for.
 func (l *targetListener) Accept() (net.Conn, error) {
 	for {
-		c, err := l.Listener.Accept()
+		c, err := l.accept()
 		if err != nil {
 			return nil, err
 		}
+		if c == nil {
+			continue
+		}
 		if k := l.target.admit(c); k != nil {
 			return k, nil
 		}
@@ -354,10 +365,58 @@
 	}
 }
 
+// accept returns nil without an error if the target went down meanwhile.
+func (l *targetListener) accept() (net.Conn, error) {
+	l.mu.Lock()
+	up, k := l.up, l.Listener
+	l.mu.Unlock()
+	<-up
+	c, err := k.Accept()
+	if err == nil {
+		return c, nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.up != up || l.Listener != k {
+		return nil, nil
+	}
+	return nil, err
+}
+
+// down closes the listener, so that connections are refused, and opens it again after d.
+func (l *targetListener) down(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-l.up:
+	default:
+		return
+	}
+	l.up = make(chan struct{})
+	_ = l.Listener.Close()
+	time.AfterFunc(d, l.open)
+}
+
+func (l *targetListener) open() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var c net.ListenConfig
+	k, err := c.Listen(context.Background(), l.address.Network(), l.address.String())
+	if err != nil {
+		time.AfterFunc(retryListen, l.open)
+		return
+	}
+	l.Listener = k
+	close(l.up)
+}
+
+// retryListen is the pause before another try to listen, while another process holds the port.
+const retryListen = 50 * time.Millisecond
+
 func (t *Target) admit(c net.Conn) net.Conn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if time.Now().Before(t.down) || (t.config.Connections > 0 && len(t.open) >= t.config.Connections) {
+	if t.config.Connections > 0 && len(t.open) >= t.config.Connections {
 		return nil
 	}
 	k := &targetConn{Conn: c, target: t}
--- a/launcher/faults_test.go
+++ b/launcher/faults_test.go
@@ -215,7 +215,7 @@
 			blocked++
 		}
 		if b := s.send(s.Instances[k%7], order{method: http.MethodGet, path: "/permits/1", account: "almaty-markets"}); !b.answered() {
-			t.Errorf("another request of the account: %v", b)
+			t.Errorf("another request of the account: %v: %s", b, b.body)
 		}
 	}
 	n := 0
--- a/launcher/harness_test.go
+++ b/launcher/harness_test.go
@@ -240,10 +240,13 @@
 	s.t.Helper()
 	var all []emulator.Run
 	for n := range s.Targets {
-		r, err := s.Report(s.t.Context(), n)
-		if err != nil {
-			s.t.Fatal(err)
-		}
+		var r emulator.TargetReport
+		// A target that crashed accepts connections again after a second.
+		s.eventually(5*time.Second, func() bool {
+			var err error
+			r, err = s.Report(s.t.Context(), n)
+			return err == nil
+		})
 		if r.Shed > 0 || r.MaxInFlight > 3 {
 			s.t.Errorf("target %s: %d requests beyond its slots, at most %d in flight", n, r.Shed, r.MaxInFlight)
 		}
--- a/launcher/operate_test.go
+++ b/launcher/operate_test.go
@@ -77,8 +77,8 @@
 		} `json:"instances"`
 	}
 	a := s.send(s.pick(r), order{method: http.MethodGet, path: fmt.Sprintf("/v1/lookup?address=10.%d.%d.1", 1+r.IntN(3), 1+r.IntN(8))})
-	if a.err != nil {
-		// The instance that was asked is gone; the caller asks another one.
+	if a.err != nil || a.status != http.StatusOK {
+		// The instance that was asked is gone or has just started; the caller asks another one.
 		return nil
 	}
 	if err := json.Unmarshal([]byte(a.body), &l); err != nil || len(l.Instances) == 0 {
--- a/server/callers.go
+++ b/server/callers.go
@@ -10,7 +10,6 @@
 	"github.com/gorilla/mux"
 
 	"celeryhead.dev/celeryhead/responder"
-	"celeryhead.dev/celeryhead/steerer"
 )
 
 // discardLog drops what net/http writes about broken connections of strangers.
@@ -63,9 +62,10 @@
 	s.meter.Lookup()
 	v := s.control.View()
 	k := v.Steering.Answer(a, s.control.Live())
-	if len(k.Instances) == 0 {
-		// An instance that was just started knows no others yet; it can serve the caller itself.
-		k.Instances = []steerer.Instance{{Name: s.self.Name, Region: s.self.Region, Address: s.self.Caller}}
+	if len(k.Instances) == 0 || v.Heads.ConfigVersion == 0 {
+		// An instance that was just started knows neither the others nor the configuration yet.
+		s.refuse(w, stale())
+		return
 	}
 	o := lookupAnswer{ConfigVersion: v.Heads.ConfigVersion, Region: k.Region, TimeToLiveSeconds: k.TimeToLive.Seconds()}
 	for _, i := range k.Instances[:min(len(k.Instances), maxNamed)] {
--- a/server/entry.go
+++ b/server/entry.go
@@ -109,6 +109,9 @@
 		return c, f
 	}
 	v := s.control.View()
+	if v.Heads.ConfigVersion == 0 {
+		return c, stale()
+	}
 	t, found, allowed := v.Routes.Find(r.Method, r.URL.Path)
 	if !allowed {
 		return c, noRoute(found)
--- a/server/forward.go
+++ b/server/forward.go
@@ -13,8 +13,39 @@
 	"celeryhead.dev/celeryhead/responder"
 )
 
-// forward has a request run through an owner of its pool; a request that may have run is never sent again.
+// Pauses before a request asks again for an owner; they double from the first to the last.
+const (
+	firstOwnerPause = 25 * time.Millisecond
+	lastOwnerPause  = 400 * time.Millisecond
+)
+
+// forward has a request run through an owner of its pool; a request that may have run is never sent again. While
+// the targets of a pool change their owners a request waits for one within its deadline, because no load is the cause.
 func (s *Server) forward(ctx context.Context, c *call) (*forwarder.Answer, *responder.Refusal) {
+	for pause := firstOwnerPause; ; pause = min(2*pause, lastOwnerPause) {
+		a, f := s.forwardOnce(ctx, c)
+		if f == nil || f.Reason != responder.NoOwner || !c.body.whole() {
+			return a, f
+		}
+		if c.deadline.Sub(s.clock()) < 2*pause || !sleep(ctx, pause) {
+			return nil, f
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// forwardOnce offers a request to one owner, and to others as far as the retry policy allows.
+func (s *Server) forwardOnce(ctx context.Context, c *call) (*forwarder.Answer, *responder.Refusal) {
 	var tried []string
 	last := noOwner()
 	for {
--- a/server/pools.go
+++ b/server/pools.go
@@ -188,14 +188,13 @@
 	b.Rate = p.server.started.perSecond(now)
 	for _, o := range p.all() {
 		l := o.Load()
-		if l.Slots > 0 || l.Queued > 0 {
-			b.Loads = append(b.Loads, &messenger.PoolLoad{
-				Pool:   o.name,
-				Slots:  uint32(l.Slots),  //nolint:gosec // Counts of slots are small.
-				Free:   uint32(l.Free),   //nolint:gosec // Counts of slots are small.
-				Queued: uint32(l.Queued), //nolint:gosec // Queues are bounded.
-			})
-		}
+		// A pool without slots is reported too, so that requests do not go to an owner that waits for an earlier one.
+		b.Loads = append(b.Loads, &messenger.PoolLoad{
+			Pool:   o.name,
+			Slots:  uint32(l.Slots),  //nolint:gosec // Counts of slots are small.
+			Free:   uint32(l.Free),   //nolint:gosec // Counts of slots are small.
+			Queued: uint32(l.Queued), //nolint:gosec // Queues are bounded.
+		})
 		for _, r := range o.Residues() {
 			b.Residues = append(b.Residues, &messenger.Residue{
 				Target:      r.Target,
