--- a/limiter/allowance_test.go
+++ b/limiter/allowance_test.go
@@ -152,3 +152,36 @@
 		}
 	})
 }
+
+// TestAllowanceAfterPause guards against a token that lapses while the process is paused before its request starts.
+func TestAllowanceAfterPause(t *testing.T) {
+	// calls returns how often a Take reads the clock and asks for tokens, if the clock jumps at one reading.
+	calls := func(jump int) (readings, asks int) {
+		synctest.Test(t, func(t *testing.T) {
+			k := newLink(20*time.Millisecond, 10, 40)
+			var mu sync.Mutex
+			l := limiter.NewAllowance(limiter.AllowanceConfig{Asker: k, Clock: func() time.Time {
+				mu.Lock()
+				defer mu.Unlock()
+				readings++
+				if readings >= jump {
+					return time.Now().Add(limiter.GrantLife)
+				}
+				return time.Now()
+			}})
+			defer l.Close()
+			if r := l.Take(t.Context(), "kiln", time.Now().Add(time.Hour)); r != nil {
+				t.Fatal(r)
+			}
+			asks = k.asks[0] + k.asks[1]
+		})
+		return readings, asks
+	}
+	n, asks := calls(1 << 30)
+	if asks != 1 {
+		t.Fatalf("%d asks, want 1", asks)
+	}
+	if _, asks := calls(n); asks != 2 {
+		t.Fatalf("%d asks after a pause, want 2", asks)
+	}
+}
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/big"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -94,17 +95,34 @@
 	owners  [2]int
 	windows []*window
 	loans   []loan
+	late    []lateAsk
+	// open holds the asks whose replies are still accepted.
+	open    map[lender]uint64
+	lastAsk uint64
 	spent   int
 }
 
+// lender is one part as one process knows it.
+type lender struct {
+	part, holder, incarnation int
+}
+
+// lateAsk is a request for tokens under way.
+type lateAsk struct {
+	lender
+	q    limiter.Request
+	sent time.Time
+}
+
 // loan is a grant that its holder may spend at any time until it lapses.
 type loan struct {
+	lender
 	tokens int
 	lapse  time.Time
 }
 
 func newFleet(t *testing.T, r *rand.Rand) *fleet {
-	f := &fleet{t: t, r: r, now: epoch, owners: [2]int{-1, -1}}
+	f := &fleet{t: t, r: r, now: epoch, owners: [2]int{-1, -1}, open: map[lender]uint64{}}
 	f.limits = f.drawLimits()
 	f.windows = []*window{{start: epoch, at: epoch, level: new(big.Int), burst: f.burst()}}
 	for i := range f.machines {
@@ -392,25 +410,62 @@
 	}
 }
 
-// borrow takes tokens from the owner of a part directly.
+// borrow asks for tokens of a part for one of four processes, two of which have the same name.
 func (f *fleet) borrow() {
-	p := f.r.IntN(2)
-	if f.owners[p] < 0 {
+	k := lender{part: f.r.IntN(2), holder: f.r.IntN(2), incarnation: f.r.IntN(2)}
+	f.lastAsk++
+	f.open[k] = f.lastAsk
+	q := limiter.Request{Holder: fmt.Sprint(k.holder), Incarnation: uint64(k.incarnation), Ask: f.lastAsk, Tokens: pick(f.r, []int{1, 3, 40})}
+	for _, l := range f.loans {
+		if l.lender == k && f.now.Before(l.lapse) {
+			q.Held += l.tokens
+		}
+	}
+	f.late = append(f.late, lateAsk{lender: k, q: q, sent: f.now})
+	if f.r.IntN(2) == 0 {
+		f.lend(len(f.late) - 1)
+	}
+}
+
+// arrive handles any ask under way, which may be an old one, or arrive again later.
+func (f *fleet) arrive() {
+	if len(f.late) > 0 {
+		f.lend(f.r.IntN(len(f.late)))
+	}
+}
+
+func (f *fleet) lend(i int) {
+	a := f.late[i]
+	if f.r.IntN(4) > 0 {
+		f.late = append(f.late[:i], f.late[i+1:]...)
+	}
+	if f.owners[a.part] < 0 {
 		return
 	}
-	o := f.machines[f.owners[p]]
-	r := o.owner.Grant(f.clock(o), "kiln", p, limiter.Request{Holder: "loan", Tokens: pick(f.r, []int{1, 3, 40})})
-	f.loans = append(f.loans, loan{tokens: r.Tokens, lapse: f.now.Add(r.Life)})
+	o := f.machines[f.owners[a.part]]
+	r := o.owner.Grant(f.clock(o), "kiln", a.part, a.q)
+	// The process accepts the first reply to its latest ask only.
+	if f.open[a.lender] == a.q.Ask {
+		f.open[a.lender] = 0
+		f.loans = append(f.loans, loan{lender: a.lender, tokens: r.Tokens, lapse: a.sent.Add(r.Life)})
+	}
 }
 
-// cash spends borrowed tokens at one moment, the worst use that holders can make of them.
+// cash spends borrowed tokens at one moment, the worst use that holders can make of them, or some of them.
 func (f *fleet) cash() {
-	for _, l := range f.loans {
+	some := f.r.IntN(3) > 0
+	for i := range f.loans {
+		l := &f.loans[i]
+		n := l.tokens
+		if some {
+			n = f.r.IntN(n + 1)
+		}
 		if f.now.Before(l.lapse) {
-			f.spend(l.tokens)
+			f.spend(n)
+			l.tokens -= n
 		}
 	}
-	f.loans = nil
+	f.loans = slices.DeleteFunc(f.loans, func(l loan) bool { return l.tokens == 0 || !f.now.Before(l.lapse) })
 }
 
 func (f *fleet) stepOwners() {
@@ -423,17 +478,19 @@
 		f.configure()
 	case n < 25:
 		f.cash()
-	case n < 65:
+	case n < 55:
 		f.pass()
+	case n < 75:
+		f.arrive()
 	default:
 		f.borrow()
 	}
 }
 
 // check generates runs and requires that tokens are spent in them.
-func check(t *testing.T, step func(*fleet)) {
+func check(t *testing.T, runs uint64, step func(*fleet)) {
 	spent := 0
-	for seed := *firstSeed; seed < *firstSeed+*runs; seed++ {
+	for seed := *firstSeed; seed < *firstSeed+runs; seed++ {
 		f := newFleet(t, rand.New(rand.NewPCG(seed, 0)))
 		f.seed = seed
 		f.assign()
@@ -443,8 +500,8 @@
 		}
 		spent += f.spent
 	}
-	t.Logf("%d tokens spent in %d runs", spent, *runs)
-	if spent < 10*int(*runs) {
+	t.Logf("%d tokens spent in %d runs", spent, runs)
+	if spent < 10*int(runs) {
 		t.Fatal("the runs spend too few tokens to prove anything")
 	}
 }
@@ -452,11 +509,11 @@
 // TestNeverAboveAllowance guards against more requests than rate and burst allow in any window, on the true timeline:
 // spending after a lapse, replies that count twice, and what TestOwnersNeverAboveAllowance guards against.
 func TestNeverAboveAllowance(t *testing.T) {
-	check(t, (*fleet).step)
+	check(t, *runs, (*fleet).step)
 }
 
 // TestOwnersNeverAboveAllowance guards against owners that forget grants, start early or with tokens, or give tokens
-// away when the configuration changes, whatever the holders do with their grants until they lapse.
+// away when the configuration changes, and against wrong use of what holders say, whatever they do with their grants until they lapse.
 func TestOwnersNeverAboveAllowance(t *testing.T) {
-	check(t, (*fleet).stepOwners)
+	check(t, 10**runs, (*fleet).stepOwners)
 }
--- a/limiter/part_test.go
+++ b/limiter/part_test.go
@@ -96,6 +96,48 @@
 	}
 }
 
+// TestSettle guards against counting held tokens in grants that lapse before them.
+func TestSettle(t *testing.T) {
+	p := limiter.NewPart(epoch.Add(-time.Hour), limiter.Limit{Rate: 1e12, Burst: 6e9})
+	at := func(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+	p.Grant(at(0), limiter.Request{Holder: "a", Ask: 1, Tokens: 2})
+	p.Grant(at(400), limiter.Request{Holder: "a", Ask: 2, Tokens: 2, Held: 2})
+	p.Grant(at(450), limiter.Request{Holder: "a", Ask: 3, Held: 2})
+	for _, c := range []struct{ ms, want int }{{499, 4}, {899, 0}, {950, 2}, {998, 0}, {1050, 4}} {
+		if n, _ := p.Grant(at(c.ms), limiter.Request{Holder: "b", Tokens: 6}); n != c.want {
+			t.Errorf("%d tokens after %d ms, want %d", n, c.ms, c.want)
+		}
+	}
+}
+
+// TestHeld guards against an owner that forgets tokens because the holder does not say that it still holds them.
+func TestHeld(t *testing.T) {
+	h, now := limiter.NewHolder(limiter.HolderConfig{}), epoch
+	granted, taken, told := 0, 0, 0
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		_, a := h.Take(now, "kiln", now.Add(time.Second))
+		for len(a.Asks) > 0 {
+			taken += len(a.Taken)
+			k := a.Asks[0]
+			if k.Part == 1 {
+				a = h.Failed(now, k)
+				continue
+			}
+			if k.Held != granted-taken {
+				t.Fatalf("%d tokens held, the owner is told %d", granted-taken, k.Held)
+			}
+			told += k.Held
+			granted += k.Tokens
+			a = h.Granted(now, k, limiter.Reply{Tokens: k.Tokens, Life: limiter.GrantLife})
+		}
+		taken += len(a.Taken)
+	}
+	if told == 0 {
+		t.Fatal("no ask was made while tokens were held")
+	}
+}
+
 // BenchmarkTakeOverloaded measures requests of an account at whose instance many wait.
 func BenchmarkTakeOverloaded(b *testing.B) {
 	h, now := limiter.NewHolder(limiter.HolderConfig{}), epoch
