--- a/limiter/doc.go
+++ b/limiter/doc.go
@@ -6,12 +6,16 @@
 // them locally, one for each request, until the grant lapses GrantLife after it
 // was asked for. The lapse is checked when a token is spent.
 //
-// A Part counts granted tokens as outstanding until they have lapsed, and keeps
+// A Part counts granted tokens as outstanding until they have lapsed, or until their
+// holder has said with a later request that it no longer holds them, and keeps
 // tokens + outstanding <= burst. What is spent in a window (t1, t2] was outstanding
 // at t1, or in the part at t1, or has flowed in since, so it is at most
-// rate * (t2 - t1) + burst. It follows that a part passes at most burst / GrantLife
-// tokens per second, whatever its rate: a burst of at least half a second of the
-// rate is needed to use the whole rate.
+// rate * (t2 - t1) + burst. A bucket that is full does not fill while tokens are
+// outstanding, so an account whose burst is less than half a second of its rate may
+// not be able to use its whole rate.
+//
+// A token is spent when Allowance.Take returns; a pause of the process after that is
+// bounded only by the deadline of the request.
 //
 // Part and Holder do no I/O and start no goroutine; the time is an argument of
 // every call. They are not safe for concurrent use. Owner and Allowance are.
