Hand targets and buckets over without a gap in a graceful shutdown

Cause: a leaving instance stopped owning at once, its successor waited 3 s because the epoch before was younger than a proof, and the departure of the owner of part 0 moved both parts of a bucket, which then started empty. Ruled out: slow adoption (all instances adopt within 40 ms). Now a leaving instance keeps what it owns until it has adopted an assignment without it, joins and graceful leaves wait until the epoch before is older than a proof, and the parts of a bucket belong to different halves of the failure domains.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -26,7 +26,8 @@
 	Name string
 	// Scope is the region of a target, or FleetScope.
 	Scope string
-	Part  int
+	// Part is 0 for an undivided resource, and 1 or 2 for the parts of a divided one.
+	Part int
 }
 
 // Residue is work of earlier owners that may still run.
--- a/assigner/assigner_test.go
+++ b/assigner/assigner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -213,20 +214,46 @@
 	}
 	for i := range 1000 {
 		n := fmt.Sprint("account", i)
-		p, _ := assigner.PartOwner(n, 0, ms)
-		q, _ := assigner.PartOwner(n, 1, ms)
+		p, _ := assigner.PartOwner(n, 1, ms)
+		q, _ := assigner.PartOwner(n, 2, ms)
 		if p.FailureDomain == q.FailureDomain {
 			t.Fatalf("parts of %s at %s and %s", n, p.Name, q.Name)
 		}
-		if p, q := ownerOf(n, 0, ms[:3]), ownerOf(n, 1, ms[:3]); p == q {
+		if p, q := ownerOf(n, 1, ms[:3]), ownerOf(n, 2, ms[:3]); p == q {
 			t.Fatalf("parts of %s both at %s", n, p)
 		}
-		if ownerOf(n, 1, ms[:1]) != "a1" {
+		if ownerOf(n, 1, ms[:1]) != "a1" || ownerOf(n, 2, ms[:1]) != "a1" {
 			t.Fatal("a single member does not hold both parts")
 		}
 	}
 }
 
+// Guards against a departure that empties both parts of a bucket: the account would get nothing until they fill.
+func TestDepartureMovesOnePart(t *testing.T) {
+	var ms []assigner.Member
+	for i := range 7 {
+		ms = append(ms, assigner.Member{Name: fmt.Sprint("i", i), FailureDomain: fmt.Sprint("d", i%6)})
+	}
+	one, both := 0, 0
+	for i := range 1000 {
+		n := fmt.Sprint("account", i)
+		for k := range ms {
+			rest := slices.Delete(slices.Clone(ms), k, k+1)
+			p, q := ownerOf(n, 1, ms) != ownerOf(n, 1, rest), ownerOf(n, 2, ms) != ownerOf(n, 2, rest)
+			switch {
+			case p && q:
+				both++
+			case p || q:
+				one++
+			}
+		}
+	}
+	// Both parts move only if a half of the failure domains is empty before or after the departure.
+	if both > one/10 {
+		t.Fatalf("%d departures moved both parts, %d one part", both, one)
+	}
+}
+
 func ownerOf(n string, part int, ms []assigner.Member) string {
 	m, _ := assigner.PartOwner(n, part, ms)
 	return m.Name
--- a/assigner/rank.go
+++ b/assigner/rank.go
@@ -45,11 +45,11 @@
 	return xxhash.Sum64(b[:])
 }
 
-// first returns the index of the member with the highest score, or -1; members of the failure domain except do not take part.
-func (r ranking) first(resource uint64, skip int, except string) int {
+// first returns the index of the member with the highest score among those for which in is true, or -1.
+func (r ranking) first(resource uint64, in func(i int) bool) int {
 	best, at := uint64(0), -1
 	for i, h := range r.hashes {
-		if i == skip || except != "" && r.members[i].FailureDomain == except {
+		if !in(i) {
 			continue
 		}
 		s := score(resource, h)
@@ -61,19 +61,44 @@
 }
 
 func (r ranking) owner(resource string, part int) (Member, bool) {
-	h := xxhash.Sum64String(resource)
-	a := r.first(h, -1, "")
-	if a < 0 {
+	if len(r.members) == 0 {
 		return Member{}, false
 	}
-	if part == 0 || len(r.members) == 1 {
-		return r.members[a], true
+	h := xxhash.Sum64String(resource)
+	in := func(int) bool { return true }
+	switch {
+	case part == 0:
+	case r.divided(h):
+		in = func(i int) bool { return r.half(h, i) == part }
+	case part == 2:
+		in = r.others(r.first(h, in))
+	}
+	return r.members[r.first(h, in)], true
+}
+
+// others returns which members are as far from one as possible: in other failure domains, or at least other members.
+func (r ranking) others(one int) func(int) bool {
+	for i := range r.members {
+		if r.members[i].FailureDomain != r.members[one].FailureDomain {
+			return func(k int) bool { return r.members[k].FailureDomain != r.members[one].FailureDomain }
+		}
 	}
-	b := r.first(h, a, r.members[a].FailureDomain)
-	if b < 0 {
-		b = r.first(h, a, "")
+	return func(k int) bool { return k != one || len(r.members) == 1 }
+}
+
+// half returns the part whose owner a member may be. It goes by failure domain, and differs between resources so that
+// they spread evenly.
+func (r ranking) half(resource uint64, i int) int {
+	return 1 + int(score(resource, xxhash.Sum64String(r.members[i].FailureDomain))&1)
+}
+
+// divided reports whether both halves have members.
+func (r ranking) divided(resource uint64) bool {
+	var seen [3]bool
+	for i := range r.members {
+		seen[r.half(resource, i)] = true
 	}
-	return r.members[b], true
+	return seen[1] && seen[2]
 }
 
 // Owner returns the owner of a resource among members; false without members.
@@ -81,8 +106,10 @@
 	return rank(members).owner(resource, 0)
 }
 
-// PartOwner returns the owner of part 0 or 1 of a resource; the parts belong to
-// different failure domains if the members allow it.
+// PartOwner returns the owner of part 1 or 2 of a divided resource, or of an undivided one for part 0.
+//
+// The parts belong to different failure domains if the members allow it, and a member that comes or goes moves one
+// part at most, unless a half of the failure domains has no member left.
 func PartOwner(resource string, part int, members []Member) (Member, bool) {
 	return rank(members).owner(resource, part)
 }
--- a/controller/adopt.go
+++ b/controller/adopt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -74,6 +75,9 @@
 func (c *Controller) apply(old, v *View) {
 	now := c.config.Clock()
 	c.mu.Lock()
+	if !maps.EqualFunc(old.Heads.Assignments, v.Heads.Assignments, sameEpoch) {
+		c.assigned = now
+	}
 	c.assigner.SetDeadlines(deadlines(old, v))
 	change, _ := c.assigner.Adopt(now, assignments(v.Row.Version, v.Heads))
 	c.inherit(change, now)
@@ -88,6 +92,10 @@
 	c.publish(c.config.Clock())
 }
 
+func sameEpoch(a, b recorder.Assignment) bool {
+	return a.Epoch == b.Epoch
+}
+
 // deadlines returns how long a request may run on each resource under either view.
 func deadlines(views ...*View) map[assigner.Resource]time.Duration {
 	r := map[assigner.Resource]time.Duration{}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"celeryhead.dev/celeryhead/loader"
 	"celeryhead.dev/celeryhead/logger"
 	"celeryhead.dev/celeryhead/messenger"
+	"celeryhead.dev/celeryhead/recorder"
 	"celeryhead.dev/celeryhead/steerer"
 	"celeryhead.dev/celeryhead/storer"
 	"celeryhead.dev/celeryhead/timer"
@@ -79,6 +81,8 @@
 	members  map[string]tracker.State
 	reports  map[string]report
 	proposal proposalState
+	// assigned is when the newest change of an assignment was adopted.
+	assigned time.Time
 	pending  map[string]bool
 	// inherited is work of earlier owners on resources that this instance lost.
 	inherited []assigner.Loss
@@ -253,6 +257,16 @@
 	c.kickTicks()
 }
 
+// Assigned reports whether an assignment names this incarnation.
+func (c *Controller) Assigned() bool {
+	for _, a := range c.View().Heads.Assignments {
+		if slices.Contains(a.Members, recorder.Member(member(c.config.Self))) {
+			return true
+		}
+	}
+	return false
+}
+
 // Stop tells peers that this incarnation has stopped; it must not send or grant anything afterwards.
 func (c *Controller) Stop(ctx context.Context) {
 	c.mu.Lock()
@@ -276,7 +290,9 @@
 // publish makes the present state visible to the request path; c.mu is held.
 func (c *Controller) publish(now time.Time) {
 	c.attester.SetMembership(c.membership(now))
-	c.assigner.Tick(now, c.tracker.Own(now) == tracker.Active, c.tracker.Acts(now))
+	o := c.tracker.Own(now)
+	// A leaving instance keeps what it owns until it has adopted an assignment without it, so that nobody waits for the next owner.
+	c.assigner.Tick(now, o == tracker.Active || o == tracker.Leaving, c.tracker.Acts(now))
 	c.gate.Publish(c.attester)
 	c.publishLive(now)
 	for _, s := range []attester.Scope{attester.Fleet, attester.Region} {
--- a/controller/propose.go
+++ b/controller/propose.go
@@ -95,11 +95,32 @@
 	}
 	if c.proposal.due.IsZero() || c.proposal.base != p.Base {
 		c.proposal.base = p.Base
-		c.proposal.due = now.Add(proposalDelay * time.Duration(rank(s)))
+		c.proposal.due = c.earliest(now, s).Add(proposalDelay * time.Duration(rank(s)))
 	}
 	return p, !now.Before(c.proposal.due)
 }
 
+// earliest returns when the next assignment may be written. After a crash that is now. A join or a graceful leave
+// waits until the owners of the assignment before the last one are certain to have stopped: an owner that releases
+// a resource earlier must keep its release back, and the next owner would wait although everyone is alive.
+func (c *Controller) earliest(now time.Time, s assigner.Standing) time.Time {
+	for _, a := range c.view.Load().Heads.Assignments {
+		for _, m := range a.Members {
+			if m.Name == c.config.Self.Name || slices.ContainsFunc(s.Active, func(o assigner.Member) bool { return o.Name == m.Name }) {
+				continue
+			}
+			if c.tracker.State(now, m.Name) != tracker.Leaving {
+				return now
+			}
+		}
+	}
+	t := c.assigned.Add(c.config.Timing.Freshness + proposalInterval)
+	if t.Before(now) {
+		return now
+	}
+	return t
+}
+
 // mayPropose reports whether the present assignment is known; a deployment without heads row has none.
 func (c *Controller) mayPropose(now time.Time) bool {
 	return c.blank || c.gate.Valid(attester.Fleet, now) || c.gate.Valid(attester.Region, now)
--- a/controller/view.go
+++ b/controller/view.go
@@ -135,9 +135,13 @@
 	return assigner.Resource{Name: targetPrefix + target, Scope: v.TargetRegions[target]}
 }
 
-// BucketResource names the right to grant tokens of one part of an account's bucket.
-func BucketResource(account string, part int) assigner.Resource {
-	return assigner.Resource{Name: bucketPrefix + account, Scope: assigner.FleetScope, Part: part}
+// BucketResource names the right to grant tokens of one part of a bucket; the index is that in Limits.
+func (v *View) BucketResource(name string, index int) assigner.Resource {
+	r := assigner.Resource{Name: bucketPrefix + name, Scope: assigner.FleetScope}
+	if len(v.Limits[name]) > 1 {
+		r.Part = index + 1
+	}
+	return r
 }
 
 // ShiftResource names the right to advance a shift.
@@ -152,7 +156,7 @@
 	}
 	for n, ls := range v.Limits {
 		for p := range ls {
-			r = append(r, BucketResource(n, p))
+			r = append(r, v.BucketResource(n, p))
 		}
 	}
 	for _, s := range v.Config.Shifts {
--- a/launcher/harness_test.go
+++ b/launcher/harness_test.go
@@ -115,9 +115,17 @@
 	}
 }
 
+// keepLogs prints the ends of the logs, and copies them to the directory that CELERYHEAD_LOGS names.
 func (s *system) keepLogs(ls []string) {
+	d := os.Getenv("CELERYHEAD_LOGS")
 	for _, l := range ls {
-		b, _ := os.ReadFile(l)
+		b, err := os.ReadFile(l)
+		if err == nil && d != "" {
+			err = os.WriteFile(filepath.Join(d, filepath.Base(l)), b, 0o600)
+		}
+		if err != nil {
+			s.t.Error(err)
+		}
 		n := bytes.Split(bytes.TrimSpace(b), []byte("\n"))
 		s.t.Logf("end of %s:\n%s", filepath.Base(l), bytes.Join(n[max(0, len(n)-8):], []byte("\n")))
 	}
@@ -143,7 +151,7 @@
 }
 
 func (r sending) String() string {
-	return fmt.Sprintf("%s at %s: status %d, reason %q, ran %q, error %v", r.key, r.instance, r.status, r.reason, r.ran, r.err)
+	return fmt.Sprintf("%s %s at %s: status %d, reason %q, ran %q, error %v", r.start.UTC().Format(time.TimeOnly), r.key, r.instance, r.status, r.reason, r.ran, r.err)
 }
 
 type order struct {
--- a/server/allowances.go
+++ b/server/allowances.go
@@ -18,7 +18,7 @@
 	var r []limiter.Owned
 	for n, ls := range v.Limits {
 		for i, l := range ls {
-			if s.control.Owns(controller.BucketResource(n, i)) {
+			if s.control.Owns(v.BucketResource(n, i)) {
 				r = append(r, limiter.Owned{Account: n, Part: i, Limit: l})
 			}
 		}
@@ -36,10 +36,11 @@
 // Ask asks this instance or another one.
 func (a asker) Ask(ctx context.Context, k limiter.Ask) (limiter.Reply, error) {
 	s := a.server
-	if k.Part >= len(s.control.View().Limits[k.Account]) {
+	v := s.control.View()
+	if k.Part >= len(v.Limits[k.Account]) {
 		return limiter.Reply{NotOwner: true}, nil
 	}
-	i, ok := s.control.Owner(controller.BucketResource(k.Account, k.Part))
+	i, ok := s.control.Owner(v.BucketResource(k.Account, k.Part))
 	if !ok {
 		return limiter.Reply{}, errNoOwner
 	}
@@ -74,7 +75,7 @@
 // grant takes tokens of a part that this instance owns.
 func (s *Server) grant(account string, part int, q limiter.Request) limiter.Reply {
 	now := s.clock()
-	if !s.control.MayAct(controller.BucketResource(account, part), now) {
+	if !s.control.MayAct(s.control.View().BucketResource(account, part), now) {
 		return limiter.Reply{NotOwner: true}
 	}
 	return s.buckets.Grant(now, account, part, q)
--- a/server/shutdown.go
+++ b/server/shutdown.go
@@ -8,6 +8,9 @@
 // shutdownInterval is how often a leaving instance looks whether it is done.
 const shutdownInterval = 20 * time.Millisecond
 
+// handOverLimit bounds the wait for an assignment without this instance, which cannot be written while the store is down.
+const handOverLimit = 15 * time.Second
+
 // stopTimeout bounds telling the peers that this incarnation has stopped.
 const stopTimeout = time.Second
 
@@ -23,6 +26,10 @@
 	s.wait(ctx, func() bool {
 		return s.clock().Sub(start) >= s.control.View().Config.Lookup.TimeToLive+s.settings.Timing.Heartbeat
 	})
+	// Until another instance may own what this one owns, requests would find no owner.
+	x, done := context.WithTimeout(ctx, handOverLimit)
+	s.wait(x, func() bool { return !s.control.Assigned() })
+	done()
 	s.wait(ctx, func() bool { return s.inFlight.Load() == 0 && !s.pools.busy() })
 	if n := s.inFlight.Load(); n > 0 {
 		s.log.DrainCut(int(n))
@@ -33,7 +40,7 @@
 		}
 	}
 	s.finishing.Wait()
-	x, done := context.WithTimeout(context.Background(), stopTimeout)
+	x, done = context.WithTimeout(context.Background(), stopTimeout)
 	defer done()
 	s.control.Stop(x)
 	s.log.Stopped(s.clock().Sub(start))
