--- a/controller/controller.go
+++ b/controller/controller.go
@@ -74,10 +74,10 @@
 	final    bool
 	// blank is true if the last read of the store found no heads row.
 	blank bool
-	valid [2]bool
+	valid [scopeCount]bool
 	// served is true once the instance has held a proof of the fleet scope.
 	served   bool
-	lapsed   [2]time.Time
+	lapsed   [scopeCount]time.Time
 	members  map[string]tracker.State
 	reports  map[string]report
 	proposal proposalState
@@ -129,7 +129,9 @@
 	k.view.Store(v)
 	k.live.Store(&[]steerer.Instance{})
 	k.started = c.Clock()
-	k.lapsed = [2]time.Time{k.started, k.started}
+	for s := range k.lapsed {
+		k.lapsed[s] = k.started
+	}
 	return k, nil
 }
 
@@ -191,8 +193,8 @@
 
 // scope returns the proof that ownership of a resource needs; c.mu is held.
 func (c *Controller) scope(r assigner.Resource) attester.Scope {
-	if r.Scope == assigner.FleetScope || c.assigner.NeedsFleet(r.Scope) {
-		return attester.Fleet
+	if c.assigner.NeedsFleet(r.Scope) {
+		return attester.FleetOwner
 	}
 	return attester.Region
 }
@@ -295,7 +297,7 @@
 	c.assigner.Tick(now, o == tracker.Active || o == tracker.Leaving, c.tracker.Acts(now))
 	c.gate.Publish(c.attester)
 	c.publishLive(now)
-	for _, s := range []attester.Scope{attester.Fleet, attester.Region} {
+	for s := range scopeNames {
 		c.noteProof(s, now)
 	}
 }
@@ -352,7 +354,10 @@
 	c.config.Log.ProofLost(n)
 }
 
-var scopeNames = map[attester.Scope]string{attester.Fleet: "fleet", attester.Region: "region"}
+// scopeNames are the scopes whose proofs are logged.
+var scopeNames = map[attester.Scope]string{attester.Fleet: "fleet", attester.Region: "region", attester.FleetOwner: "fleet_owner"}
+
+const scopeCount = attester.FleetOwner + 1
 
 // Own returns the state that this instance announces.
 func (c *Controller) Own() tracker.State {
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -36,7 +36,7 @@
 		l := o.Load()
 		m.Pools[o.name] = meter.Pool{Slots: l.Slots, Free: l.Free, Queued: l.Queued}
 	}
-	for n, c := range map[string]attester.Scope{"fleet": attester.Fleet, "region": attester.Region} {
+	for n, c := range map[string]attester.Scope{"fleet": attester.Fleet, "region": attester.Region, "fleet_owner": attester.FleetOwner} {
 		m.ProofAges[n] = s.control.ProofAge(c, now)
 	}
 	for _, h := range v.Config.Shifts {
