Refuse a target that moves to another region under its name

Ownership is assigned for each region on its own, so such a target could have two owners for a moment. Capacity and regions of targets are computed once, in package composer; the ran value of a resend stands in package responder.

--- a/claimer/decision.go
+++ b/claimer/decision.go
@@ -18,9 +18,6 @@
 // CompletedWithoutBody is the reason given to a resend of a request that ran, but whose answer was too large to store.
 const CompletedWithoutBody responder.Reason = "completed_without_body"
 
-// HasRun is the ran value of a request that certainly ran.
-const HasRun responder.Ran = "ran"
-
 // ErrRequest says that a request lacks a field that claims need.
 var ErrRequest = merry.Sentinel("invalid claim request")
 
@@ -94,7 +91,7 @@
 		return nil
 	case Completed:
 		return &responder.Refusal{
-			Status: http.StatusGone, Reason: CompletedWithoutBody, Ran: HasRun,
+			Status: http.StatusGone, Reason: CompletedWithoutBody, Ran: responder.HasRun,
 			Message: "the request has run; its answer was too large to be kept",
 		}
 	case InProgress:
--- a/composer/composer_test.go
+++ b/composer/composer_test.go
@@ -410,3 +410,18 @@
 		})
 	}
 }
+
+// Guards against a target that has owners in two regions for a moment because it moved under its name.
+func TestTargetKeepsItsRegion(t *testing.T) {
+	a := composer.Config{
+		Regions: []composer.Region{{Name: "north", FailureDomains: []string{"n1", "n2"}}, {Name: "south", FailureDomains: []string{"s1"}}},
+		Pools:   []composer.Pool{{Name: "p", Targets: []composer.Target{{Name: "t", FailureDomain: "n1"}}}},
+	}
+	for d, ok := range map[string]bool{"n1": true, "n2": true, "s1": false} {
+		b := a
+		b.Pools = []composer.Pool{{Name: "p", Targets: []composer.Target{{Name: "t", FailureDomain: d}}}}
+		if err := composer.CheckChange(a, b); (err == nil) != ok {
+			t.Errorf("move to %s: %v", d, err)
+		}
+	}
+}
--- a/operator/commit.go
+++ b/operator/commit.go
@@ -158,6 +158,9 @@
 			return storer.Txn{}, nil, merry.Wrap(recorder.ErrCorrupt, merry.WithCause(err))
 		}
 	}
+	if err = composer.CheckChange(base, p.config); err != nil {
+		return storer.Txn{}, nil, merry.Wrap(ErrInvalid, merry.WithCause(err))
+	}
 	changes := composer.Diff(base, p.config)
 	p.warnings = warnings(p, base, changes)
 	audit, err := recorder.Audit{
--- a/responder/refusal.go
+++ b/responder/refusal.go
@@ -21,6 +21,8 @@
 const (
 	NotRun  Ran = "not-run"
 	Unknown Ran = "unknown"
+	// HasRun is said of a resend whose earlier sending ran, but whose answer was too large to keep.
+	HasRun Ran = "ran"
 )
 
 // Reason is the machine-readable cause of a refusal, in snake case.
