--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -27,6 +27,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"celeryhead.dev/celeryhead/certifier"
 	"celeryhead.dev/celeryhead/commander"
 	"celeryhead.dev/celeryhead/composer"
 	"celeryhead.dev/celeryhead/emulator"
@@ -491,3 +492,40 @@
 		So(notes, ShouldContainSubstring, "look with export")
 	})
 }
+
+// Guards against certificates that the listeners of instances would refuse, and against files that are replaced.
+func TestCertificates(t *testing.T) {
+	d := t.TempDir()
+	run := func(args ...string) int {
+		var b bytes.Buffer
+		n := commander.Run(t.Context(), commander.Config{Out: &b, Err: &b}, append([]string{"certificate"}, args...))
+		t.Log(b.String())
+		return n
+	}
+	for _, c := range []struct {
+		args []string
+		code int
+	}{
+		{[]string{"operator", "aigerim", "-d", d}, 1},
+		{[]string{"authority", "koshe", "-d", d}, 0},
+		{[]string{"authority", "koshe", "-d", d}, 1},
+		{[]string{"peer", "almaty-1", "-d", d}, 1},
+		{[]string{"peer", "almaty-1", "--address", "almaty", "-d", d}, 1},
+		{[]string{"peer", "almaty-1", "--address", "127.0.0.1", "-d", d}, 0},
+		{[]string{"operator", "aigerim", "-d", d}, 0},
+	} {
+		if n := run(c.args...); n != c.code {
+			t.Errorf("%v: exit code %d, want %d", c.args, n, c.code)
+		}
+	}
+	for name, role := range map[string]certifier.Role{"almaty-1": certifier.Peer, "aigerim": certifier.Operator} {
+		c, err := tls.LoadX509KeyPair(filepath.Join(d, name+".pem"), filepath.Join(d, name+".key"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, n, err := certifier.Identity(&tls.ConnectionState{PeerCertificates: []*x509.Certificate{c.Leaf}})
+		if err != nil || r != role || n != name {
+			t.Errorf("certificate of %s names %s %s: %v", name, r, n, err)
+		}
+	}
+}
--- a/commander/options.go
+++ b/commander/options.go
@@ -25,6 +25,9 @@
 	account, keyName     string
 	toVersion            string
 	restoreKeys          bool
+	holder, directory    string
+	addresses            []string
+	days                 uint32
 }
 
 // command is a leaf of the command tree.
@@ -120,13 +123,33 @@
 	export := leaf("export", "Prints a configuration.", (*session).export)
 	export.UInt64(&o.version, "v", "version", "Version to print (the newest).")
 
+	certificates, certify := certificateTree(o)
+
 	for _, c := range []*flaggy.Subcommand{
 		check.Subcommand, plan.Subcommand, apply.Subcommand, status.Subcommand, keys,
-		audit.Subcommand, rollback.Subcommand, export.Subcommand,
+		audit.Subcommand, rollback.Subcommand, export.Subcommand, certificates,
 	} {
 		p.AttachSubcommand(c, 1)
 	}
-	return []*command{check, plan, apply, status, issue, withdraw, audit, rollback, export}
+	return append(certify, check, plan, apply, status, issue, withdraw, audit, rollback, export)
+}
+
+func certificateTree(o *options) (*flaggy.Subcommand, []*command) {
+	t := flaggy.NewSubcommand("certificate")
+	t.Description = "Makes the certificates of a deployment, in files of a directory."
+	cs := []*command{
+		leaf("authority", "Makes the authority that signs the others.", (*session).makeAuthority),
+		leaf("peer", "Makes the certificate of an instance.", (*session).certifyPeer),
+		leaf("operator", "Makes the certificate of an operator.", (*session).certifyOperator),
+	}
+	for _, c := range cs {
+		c.AddPositionalValue(&o.holder, "name", 1, true, "Name of the deployment, instance or operator.")
+		c.String(&o.directory, "d", "directory", "Directory of the files (the current one).")
+		c.UInt32(&o.days, "", "days", "How long the certificate is valid (1 year; the authority 10 years).")
+		c.StringSlice(&o.addresses, "", "address", "IP address of an instance; may be given several times.")
+		t.AttachSubcommand(c.Subcommand, 1)
+	}
+	return t, cs
 }
 
 func leaf(name, description string, run func(*session, context.Context) error) *command {
--- a/controller/beats.go
+++ b/controller/beats.go
@@ -145,7 +145,7 @@
 		s = tracker.Joining.String()
 	}
 	b := &messenger.Beat{
-		From:            toMember(c.config.Self),
+		From:            Member(c.config.Self),
 		HeadsVersion:    c.attester.Version(),
 		ConfigVersion:   c.view.Load().Heads.ConfigVersion,
 		Acts:            k.Acts,
@@ -156,7 +156,8 @@
 	return b
 }
 
-func toMember(i tracker.Instance) *messenger.Member {
+// Member returns an instance in the form of the messages, without a state.
+func Member(i tracker.Instance) *messenger.Member {
 	return &messenger.Member{
 		Name:          i.Name,
 		Incarnation:   i.Incarnation,
--- a/emulator/target.go
+++ b/emulator/target.go
@@ -393,7 +393,7 @@
 		return
 	}
 	l.up = make(chan struct{})
-	_ = l.Listener.Close()
+	_ = l.Close()
 	time.AfterFunc(d, l.open)
 }
 
--- a/launcher/operate_test.go
+++ b/launcher/operate_test.go
@@ -95,9 +95,9 @@
 	file := filepath.Join(s.dir, "configuration.toml")
 	Convey("Given a running deployment with version 1", t, func() {
 		Convey("an operator's commands work one after another", func() {
-			out, code := s.operate("check", file)
+			_, code := s.operate("check", file)
 			So(code, ShouldEqual, 0)
-			out, code = s.operate("status")
+			out, code := s.operate("status")
 			So(code, ShouldEqual, 0)
 			So(out, ShouldContainSubstring, s.Instances[6].Name)
 			out, code = s.operate("key", "issue", "winter-fair", "second", "--reason", "new stall")
@@ -113,15 +113,15 @@
 				a := s.send(i, order{method: http.MethodGet, path: "/permits/1", header: http.Header{"X-Api-Key": {secret}}})
 				So(a.reason, ShouldNotEqual, "key_invalid")
 			}
-			out, code = s.operate("key", "withdraw", "winter-fair", "second", "--reason", "stall closed")
+			_, code = s.operate("key", "withdraw", "winter-fair", "second", "--reason", "stall closed")
 			So(code, ShouldEqual, 0)
 			for _, i := range s.Instances {
 				a := s.send(i, order{method: http.MethodGet, path: "/permits/1", header: http.Header{"X-Api-Key": {secret}}})
 				So(a.reason, ShouldEqual, "key_invalid")
 			}
-			out, code = s.operate("plan", file)
+			_, code = s.operate("plan", file)
 			So(code, ShouldEqual, 0)
-			out, code = s.operate("rollback", "2", "--restore-keys", "--reason", "practice")
+			_, code = s.operate("rollback", "2", "--restore-keys", "--reason", "practice")
 			So(code, ShouldEqual, 0)
 			out, code = s.operate("audit", "--json")
 			So(code, ShouldEqual, 0)
--- a/server/operators.go
+++ b/server/operators.go
@@ -8,10 +8,10 @@
 	"github.com/twitchtv/twirp"
 
 	"celeryhead.dev/celeryhead/attester"
+	"celeryhead.dev/celeryhead/controller"
 	"celeryhead.dev/celeryhead/messenger"
 	"celeryhead.dev/celeryhead/operator"
 	"celeryhead.dev/celeryhead/steerer"
-	"celeryhead.dev/celeryhead/tracker"
 )
 
 func (s *Server) operatorsHandler() http.Handler {
@@ -111,14 +111,14 @@
 
 func (s *Server) instanceStatus(now time.Time) []*messenger.InstanceStatus {
 	own := &messenger.InstanceStatus{
-		Member:        member(s.self),
+		Member:        controller.Member(s.self),
 		View:          s.control.Own().String(),
 		ConfigVersion: s.control.View().Heads.ConfigVersion,
 	}
 	r := []*messenger.InstanceStatus{own}
 	for _, p := range s.control.Peers() {
 		r = append(r, &messenger.InstanceStatus{
-			Member:        member(p.Instance),
+			Member:        controller.Member(p.Instance),
 			View:          p.State.String(),
 			ConfigVersion: s.control.ReportedVersion(p.Name),
 			HeardMsAgo:    now.Sub(p.Heard).Milliseconds(),
@@ -149,14 +149,3 @@
 		}
 	}
 }
-
-func member(i tracker.Instance) *messenger.Member {
-	return &messenger.Member{
-		Name:          i.Name,
-		Incarnation:   i.Incarnation,
-		Region:        i.Region,
-		FailureDomain: i.FailureDomain,
-		CallerAddress: i.Caller.String(),
-		PeerAddress:   i.Peer.String(),
-	}
-}
--- a/server/owner.go
+++ b/server/owner.go
@@ -210,23 +210,31 @@
 	}
 }
 
-// own serves a request that another instance forwards because this one owns targets of its pool.
-func (s *Server) own(w http.ResponseWriter, r *http.Request) {
-	s.inFlight.Add(1)
-	defer s.inFlight.Add(-1)
-	c, f := s.receive(w, r)
-	if f != nil {
-		s.refuse(w, f)
-		return
+// fromPeer serves requests that other instances pass on.
+func (s *Server) fromPeer(serve func(context.Context, http.ResponseWriter, *call) *responder.Refusal) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		c, f := s.receive(w, r)
+		if f == nil {
+			ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(c.deadline.Sub(s.clock())))
+			defer cancel()
+			f = serve(ctx, w, c)
+		}
+		if f != nil {
+			s.refuse(w, f)
+		}
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(c.deadline.Sub(s.clock())))
-	defer cancel()
+}
+
+// own serves a request because this instance owns targets of its pool.
+func (s *Server) own(ctx context.Context, w http.ResponseWriter, c *call) *responder.Refusal {
 	a, f := s.run(ctx, c)
 	if f != nil {
-		s.refuse(w, f)
-		return
+		return f
 	}
 	s.copy(w, c, a)
+	return nil
 }
 
 // receive reads what the entry instance found out about a request.
--- a/server/peers.go
+++ b/server/peers.go
@@ -15,8 +15,8 @@
 	r := mux.NewRouter().SkipClean(true)
 	t := messenger.NewPeerServer(&peerService{server: s})
 	r.PathPrefix(t.PathPrefix()).Handler(identified(t))
-	r.Path(forwardPath).HandlerFunc(s.own)
-	r.Path(enterPath).HandlerFunc(s.enterPassed)
+	r.Path(forwardPath).HandlerFunc(s.fromPeer(s.own))
+	r.Path(enterPath).HandlerFunc(s.fromPeer(s.enterPassed))
 	return r
 }
 
--- a/server/tickets.go
+++ b/server/tickets.go
@@ -92,18 +92,7 @@
 }
 
 // enterPassed serves a request with a ticket that another instance accepted.
-func (s *Server) enterPassed(w http.ResponseWriter, r *http.Request) {
-	s.inFlight.Add(1)
-	defer s.inFlight.Add(-1)
-	c, f := s.receive(w, r)
-	if f != nil {
-		s.refuse(w, f)
-		return
-	}
+func (s *Server) enterPassed(ctx context.Context, w http.ResponseWriter, c *call) *responder.Refusal {
 	c.passed = true
-	ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(c.deadline.Sub(s.clock())))
-	defer cancel()
-	if f := s.enterOnce(ctx, w, c); f != nil {
-		s.refuse(w, f)
-	}
+	return s.enterOnce(ctx, w, c)
 }
