--- /dev/null
+++ b/controller/capacity_test.go
@@ -0,0 +1,148 @@
+package controller_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"celeryhead.dev/celeryhead/composer"
+	"celeryhead.dev/celeryhead/controller"
+	"celeryhead.dev/celeryhead/loader"
+	"celeryhead.dev/celeryhead/logger"
+	"celeryhead.dev/celeryhead/messenger"
+	"celeryhead.dev/celeryhead/operator"
+	"celeryhead.dev/celeryhead/recorder"
+	"celeryhead.dev/celeryhead/storer"
+	"celeryhead.dev/celeryhead/tracker"
+)
+
+type noHooks struct{}
+
+func (noHooks) Reassign()               {}
+func (noHooks) Fill(*messenger.Beat)    {}
+func (noHooks) Receive(*messenger.Beat) {}
+
+func newController(b *testing.B) *controller.Controller {
+	l, err := logger.New(logger.Config{Level: "error", Format: "json", Writer: io.Discard})
+	if err != nil {
+		b.Fatal(err)
+	}
+	c, err := controller.New(controller.Config{
+		Self: tracker.Instance{Name: "i0", Incarnation: 1, Region: "region-0"},
+		Timing: loader.Timing{
+			Freshness: 3 * time.Second, Heartbeat: 500 * time.Millisecond, Suspicion: 1500 * time.Millisecond,
+			ListLag: 10 * time.Second, ListAge: 3 * time.Second,
+		},
+		Hooks: noHooks{},
+		Log:   l,
+		Clock: time.Now,
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return c
+}
+
+// BenchmarkHeartbeat handles one heartbeat of a peer among n instances, without codec and transport. The answers
+// to the own heartbeats take the same way, so that an instance does this 4 (n - 1) times a second.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, n := range []int{7, 20, 60, 120, 880} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := newController(b)
+			var ms []*messenger.Beat
+			for i := 1; i < n; i++ {
+				ms = append(ms, &messenger.Beat{From: &messenger.Member{
+					Name: fmt.Sprint("i", i), Incarnation: 1, Region: fmt.Sprint("region-", i%10), FailureDomain: "d",
+					CallerAddress: "10.11.12.13:8443", PeerAddress: "10.11.12.13:8444", State: "active",
+				}})
+			}
+			beat := func(m *messenger.Beat) {
+				if _, err := c.Heartbeat(context.Background(), m); err != nil {
+					b.Fatal(err)
+				}
+			}
+			for _, m := range ms {
+				beat(m)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				beat(ms[i%len(ms)])
+			}
+			perSecond := float64(b.Elapsed().Nanoseconds()) / float64(b.N) * 4 * float64(n-1)
+			b.ReportMetric(perSecond/1e7, "%core")
+		})
+	}
+}
+
+// BenchmarkAdopt adopts a new heads version with the same configuration, such as a step of a shift or a change of an
+// assignment, and with a new configuration; it reports the memory that an adopted view keeps.
+func BenchmarkAdopt(b *testing.B) {
+	for _, n := range []int{1_000, 16_000, 160_000} {
+		for _, k := range []string{"heads", "configuration"} {
+			b.Run(fmt.Sprintf("%s/%d", k, n), func(b *testing.B) {
+				text := configuration(b, n)
+				before := heapInUse()
+				c := newController(b)
+				version := uint64(1)
+				adopt(b, c, text, 1, version)
+				kept := heapInUse() - before
+				b.ReportAllocs()
+				for b.Loop() {
+					version++
+					if k == "configuration" {
+						adopt(b, c, text, version, version)
+						continue
+					}
+					adopt(b, c, text, 1, version)
+				}
+				b.ReportMetric(kept/1e6, "MB-kept")
+				b.ReportMetric(float64(len(text))/float64(n), "B-text/block")
+			})
+		}
+	}
+}
+
+// heapInUse collects twice, since the pools of libraries keep their contents for one collection.
+func heapInUse() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+func configuration(b *testing.B, blocks int) []byte {
+	c := composer.Config{
+		Lookup:  composer.Lookup{TimeToLive: 5 * time.Second},
+		Regions: []composer.Region{{Name: "west", FailureDomains: []string{"west_a"}}, {Name: "east", FailureDomains: []string{"east_a"}}},
+	}
+	for i := range blocks {
+		a := netip.AddrFrom4([4]byte{100, byte(i >> 16), byte(i >> 8), byte(i)})
+		c.Blocks = append(c.Blocks, composer.Block{Prefix: netip.PrefixFrom(a, 32), Region: "west", Weight: 2})
+	}
+	t, err := composer.Encode(c)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return t
+}
+
+func adopt(b *testing.B, c *controller.Controller, text []byte, config, version uint64) {
+	h := recorder.Heads{ConfigVersion: config, ConfigDigest: sha256.Sum256(text)}
+	v, err := h.Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	// The change is adopted before Publish waits for the peers, which the cancelled context ends.
+	_, _ = c.Publish(ctx, operator.Commit{Heads: storer.Row{Key: recorder.HeadsKey, Version: version, Value: v}, ConfigVersion: config, Text: text})
+	if c.View().Row.Version != version {
+		b.Fatalf("version %d was not adopted", version)
+	}
+}
--- /dev/null
+++ b/steerer/capacity_test.go
@@ -0,0 +1,95 @@
+package steerer_test
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"celeryhead.dev/celeryhead/composer"
+	"celeryhead.dev/celeryhead/steerer"
+)
+
+// fleet returns n instances in the given number of regions and a configuration with them and some blocks.
+func fleet(n, regions, blocks int) ([]steerer.Instance, composer.Config) {
+	c := configuration(0)
+	c.Regions = nil
+	for i := range regions {
+		c.Regions = append(c.Regions, composer.Region{Name: fmt.Sprint("region-", i), FailureDomains: []string{fmt.Sprint("domain-", i)}})
+	}
+	c.Shifts[0].From, c.Shifts[0].To = c.Regions[0].Name, c.Regions[1].Name
+	p := &c.Pools[0]
+	p.Targets = nil
+	for i, r := range c.Regions {
+		p.Targets = append(p.Targets, composer.Target{Name: r.Name, FailureDomain: c.Regions[i].FailureDomains[0], Slots: 30_000})
+	}
+	for i := range blocks {
+		a := netip.AddrFrom4([4]byte{byte(10 + i>>16), byte(i >> 8), byte(i), 0})
+		c.Blocks = append(c.Blocks, composer.Block{Prefix: netip.PrefixFrom(a, 24), Region: c.Regions[i%regions].Name, Weight: 1})
+	}
+	var r []steerer.Instance
+	for i := range n {
+		g := c.Regions[i%regions].Name
+		r = append(r, steerer.Instance{Name: fmt.Sprintf("%s-instance-%03d", g, i), Region: g, FailureDomain: fmt.Sprint("domain-", i%regions)})
+	}
+	return r, c
+}
+
+// BenchmarkAnswerInstances has the numbers of instances of today, of growth and of the target size.
+func BenchmarkAnswerInstances(b *testing.B) {
+	for _, s := range []struct{ instances, regions int }{{7, 3}, {20, 3}, {60, 5}, {120, 5}, {880, 10}} {
+		b.Run(fmt.Sprint(s.instances), func(b *testing.B) {
+			live, c := fleet(s.instances, s.regions, 16_000)
+			t := steerer.New(steerer.Config{Configuration: c})
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				t.Answer(c.Blocks[i%len(c.Blocks)].Prefix.Addr(), live)
+			}
+		})
+	}
+}
+
+// BenchmarkNew reports the memory that a table keeps for each block besides its time.
+func BenchmarkNew(b *testing.B) {
+	for _, n := range []int{1_000, 16_000, 160_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			_, c := fleet(7, 10, n)
+			kept := heap(func() any { return steerer.New(steerer.Config{Configuration: c}) })
+			b.ReportAllocs()
+			for b.Loop() {
+				steerer.New(steerer.Config{Configuration: c})
+			}
+			b.ReportMetric(kept/float64(n), "B/block")
+		})
+	}
+}
+
+// BenchmarkNext measures the decision on a step that is due, which an owner of a shift takes ten times a second.
+func BenchmarkNext(b *testing.B) {
+	for _, n := range []int{1_000, 16_000, 160_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			_, c := fleet(7, 10, n)
+			t := steerer.New(steerer.Config{Configuration: c})
+			now := start.Add(time.Hour)
+			loads := map[string]steerer.Load{c.Shifts[0].To: {At: now, Expected: 1, Instances: 1}}
+			for b.Loop() {
+				if h := t.Next(c.Shifts[0].Name, steerer.Progress{Steps: 1}, loads, now); h != steerer.Advance {
+					b.Fatal(h)
+				}
+			}
+		})
+	}
+}
+
+// heap returns by how many bytes the result of f makes the heap grow.
+func heap(f func() any) float64 {
+	var x, y runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&x)
+	v := f()
+	runtime.GC()
+	runtime.ReadMemStats(&y)
+	runtime.KeepAlive(v)
+	return float64(y.HeapAlloc) - float64(x.HeapAlloc)
+}
