--- a/controller/capacity_test.go
+++ b/controller/capacity_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/netip"
 	"runtime"
+	"runtime/metrics"
 	"testing"
 	"time"
 
@@ -146,3 +147,47 @@
 		b.Fatalf("version %d was not adopted", version)
 	}
 }
+
+// BenchmarkAdoptPeak reports by how much the heap grows at most while a configuration replaces one of the same size,
+// beyond what the first one and its text keep.
+func BenchmarkAdoptPeak(b *testing.B) {
+	for _, n := range []int{1_000, 16_000, 160_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			text := configuration(b, n)
+			c := newController(b)
+			version := uint64(1)
+			adopt(b, c, text, version, version)
+			most := 0.0
+			for b.Loop() {
+				before := heapInUse()
+				version++
+				most = max(most, peak(func() { adopt(b, c, text, version, version) })-before)
+			}
+			b.ReportMetric(most/1e6, "MB-peak")
+		})
+	}
+}
+
+// peak returns the largest heap in bytes that is seen while f runs, garbage included.
+func peak(f func()) float64 {
+	done, most := make(chan struct{}), make(chan uint64)
+	go func() {
+		t := time.NewTicker(time.Millisecond)
+		defer t.Stop()
+		s := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+		var m uint64
+		for {
+			metrics.Read(s)
+			m = max(m, s[0].Value.Uint64())
+			select {
+			case <-done:
+				most <- m
+				return
+			case <-t.C:
+			}
+		}
+	}()
+	f()
+	close(done)
+	return float64(<-most)
+}
