Keep the cost of heartbeats and look-ups from growing with the fleet

Cause: every heartbeat rebuilt the membership and the list of named instances, and every look-up scored all instances to name 8. Ruled out: the bookkeeping of tracker and attester (0.04 % of a core at 880). Now the membership is passed on when its revision changes, named instances are published each tick, a look-up scores the instances of the best regions only, and steps of shifts are decided once a second instead of ten times.

--- a/controller/beats.go
+++ b/controller/beats.go
@@ -55,7 +55,7 @@
 	k := contact(a)
 	c.mu.Lock()
 	if c.tracker.ObserveAnswer(sent, now, k) {
-		c.attester.SetMembership(c.membership(now))
+		c.syncMembership(now)
 		c.attester.RecordAnswer(sent, attester.Answer{
 			Name:        k.From.Name,
 			Incarnation: k.From.Incarnation,
@@ -79,7 +79,7 @@
 		c.config.Log.PeerRefused("heartbeat of " + k.From.Name + ": " + ErrSuperseded.Error())
 		return nil, ErrSuperseded
 	}
-	c.attester.SetMembership(c.membership(now))
+	c.syncMembership(now)
 	c.attester.RecordVersion(k.From.Name, k.From.Incarnation, b.HeadsVersion, k.State == tracker.Gone)
 	c.noteReport(b, now)
 	c.publish(now)
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -61,7 +61,7 @@
 	config Config
 	gate   attester.Gate
 	view   atomic.Pointer[View]
-	live   atomic.Pointer[[]steerer.Instance]
+	live   atomic.Pointer[steerer.Fleet]
 	// adopting serializes adoptions, which may wait for a fetch.
 	adopting sync.Mutex
 	kick     chan struct{}
@@ -76,9 +76,13 @@
 	blank bool
 	valid [scopeCount]bool
 	// served is true once the instance has held a proof of the fleet scope.
-	served   bool
-	lapsed   [scopeCount]time.Time
-	members  map[string]tracker.State
+	served  bool
+	lapsed  [scopeCount]time.Time
+	members map[string]tracker.State
+	// known holds the peer set and the own instance as of revision and listed.
+	known    map[string]tracker.Instance
+	revision uint64
+	listed   time.Time
 	reports  map[string]report
 	proposal proposalState
 	// assigned is when the newest change of an assignment was adopted.
@@ -127,7 +131,7 @@
 		return nil, merry.Prepend(err, "controller")
 	}
 	k.view.Store(v)
-	k.live.Store(&[]steerer.Instance{})
+	k.live.Store(steerer.NewFleet(nil))
 	k.started = c.Clock()
 	for s := range k.lapsed {
 		k.lapsed[s] = k.started
@@ -142,7 +146,7 @@
 // Run exchanges heartbeats and reads store and list until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	var g sync.WaitGroup
-	for _, f := range []func(context.Context){c.runTicks, c.runStore, c.runList, c.runProposals} {
+	for _, f := range []func(context.Context){c.runTicks, c.runStore, c.runList, c.runProposals, c.runShifts} {
 		g.Go(func() { f(ctx) })
 	}
 	g.Wait()
@@ -168,8 +172,8 @@
 }
 
 // Live returns the instances that look-up answers may name.
-func (c *Controller) Live() []steerer.Instance {
-	return *c.live.Load()
+func (c *Controller) Live() *steerer.Fleet {
+	return c.live.Load()
 }
 
 // Valid reports whether the instance holds a proof of freshness in the scope at now.
@@ -232,15 +236,8 @@
 }
 
 func (c *Controller) instance(name string) (tracker.Instance, bool) {
-	if name == c.config.Self.Name {
-		return c.config.Self, true
-	}
-	for _, p := range c.tracker.Peers(c.config.Clock()) {
-		if p.Name == name {
-			return p.Instance, true
-		}
-	}
-	return tracker.Instance{}, false
+	i, ok := c.known[name]
+	return i, ok
 }
 
 // Suspected reports whether an instance is not heard at present.
@@ -291,20 +288,35 @@
 
 // publish makes the present state visible to the request path; c.mu is held.
 func (c *Controller) publish(now time.Time) {
-	c.attester.SetMembership(c.membership(now))
+	c.syncMembership(now)
 	o := c.tracker.Own(now)
 	// A leaving instance keeps what it owns until it has adopted an assignment without it, so that nobody waits for the next owner.
 	c.assigner.Tick(now, o == tracker.Active || o == tracker.Leaving, c.tracker.Acts(now))
 	c.gate.Publish(c.attester)
-	c.publishLive(now)
 	for s := range scopeNames {
 		c.noteProof(s, now)
 	}
 }
 
-func (c *Controller) membership(now time.Time) attester.Membership {
+// syncMembership passes the peer set on when it has changed, because that takes time in proportion to its size.
+func (c *Controller) syncMembership(now time.Time) {
+	r, l := c.tracker.Revision(), c.tracker.ListedAt()
+	if c.known != nil && r == c.revision && l.Equal(c.listed) {
+		return
+	}
+	c.revision, c.listed = r, l
+	ps := c.tracker.Peers(now)
+	c.attester.SetMembership(c.membership(now, ps))
+	c.known = make(map[string]tracker.Instance, len(ps)+1)
+	for _, p := range ps {
+		c.known[p.Name] = p.Instance
+	}
+	c.known[c.config.Self.Name] = c.config.Self
+}
+
+func (c *Controller) membership(now time.Time, ps []tracker.Peer) attester.Membership {
 	m := attester.Membership{Admitted: c.tracker.Admitted(), Listed: c.tracker.ListedAt(), Newcomer: c.tracker.Newcomer(now)}
-	for _, p := range c.tracker.Peers(now) {
+	for _, p := range ps {
 		m.Peers = append(m.Peers, attester.Peer{Name: p.Name, Incarnation: p.Incarnation, Region: p.Region})
 	}
 	return m
@@ -316,7 +328,7 @@
 	for _, i := range m {
 		l = append(l, steerer.Instance{Name: i.Name, Region: i.Region, FailureDomain: i.FailureDomain, Address: i.Caller})
 	}
-	c.live.Store(&l)
+	c.live.Store(steerer.NewFleet(l))
 	c.noteMembers(now)
 }
 
--- a/controller/loops.go
+++ b/controller/loops.go
@@ -64,6 +64,7 @@
 		p.Heartbeat = c.others()
 	}
 	c.publish(now)
+	c.publishLive(now)
 	c.mu.Unlock()
 	for _, i := range p.Heartbeat {
 		go c.beat(ctx, i)
@@ -135,6 +136,7 @@
 	}
 	c.tracker.ObserveList(sent, now, l)
 	c.publish(now)
+	c.publishLive(now)
 }
 
 // StoreReachable reports whether the last read of the store succeeded.
--- a/controller/propose.go
+++ b/controller/propose.go
@@ -23,6 +23,7 @@
 
 const (
 	proposalInterval = 100 * time.Millisecond
+	shiftInterval    = time.Second
 	// proposalDelay is how much longer each further instance waits before it writes an assignment that is due, so that writes rarely collide.
 	proposalDelay = 200 * time.Millisecond
 )
@@ -34,12 +35,14 @@
 	held map[string]steerer.Hold
 }
 
-// runProposals writes assignments and shift steps that are due.
+// runProposals writes assignments that are due.
 func (c *Controller) runProposals(ctx context.Context) {
-	every(ctx, proposalInterval, func(ctx context.Context) {
-		c.proposeAssignment(ctx)
-		c.advanceShifts(ctx)
-	})
+	every(ctx, proposalInterval, c.proposeAssignment)
+}
+
+// runShifts takes shift steps that are due; the decision goes through all blocks.
+func (c *Controller) runShifts(ctx context.Context) {
+	every(ctx, shiftInterval, c.advanceShifts)
 }
 
 func (c *Controller) proposeAssignment(ctx context.Context) {
--- a/server/callers.go
+++ b/server/callers.go
@@ -50,9 +50,6 @@
 	Address netip.AddrPort `json:"address"`
 }
 
-// maxNamed bounds the instances in an answer; a caller needs a few of its region and one or two elsewhere.
-const maxNamed = 8
-
 func (s *Server) lookup(w http.ResponseWriter, r *http.Request) {
 	a, ok := callerAddress(r)
 	if !ok {
@@ -68,7 +65,7 @@
 		return
 	}
 	o := lookupAnswer{ConfigVersion: v.Heads.ConfigVersion, Region: k.Region, TimeToLiveSeconds: k.TimeToLive.Seconds()}
-	for _, i := range k.Instances[:min(len(k.Instances), maxNamed)] {
+	for _, i := range k.Instances {
 		o.Instances = append(o.Instances, lookupInstance{Name: i.Name, Region: i.Region, Address: i.Address})
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/server/choosers.go
+++ b/server/choosers.go
@@ -64,12 +64,7 @@
 
 // link shares the links of the own region among its instances.
 func (c *choosers) link(v *controller.View, pool string, now time.Time) {
-	n := 0
-	for _, i := range c.server.control.Live() {
-		if i.Region == c.server.self.Region {
-			n++
-		}
-	}
+	n := c.server.control.Live().In(c.server.self.Region)
 	for _, l := range v.Config.Links {
 		if l.From == c.server.self.Region {
 			c.get(pool, l.From).Link(now, l.To, l.Megabits*megabit, max(n, 1))
--- a/steerer/capacity_test.go
+++ b/steerer/capacity_test.go
@@ -41,10 +41,10 @@
 	for _, s := range []struct{ instances, regions int }{{7, 3}, {20, 3}, {60, 5}, {120, 5}, {880, 10}} {
 		b.Run(fmt.Sprint(s.instances), func(b *testing.B) {
 			live, c := fleet(s.instances, s.regions, 16_000)
-			t := steerer.New(steerer.Config{Configuration: c})
+			t, f := steerer.New(steerer.Config{Configuration: c}), steerer.NewFleet(live)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
-				t.Answer(c.Blocks[i%len(c.Blocks)].Prefix.Addr(), live)
+				t.Answer(c.Blocks[i%len(c.Blocks)].Prefix.Addr(), f)
 			}
 		})
 	}
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -43,6 +43,10 @@
 	return r
 }
 
+func liveFleet() *steerer.Fleet {
+	return steerer.NewFleet(instances())
+}
+
 // Guards against instances that give different answers for the same state, whatever order they learnt it in.
 func TestAnswerIsPure(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -52,7 +56,7 @@
 		c.Blocks = rapid.Permutation(c.Blocks).Draw(t, "blocks")
 		b := steerer.New(steerer.Config{Configuration: c, Steps: steps})
 		i := netip.AddrFrom4([4]byte{10, 0, rapid.Byte().Draw(t, "address"), 9})
-		x, y := a.Answer(i, instances()), b.Answer(i, rapid.Permutation(instances()).Draw(t, "instances"))
+		x, y := a.Answer(i, liveFleet()), b.Answer(i, steerer.NewFleet(rapid.Permutation(instances()).Draw(t, "instances")))
 		if !reflect.DeepEqual(x, y) {
 			t.Fatalf("answers differ: %v and %v", x, y)
 		}
@@ -68,11 +72,11 @@
 	before := steerer.New(steerer.Config{Configuration: c, Steps: map[string]int{"dawn": 1}})
 	after := steerer.New(steerer.Config{Configuration: c, Steps: map[string]int{"dawn": 2}})
 	live := instances()
-	less := slices.Delete(slices.Clone(live), 0, 1)
+	all, less := steerer.NewFleet(live), steerer.NewFleet(slices.Delete(slices.Clone(live), 0, 1))
 	moved := 0
 	for _, b := range c.Blocks {
 		a := b.Prefix.Addr().Next()
-		x, y, z := before.Answer(a, live), after.Answer(a, live), before.Answer(a, less)
+		x, y, z := before.Answer(a, all), after.Answer(a, all), before.Answer(a, less)
 		if x.Instances[0] != live[0] && x.Instances[0] != z.Instances[0] {
 			t.Fatalf("block %v moved although its instance is live", b.Prefix)
 		}
@@ -148,11 +152,11 @@
 	}
 	k := steerer.New(steerer.Config{Configuration: c})
 	for a, want := range map[string]string{"10.2.0.1": "almaty", "10.1.0.1": "astana", "::ffff:10.1.0.1": "astana", "2001:db8::1": "shymkent"} {
-		if got := k.Answer(netip.MustParseAddr(a), instances()).Region; got != want {
+		if got := k.Answer(netip.MustParseAddr(a), liveFleet()).Region; got != want {
 			t.Errorf("%s: %s, want %s", a, got, want)
 		}
 	}
-	if got := k.Answer(netip.MustParseAddr("192.0.2.1"), instances()); len(got.Instances) != 7 {
+	if got := k.Answer(netip.MustParseAddr("192.0.2.1"), liveFleet()); len(got.Instances) != 7 {
 		t.Errorf("unknown caller got %v", got)
 	}
 }
@@ -163,7 +167,7 @@
 	c.Drains = []composer.Drain{{Name: "d", Kind: composer.DrainRegion, Of: "almaty"}, {Name: "e", Kind: composer.DrainInstance, Of: "astana-3"}}
 	k := steerer.New(steerer.Config{Configuration: c})
 	for _, b := range c.Blocks {
-		a := k.Answer(b.Prefix.Addr(), instances())
+		a := k.Answer(b.Prefix.Addr(), liveFleet())
 		if len(a.Instances) != 3 {
 			t.Fatalf("answer = %v", a)
 		}
@@ -179,7 +183,7 @@
 				c.Blocks = append(c.Blocks, composer.Block{Prefix: netip.PrefixFrom(a, 24), Region: c.Regions[i%3].Name, Weight: 1})
 			}
 			k := steerer.New(steerer.Config{Configuration: c})
-			live := instances()
+			live := liveFleet()
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				k.Answer(c.Blocks[i%n].Prefix.Addr(), live)
--- a/steerer/table.go
+++ b/steerer/table.go
@@ -65,38 +65,72 @@
 	TimeToLive time.Duration
 }
 
-// Answer returns the answer for a caller's address; live holds the instances that may be named.
-func (t *Table) Answer(client netip.Addr, live []Instance) Answer {
+const (
+	// maxNamed bounds the instances in an answer.
+	maxNamed = 8
+	// maxNamedFirst bounds those of the best region, so that a caller can go elsewhere when that region fails.
+	maxNamedFirst = 6
+)
+
+// Fleet holds the instances that answers may name; it is immutable.
+type Fleet struct {
+	regions map[string][]Instance
+}
+
+// NewFleet returns a fleet of the instances.
+func NewFleet(live []Instance) *Fleet {
+	f := &Fleet{regions: map[string][]Instance{}}
+	for _, i := range live {
+		f.regions[i.Region] = append(f.regions[i.Region], i)
+	}
+	return f
+}
+
+// In returns the number of instances in a region.
+func (f *Fleet) In(region string) int {
+	return len(f.regions[region])
+}
+
+// Answer returns the answer for a caller's address.
+func (t *Table) Answer(client netip.Addr, f *Fleet) Answer {
 	b := t.blocks.find(client)
-	r := t.order(b)
-	rank := make(map[string]int, len(r))
-	for i, n := range r {
-		rank[n] = i
+	a := Answer{TimeToLive: t.timeToLive, Instances: make([]Instance, 0, maxNamed)}
+	limit := maxNamedFirst
+	for _, r := range t.order(b) {
+		if len(a.Instances) == maxNamed {
+			break
+		}
+		a.Instances = append(a.Instances, t.best(b, f.regions[r], limit-len(a.Instances))...)
+		if len(a.Instances) > 0 {
+			limit = maxNamed
+		}
+	}
+	if len(a.Instances) > 0 {
+		a.Region = a.Instances[0].Region
 	}
+	return a
+}
+
+// best returns up to n instances in rendezvous order of the block.
+func (t *Table) best(b Block, in []Instance, n int) []Instance {
 	type scored struct {
-		Instance
-		rank  int
+		at    int
 		score float64
 	}
-	s := make([]scored, 0, len(live))
-	for _, i := range live {
-		k, ok := rank[i.Region]
-		if !ok || t.Drained(i) {
-			continue
+	s := make([]scored, 0, len(in))
+	for k := range in {
+		if !t.Drained(in[k]) {
+			s = append(s, scored{at: k, score: fraction(b.Prefix, in[k].Name)})
 		}
-		s = append(s, scored{Instance: i, rank: k, score: fraction(b.Prefix, i.Name)})
 	}
-	slices.SortFunc(s, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(b.score, a.score), cmp.Compare(a.Name, b.Name))
+	slices.SortFunc(s, func(x, y scored) int {
+		return cmp.Or(cmp.Compare(y.score, x.score), cmp.Compare(in[x.at].Name, in[y.at].Name))
 	})
-	a := Answer{TimeToLive: t.timeToLive, Instances: make([]Instance, 0, len(s))}
-	for _, i := range s {
-		a.Instances = append(a.Instances, i.Instance)
-	}
-	if len(s) > 0 {
-		a.Region = s[0].Region
+	r := make([]Instance, 0, min(n, len(s)))
+	for _, k := range s[:min(n, len(s))] {
+		r = append(r, in[k.at])
 	}
-	return a
+	return r
 }
 
 // Drained reports whether the configuration takes an instance out of answers.
