Send requests over the cap of a shift to their home region

TestShiftStaysUnderItsCap, seen failing: of 161 requests in 6 s none ran in the home region, because a chooser prefers the instance it is named after, and the one for the home region was named after an instance elsewhere; each also waited 400 ms for a token that could not come. Now such a chooser has no name, and the wait is 50 ms. The target stand-in spares the connection on which it is told to go silent, and the launcher opens a connection for each call: a kept one hung the test.

--- a/emulator/target.go
+++ b/emulator/target.go
@@ -118,11 +118,18 @@
 	return t
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
 // Serve accepts connections on l until it is closed.
 func (t *Target) Serve(l net.Listener) error {
 	t.listener = &targetListener{Listener: l, address: l.Addr(), target: t, up: make(chan struct{})}
 	close(t.listener.up)
-	t.server = &http.Server{Handler: t.router, ReadHeaderTimeout: time.Minute}
+	t.server = &http.Server{
+		Handler:           t.router,
+		ReadHeaderTimeout: time.Minute,
+		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+	}
 	if err := t.server.Serve(t.listener); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
@@ -136,6 +143,11 @@
 
 // SetFaults replaces the faults.
 func (t *Target) SetFaults(f TargetFaults) {
+	t.setFaultsFrom(f, nil)
+}
+
+// setFaultsFrom spares the connection on which the faults were set.
+func (t *Target) setFaultsFrom(f TargetFaults, spared any) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if f.Draining && !t.faults.Draining {
@@ -145,8 +157,8 @@
 	if !f.Silent {
 		return
 	}
-	for _, s := range t.open {
-		s.Store(true)
+	for c, s := range t.open {
+		s.Store(c != spared)
 	}
 }
 
@@ -189,7 +201,7 @@
 	if !decode(w, r, &f) {
 		return
 	}
-	t.SetFaults(f)
+	t.setFaultsFrom(f, r.Context().Value(connKey{}))
 }
 
 // work runs a request: it takes a slot, holds it for the service time and answers with what it received.
--- a/launcher/deployment.go
+++ b/launcher/deployment.go
@@ -28,6 +28,9 @@
 	pollInterval    = 50 * time.Millisecond
 )
 
+// client reaches the stand-ins; it opens a connection for each call, since a stand-in may let open ones go silent.
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+
 // Config configures a deployment.
 type Config struct {
 	// Bin is the directory of the built programs, Dir an empty directory for settings, certificates and logs.
@@ -343,7 +346,7 @@
 	if err != nil {
 		return t, err
 	}
-	p, err := http.DefaultClient.Do(r)
+	p, err := client.Do(r)
 	if err != nil {
 		return t, err
 	}
@@ -356,7 +359,7 @@
 	if err != nil {
 		return err
 	}
-	p, err := http.DefaultClient.Do(r)
+	p, err := client.Do(r)
 	if err != nil {
 		return err
 	}
--- a/server/allowances.go
+++ b/server/allowances.go
@@ -114,6 +114,9 @@
 	return nil
 }
 
+// placeWait bounds the wait for a token of a shift; without one the request goes to its home region at once.
+const placeWait = 50 * time.Millisecond
+
 // place decides in which region a request of a moved block is served: beyond the cap of the shift it goes back to the home region.
 func (s *Server) place(ctx context.Context, c *call) {
 	v := s.control.View()
@@ -122,7 +125,7 @@
 	if h == nil || h.To != s.self.Region {
 		return
 	}
-	if f := s.allowance.Take(ctx, controller.ShiftBucket(h.Name), c.deadline); f != nil {
+	if f := s.allowance.Take(ctx, controller.ShiftBucket(h.Name), s.clock().Add(placeWait)); f != nil {
 		c.region = h.From
 	}
 }
--- a/server/choosers.go
+++ b/server/choosers.go
@@ -74,11 +74,16 @@
 
 // get returns the chooser of a pool that prefers a region; c.mu is held.
 func (c *choosers) get(pool, region string) *balancer.Chooser {
-	k := chooserKey{pool, region}
-	h, ok := c.m[k]
+	key := chooserKey{pool, region}
+	h, ok := c.m[key]
 	if !ok {
-		h = balancer.NewChooser(balancer.ChooserConfig{Name: c.server.self.Name, Region: region, Seed: c.server.self.Incarnation})
-		c.m[k] = h
+		k := balancer.ChooserConfig{Region: region, Seed: c.server.self.Incarnation}
+		if region == c.server.self.Region {
+			// A chooser prefers the instance it is named after; one that serves for another region prefers that region.
+			k.Name = c.server.self.Name
+		}
+		h = balancer.NewChooser(k)
+		c.m[key] = h
 	}
 	return h
 }
