Limit reads and writes on callers' connections, and apply late residues

A caller that went silent in the middle of its body kept its request, and with it a graceful shutdown, until the kernel gave up. Reads now end at the request's deadline and writes 5 s later. Residues that an earlier owner reports after the take-over reach the balancer.

--- a/launcher/faults_test.go
+++ b/launcher/faults_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -278,6 +280,31 @@
 	s.checkOnce(all)
 }
 
+// Guards against a caller that goes silent in the middle of its body and keeps its request, and the instance's shutdown, waiting.
+func TestSilentCaller(t *testing.T) {
+	const routeDeadline = 3 * time.Second
+	s := start(t, launcher.Config{Instances: 3})
+	c, err := net.Dial("tcp", s.Instances[0].Callers.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := fmt.Fprintf(c, "POST /bookings HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nIdempotency-Key: k\r\nContent-Length: 100\r\n\r\nhalf", s.Secrets["almaty-markets"]); err != nil {
+		t.Fatal(err)
+	}
+	b := time.Now()
+	if err := c.SetReadDeadline(b.Add(routeDeadline + 3*time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	a, err := io.ReadAll(c)
+	if err != nil {
+		t.Errorf("after %v the connection was still open: %v", time.Since(b), err)
+	}
+	if len(a) > 0 && !strings.Contains(string(a), "Celeryhead-Ran: not-run") {
+		t.Errorf("answer: %s", a)
+	}
+	s.checkOnce(nil)
+}
+
 // Guards P10: a target that announces that it leaves, or is drained by the configuration, gets no new work after a few seconds.
 func TestLeavingTargetGetsNoWork(t *testing.T) {
 	const few = 3 * time.Second
--- a/server/callers.go
+++ b/server/callers.go
@@ -6,6 +6,7 @@
 	"log"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/gorilla/mux"
 
@@ -32,6 +33,8 @@
 		if s.leaving.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		// The limit that an earlier request set stays with its connection.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(connectionSlack))
 		h.ServeHTTP(w, r)
 	})
 }
--- a/server/entry.go
+++ b/server/entry.go
@@ -124,6 +124,7 @@
 	if f := s.authenticate(v, c, r, now); f != nil {
 		return c, f
 	}
+	s.limitConnection(w, c)
 	if p, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
 		c.caller = p.Addr()
 	}
@@ -139,6 +140,19 @@
 	return c, nil
 }
 
+// connectionSlack is how long after the deadline of a request its caller may take the rest of the answer.
+const connectionSlack = 5 * time.Second
+
+// limitConnection ends reads and writes on a caller's connection that has gone silent; without limits a request would
+// wait for its body, and a shutdown for the request, until the kernel gives up.
+func (s *Server) limitConnection(w http.ResponseWriter, c *call) {
+	k := http.NewResponseController(w)
+	d := time.Now().Add(c.deadline.Sub(s.clock()))
+	// Writers without deadlines, as in tests, have no connection that can go silent.
+	_ = k.SetReadDeadline(d)
+	_ = k.SetWriteDeadline(d.Add(connectionSlack))
+}
+
 // checkTarget refuses paths that a target might read as another path than the one whose route was checked.
 func checkTarget(u *url.URL) *responder.Refusal {
 	p := strings.ToLower(u.EscapedPath())
--- a/server/pools.go
+++ b/server/pools.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -159,6 +160,7 @@
 		same = same && ok && b.Slots == h.Slots && b.Connections == h.Connections && b.Draining == h.Draining
 	}
 	if same {
+		o.inherit(m)
 		return false
 	}
 	o.holding = m
@@ -166,6 +168,16 @@
 	return true
 }
 
+// inherit applies residues that an earlier owner reported after this instance took over.
+func (o *ownedPool) inherit(m map[string]balancer.Holding) {
+	for n, h := range m {
+		if !slices.Equal(o.holding[n].Residues, h.Residues) {
+			o.Inherit(n, h.Residues)
+		}
+	}
+	o.holding = m
+}
+
 // busy reports whether work runs or waits on a target.
 func (p *pools) busy() bool {
 	for _, o := range p.all() {
