Log panics and changes of target states, and measure drain times

net/http recovers a handler's panic into a log that is discarded, so a fault of the program was not seen; the drain time was in the catalogue but never recorded.

--- a/logger/events.go
+++ b/logger/events.go
@@ -154,8 +154,8 @@
 }
 
 // RequestPanicked reports a fault of the program.
-func (l *Logger) RequestPanicked(route, cause string) {
-	l.emit(requestPanicked, log.Fields{"route": route, "cause": cause})
+func (l *Logger) RequestPanicked(method, cause string) {
+	l.emit(requestPanicked, log.Fields{"method": method, "cause": cause})
 }
 
 // ChangeAccepted reports a committed configuration change.
--- a/server/callers.go
+++ b/server/callers.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"log"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -25,6 +27,24 @@
 	return s.counted(r)
 }
 
+// guarded logs a panic of a handler, which is a fault of the program, and breaks the connection.
+func (s *Server) guarded(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			v := recover()
+			if v == nil {
+				return
+			}
+			//nolint:errorlint // net/http compares this value itself.
+			if v != http.ErrAbortHandler {
+				s.log.RequestPanicked(r.Method, fmt.Sprintf("%v\n%s", v, debug.Stack()))
+			}
+			panic(http.ErrAbortHandler)
+		}()
+		h.ServeHTTP(w, r)
+	})
+}
+
 // counted counts requests that run, and asks callers of a leaving instance to open no further request on their connection.
 func (s *Server) counted(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/server/pools.go
+++ b/server/pools.go
@@ -34,6 +34,7 @@
 	// config and holding belong to Reassign.
 	config  composer.Pool
 	holding map[string]balancer.Holding
+	states  map[string]targetState
 	stop    context.CancelFunc
 }
 
@@ -85,6 +86,7 @@
 		if _, ok := v.Pools[o.name]; !ok && o.adopt(nil) {
 			changed = true
 		}
+		p.noteStates(o, now)
 	}
 	if changed {
 		p.server.log.TargetsChanged(owned)
@@ -178,6 +180,34 @@
 	o.holding = m
 }
 
+// targetState is what was last logged of a target.
+type targetState struct {
+	state balancer.State
+	// drainStart is when the target was first seen to leave; zero once the end of its last request was recorded.
+	drainStart time.Time
+}
+
+// noteStates logs changes of the targets' states and measures how long leaving targets take.
+func (p *pools) noteStates(o *ownedPool, now time.Time) {
+	m := make(map[string]targetState, len(o.states))
+	for _, s := range o.Statuses() {
+		k := o.states[s.Target]
+		if k.state != s.State {
+			p.server.log.TargetState(s.Target, string(s.State))
+			k = targetState{state: s.State}
+			if s.State == balancer.Draining {
+				k.drainStart = now
+			}
+		}
+		if !k.drainStart.IsZero() && s.Running == 0 {
+			p.server.meter.TargetDrained(o.name, now.Sub(k.drainStart))
+			k.drainStart = time.Time{}
+		}
+		m[s.Target] = k
+	}
+	o.states = m
+}
+
 // busy reports whether work runs or waits on a target.
 func (p *pools) busy() bool {
 	for _, o := range p.all() {
--- a/server/server.go
+++ b/server/server.go
@@ -181,7 +181,7 @@
 
 func (s *Server) httpServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           h,
+		Handler:           s.guarded(h),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    s.settings.Limits.HeaderBytes,
