End the limit on a caller's reads once its body was read

Ruled out: the forwarder's pools (the refusals came within 1 ms) and the clock. Reads are limited while a body is read only; writes are limited for each request, also on connections of peers, where an old limit could end a later answer.

--- a/launcher/harness_test.go
+++ b/launcher/harness_test.go
@@ -151,7 +151,8 @@
 }
 
 func (r sending) String() string {
-	return fmt.Sprintf("%s %s at %s: status %d, reason %q, ran %q, error %v", r.start.UTC().Format(time.TimeOnly), r.key, r.instance, r.status, r.reason, r.ran, r.err)
+	return fmt.Sprintf("%s %s at %s: status %d, reason %q, ran %q, error %v, after %v: %s",
+		r.start.UTC().Format("15:04:05.000"), r.key, r.instance, r.status, r.reason, r.ran, r.err, r.duration.Round(time.Millisecond), strings.TrimSpace(r.body))
 }
 
 type order struct {
--- a/responder/refusal.go
+++ b/responder/refusal.go
@@ -78,7 +78,11 @@
 // Write sends r as the whole answer; it must be called before any other byte of the answer is written.
 func (r *Refusal) Write(w http.ResponseWriter) error {
 	h := w.Header()
+	c, closes := h["Connection"]
 	clear(h)
+	if closes {
+		h["Connection"] = c
+	}
 	h.Set("Content-Type", "application/json")
 	h.Set("Cache-Control", "no-store")
 	h.Set(HeaderReason, string(r.Reason))
--- a/server/body.go
+++ b/server/body.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"celeryhead.dev/celeryhead/authenticator"
 	"celeryhead.dev/celeryhead/responder"
@@ -22,11 +23,38 @@
 	trailer http.Header
 	// length is that of the request, or -1.
 	length int64
+	// read ends the limit on reads.
+	read func()
+}
+
+// connectionSlack is how long after the deadline of a request its caller may take the rest of the answer.
+const connectionSlack = 5 * time.Second
+
+// limitWrites ends writes to a caller that has gone silent; the limit stays with the connection until the next request.
+func limitWrites(w http.ResponseWriter, deadline time.Time) {
+	// Writers without deadlines are no connections.
+	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(connectionSlack))
+}
+
+// limitReads ends reads of a body from a caller that has gone silent; without a limit the request, and with it a
+// shutdown, would wait until the kernel gives up. The returned function ends the limit and must be called once
+// the body was read: net/http reads on to see the caller leave, and a limit that passes then cancels this and all
+// later requests of the connection.
+func limitReads(w http.ResponseWriter, deadline time.Time) func() {
+	k := http.NewResponseController(w)
+	_ = k.SetReadDeadline(deadline)
+	return func() { _ = k.SetReadDeadline(time.Time{}) }
 }
 
 // readBody reads the beginning of a body, so that a slow caller does not occupy a slot with a small one.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) (*body, *responder.Refusal) {
-	b := &body{trailer: r.Trailer, length: r.ContentLength}
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) (*body, *responder.Refusal) {
+	b := &body{trailer: r.Trailer, length: r.ContentLength, read: func() {}}
+	d := time.Now().Add(deadline.Sub(s.clock()))
+	limitWrites(w, d)
+	if r.ContentLength == 0 {
+		return b, nil
+	}
+	b.read = limitReads(w, d)
 	in := io.Reader(r.Body)
 	if m := s.settings.Limits.BodyBytes; m > 0 {
 		if r.ContentLength > m {
@@ -42,6 +70,7 @@
 	if len(b.head) > bufferedBytes {
 		b.rest = in
 	} else {
+		b.read()
 		authenticator.StripHeader(b.trailer)
 	}
 	if b.whole() && len(b.trailer) == 0 {
@@ -93,6 +122,7 @@
 	}
 	n, err := r.body.rest.Read(p)
 	if errors.Is(err, io.EOF) {
+		r.body.read()
 		authenticator.StripHeader(r.body.trailer)
 	}
 	return n, err
--- a/server/callers.go
+++ b/server/callers.go
@@ -53,8 +53,7 @@
 		if s.leaving.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		// The limit that an earlier request set stays with its connection.
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(connectionSlack))
+		limitWrites(w, time.Now())
 		h.ServeHTTP(w, r)
 	})
 }
--- a/server/entry.go
+++ b/server/entry.go
@@ -124,7 +124,6 @@
 	if f := s.authenticate(v, c, r, now); f != nil {
 		return c, f
 	}
-	s.limitConnection(w, c)
 	if p, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
 		c.caller = p.Addr()
 	}
@@ -132,7 +131,7 @@
 	if err := authenticator.Strip(c.request.Header, c.request.URL); err != nil {
 		return c, badRequest(err.Error())
 	}
-	if c.body, f = s.readBody(w, r); f != nil {
+	if c.body, f = s.readBody(w, r, c.deadline); f != nil {
 		return c, f
 	}
 	c.request.ContentLength = c.body.length
@@ -140,19 +139,6 @@
 	return c, nil
 }
 
-// connectionSlack is how long after the deadline of a request its caller may take the rest of the answer.
-const connectionSlack = 5 * time.Second
-
-// limitConnection ends reads and writes on a caller's connection that has gone silent; without limits a request would
-// wait for its body, and a shutdown for the request, until the kernel gives up.
-func (s *Server) limitConnection(w http.ResponseWriter, c *call) {
-	k := http.NewResponseController(w)
-	d := time.Now().Add(c.deadline.Sub(s.clock()))
-	// Writers without deadlines, as in tests, have no connection that can go silent.
-	_ = k.SetReadDeadline(d)
-	_ = k.SetWriteDeadline(d.Add(connectionSlack))
-}
-
 // deadline returns the earlier one of the route's and the caller's own.
 func deadline(r *http.Request, t composer.Route, now time.Time) (time.Time, *responder.Refusal) {
 	d := now.Add(t.Deadline)
--- a/server/owner.go
+++ b/server/owner.go
@@ -267,7 +267,7 @@
 	c.request = outgoing(r)
 	c.request.URL = u
 	var f *responder.Refusal
-	if c.body, f = s.readBody(w, r); f != nil {
+	if c.body, f = s.readBody(w, r, c.deadline); f != nil {
 		return nil, f
 	}
 	c.request.ContentLength = c.body.length
