Choose test ports below the range of outgoing connections

Cause: freeAddresses let the kernel choose ports, which come from the range of outgoing connections; a connection of another process could take one before the daemon bound it. Ruled out: two deployments at once; the launcher suite runs alone. After: ports lie between 12,000 and 32,000, outside 32,768-60,999.

--- /dev/null
+++ b/launcher/addresses.go
@@ -0,0 +1,40 @@
+package launcher
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Ports of a deployment lie below the range from which Linux chooses the ports of outgoing connections (32768 and up
+// by default): a process that is restarted could otherwise find its port taken by a connection of another process.
+const (
+	firstPort = 12_000
+	lastPort  = 32_000
+	portTries = 10_000
+)
+
+// freeAddresses returns loopback addresses that were free a moment ago.
+func freeAddresses(n int) ([]netip.AddrPort, error) {
+	var r []netip.AddrPort
+	for range portTries {
+		if len(r) == n {
+			return r, nil
+		}
+		p := firstPort + rand.N(lastPort-firstPort) //nolint:gosec // Deployments that run side by side only need different ports.
+		l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: p})
+		if err != nil {
+			continue
+		}
+		// All listeners stay open until the last address is chosen, so that none is chosen twice.
+		defer func() { _ = l.Close() }()
+		a, err := netip.ParseAddrPort(l.Addr().String())
+		if err != nil {
+			return nil, err
+		}
+		r = append(r, a)
+	}
+	return nil, merry.Errorf("fewer than %d free ports between %d and %d", n, firstPort, lastPort)
+}
--- a/launcher/deployment.go
+++ b/launcher/deployment.go
@@ -370,24 +370,6 @@
 	return nil
 }
 
-// freeAddresses returns loopback addresses that were free a moment ago.
-func freeAddresses(n int) ([]netip.AddrPort, error) {
-	var r []netip.AddrPort
-	for range n {
-		l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
-		if err != nil {
-			return nil, err
-		}
-		defer func() { _ = l.Close() }()
-		a, err := netip.ParseAddrPort(l.Addr().String())
-		if err != nil {
-			return nil, err
-		}
-		r = append(r, a)
-	}
-	return r, nil
-}
-
 func waitFor(ctx context.Context, a netip.AddrPort) error {
 	x, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
