Hand bucket parts over to their next owners

Not done: splitting such assignments into two, which delays departures by the freshness each and leaves the gap as it is. Change: an owner that gives a part up reports tokens and outstanding tokens beside the released version, and the next owner goes on with them. Later reports of an earlier owner now reduce the slots that it occupies.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -36,6 +36,16 @@
 	Unknown bool
 	Slots   int
 	Until   time.Time
+	// Bucket is set for a bucket part whose earlier owner said what it held.
+	Bucket Bucket
+}
+
+// Bucket is what the earlier owner of a bucket part held when it stopped, in nanotokens.
+type Bucket struct {
+	Known bool
+	// Rate is in nanotokens per second.
+	Rate, Burst         int64
+	Tokens, Outstanding int64
 }
 
 // Heads is the part of the heads row that assigns resources.
@@ -294,10 +304,21 @@
 		if now.Before(h.ready) {
 			h.ready = now
 		}
-		if h.residue.Unknown {
-			h.residue = residues[r]
-		}
+		h.residue = h.residue.reduced(residues[r])
+	}
+}
+
+// reduced returns what is left of a residue after its owner's next report: work ends, and none starts any more.
+// Reports may arrive late, so what an earlier one excluded stays excluded.
+func (r Residue) reduced(n Residue) Residue {
+	if r.Unknown {
+		return n
 	}
+	r.Slots = min(r.Slots, n.Slots)
+	if n.Until.Before(r.Until) {
+		r.Until = n.Until
+	}
+	return r
 }
 
 // Tick takes the resources that are ready. Taking needs acts, tracker.Acts,
--- a/controller/beats.go
+++ b/controller/beats.go
@@ -102,6 +102,13 @@
 		k := c.view.Load().TargetResource(d.Target)
 		r[k] = merge(r[k], assigner.Residue{Slots: int(d.Slots), Until: now.Add(time.Duration(d.RemainingMs) * time.Millisecond)})
 	}
+	for _, d := range b.Buckets {
+		r[bucketResource(d.Account, int(d.Part))] = assigner.Residue{
+			// The new owner starts without a report after that time.
+			Until:  now.Add(c.config.Timing.Freshness),
+			Bucket: assigner.Bucket{Known: true, Rate: d.Rate, Burst: d.Burst, Tokens: d.Tokens, Outstanding: d.Outstanding},
+		}
+	}
 	c.assigner.ObserveRelease(now, member(f), b.ReleasedVersion, r)
 }
 
--- a/controller/view.go
+++ b/controller/view.go
@@ -128,11 +128,15 @@
 
 // BucketResource names the right to grant tokens of one part of a bucket; the index is that in Limits.
 func (v *View) BucketResource(name string, index int) assigner.Resource {
-	r := assigner.Resource{Name: bucketPrefix + name, Scope: assigner.FleetScope}
 	if len(v.Limits[name]) > 1 {
-		r.Part = index + 1
+		return bucketResource(name, index+1)
 	}
-	return r
+	return bucketResource(name, 0)
+}
+
+// bucketResource names a part of a bucket; 0 stands for an undivided one.
+func bucketResource(name string, part int) assigner.Resource {
+	return assigner.Resource{Name: bucketPrefix + name, Scope: assigner.FleetScope, Part: part}
 }
 
 // ShiftResource names the right to advance a shift.
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -92,7 +92,9 @@
 	messages []message
 	limits   []limiter.Limit
 	// owners holds the owner of each part, or -1 between two owners.
-	owners  [2]int
+	owners [2]int
+	// handed holds what the last owner of each part handed over.
+	handed  [2]*limiter.State
 	windows []*window
 	loans   []loan
 	late    []lateAsk
@@ -100,6 +102,8 @@
 	open    map[lender]uint64
 	lastAsk uint64
 	spent   int
+	// handOvers counts the parts that were handed over.
+	handOvers int
 }
 
 // lender is one part as one process knows it.
@@ -188,7 +192,7 @@
 	var o []limiter.Owned
 	for p := range m.owned {
 		if p < len(f.limits) {
-			o = append(o, limiter.Owned{Account: "kiln", Part: p, Limit: f.limits[p]})
+			o = append(o, limiter.Owned{Account: "kiln", Part: p, Limit: f.limits[p], Inherited: f.handed[p]})
 		}
 	}
 	m.owner.Set(f.clock(m), o)
@@ -213,18 +217,55 @@
 
 // assign takes a part from its owner, or gives it to another instance.
 func (f *fleet) assign() {
-	p := f.r.IntN(2)
+	f.assignPart(f.r.IntN(2))
+}
+
+// reassign changes the owner of a part twice while all its tokens may be outstanding, first without a report.
+func (f *fleet) reassign(p int) {
+	f.elapse(2 * time.Second)
+	for range 20 {
+		f.borrow()
+	}
+	f.assignPart(p)
+	f.elapse(400 * time.Millisecond)
+	f.assignPart(p)
+	for range 5 {
+		f.borrow()
+	}
+	f.elapse(90 * time.Millisecond)
+	f.borrow()
+	f.cash()
+}
+
+func (f *fleet) assignPart(p int) {
 	if o := f.owners[p]; o >= 0 {
 		delete(f.machines[o].owned, p)
 		f.set(f.machines[o])
 		f.owners[p] = -1
+		f.handed[p] = f.handOver(f.machines[o], p)
 		if f.r.IntN(4) == 0 {
 			return
 		}
 	}
+	if f.r.IntN(4) == 0 {
+		// The report of the earlier owner did not arrive.
+		f.handed[p] = nil
+	}
 	f.owners[p] = f.r.IntN(instances)
 	f.machines[f.owners[p]].owned[p] = true
 	f.set(f.machines[f.owners[p]])
+	f.handed[p] = nil
+}
+
+// handOver returns what an instance reports of a part that it just lost, or nil.
+func (f *fleet) handOver(m *machine, p int) *limiter.State {
+	for _, h := range m.owner.HandOvers(f.clock(m)) {
+		if h.Part == p {
+			f.handOvers++
+			return &h.State
+		}
+	}
+	return nil
 }
 
 // restart replaces the process of an instance, which may own its parts again at once.
@@ -472,9 +513,11 @@
 	switch n := f.r.IntN(100); {
 	case n < 3:
 		f.assign()
-	case n < 6:
+	case n < 5:
+		f.reassign(f.r.IntN(2))
+	case n < 8:
 		f.restart()
-	case n < 9:
+	case n < 11:
 		f.configure()
 	case n < 25:
 		f.cash()
@@ -489,7 +532,7 @@
 
 // check generates runs and requires that tokens are spent in them.
 func check(t *testing.T, runs uint64, step func(*fleet)) {
-	spent := 0
+	spent, handOvers := 0, 0
 	for seed := *firstSeed; seed < *firstSeed+runs; seed++ {
 		f := newFleet(t, rand.New(rand.NewPCG(seed, 0)))
 		f.seed = seed
@@ -499,8 +542,12 @@
 			step(f)
 		}
 		spent += f.spent
+		handOvers += f.handOvers
+	}
+	t.Logf("%d tokens spent and %d parts handed over in %d runs", spent, handOvers, runs)
+	if handOvers < int(runs) {
+		t.Fatal("the runs hand over too few parts to prove anything")
 	}
-	t.Logf("%d tokens spent in %d runs", spent, runs)
 	if spent < 10*int(runs) {
 		t.Fatal("the runs spend too few tokens to prove anything")
 	}
--- a/limiter/part.go
+++ b/limiter/part.go
@@ -48,6 +48,39 @@
 	return &Part{limit: l, at: now.Add(GrantLife)}
 }
 
+// State is what the owner of a part hands over to the next one, in nanotokens.
+type State struct {
+	// Limit is the limit under which the part was kept.
+	Limit Limit
+	// Tokens may be granted.
+	Tokens int64
+	// Outstanding tokens were granted and may still be spent.
+	Outstanding int64
+}
+
+// ResumePart returns a part that goes on from the state in which its earlier owner stopped; it starts like NewPart if
+// the limit differs.
+func ResumePart(now time.Time, l Limit, s State) *Part {
+	if s.Limit != l || s.Tokens < 0 || s.Outstanding < 0 {
+		return NewPart(now, l)
+	}
+	p := &Part{limit: l, at: now, tokens: min(s.Tokens, max(0, l.Burst-s.Outstanding))}
+	if s.Outstanding > 0 {
+		// The grants were made before now, so they lapse at the holders by then.
+		p.lend(now, Request{}, s.Outstanding)
+	}
+	return p
+}
+
+// State returns what to hand over; false while grants of an earlier owner may be outstanding, whose number is unknown.
+func (p *Part) State(now time.Time) (State, bool) {
+	p.advance(now)
+	if now.Before(p.at) {
+		return State{}, false
+	}
+	return State{Limit: p.limit, Tokens: p.tokens, Outstanding: p.outstanding}, true
+}
+
 // SetLimit changes rate and burst from now on; it adds no token, and takes those beyond the burst.
 func (p *Part) SetLimit(now time.Time, l Limit) {
 	p.advance(now)
--- a/limiter/part_test.go
+++ b/limiter/part_test.go
@@ -96,6 +96,35 @@
 	}
 }
 
+// TestHandOver guards against a planned change of owner that leaves an account without tokens for a time, and against
+// a next owner that believes a state which cannot be true of its part.
+func TestHandOver(t *testing.T) {
+	l := limiter.Limit{Rate: 10e9, Burst: 20e9}
+	cases := []struct {
+		name  string
+		state *limiter.State
+		want  int
+	}{
+		{name: "no report"},
+		{name: "full", state: &limiter.State{Limit: l, Tokens: 20e9}, want: 20},
+		{name: "some outstanding", state: &limiter.State{Limit: l, Tokens: 5e9, Outstanding: 15e9}, want: 5},
+		{name: "more than fits", state: &limiter.State{Limit: l, Tokens: 20e9, Outstanding: 15e9}, want: 5},
+		{name: "all outstanding", state: &limiter.State{Limit: l, Outstanding: 30e9}},
+		{name: "other limit", state: &limiter.State{Limit: limiter.Limit{Rate: 1e9, Burst: 2e9}, Tokens: 2e9}},
+		{name: "negative", state: &limiter.State{Limit: l, Tokens: 5e9, Outstanding: -1}},
+	}
+	for _, c := range cases {
+		o := limiter.NewOwner()
+		o.Set(epoch, []limiter.Owned{{Account: "kiln", Limit: l, Inherited: c.state}})
+		if r := o.Grant(epoch, "kiln", 0, limiter.Request{Holder: "a", Ask: 1, Tokens: 40}); r.Tokens != c.want {
+			t.Errorf("%s: %d tokens at once, want %d", c.name, r.Tokens, c.want)
+		}
+		if r := o.Grant(epoch.Add(time.Second), "kiln", 0, limiter.Request{Holder: "a", Ask: 2, Tokens: 40}); r.Tokens != 5 {
+			t.Errorf("%s: %d tokens half a second after the grants lapsed, want 5", c.name, r.Tokens)
+		}
+	}
+}
+
 // TestSettle guards against counting held tokens in grants that lapse before them.
 func TestSettle(t *testing.T) {
 	p := limiter.NewPart(epoch.Add(-time.Hour), limiter.Limit{Rate: 1e12, Burst: 6e9})
--- a/limiter/policies_test.go
+++ b/limiter/policies_test.go
@@ -21,7 +21,9 @@
 	// deathAt and takeoverAt bound the time without an owner after a crash, design 2.2.
 	deathAt    = 40 * time.Second
 	takeoverAt = deathAt + 5*time.Second
-	wait       = 400 * time.Millisecond
+	// releaseTime is from the moment at which instances stop granting until the next owners have heard of it.
+	releaseTime = 50 * time.Millisecond
+	wait        = 400 * time.Millisecond
 	// overload is how many times its rate the first account sends.
 	overload = 5
 )
@@ -43,9 +45,13 @@
 	name     string
 	gathered bool
 	death    bool
+	// planned is true if both owners of an account are replaced at once while they live.
+	planned bool
 }
 
-var scenarios = []scenario{{name: "spread"}, {name: "gathered", gathered: true}, {name: "owner dies", death: true}}
+var scenarios = []scenario{
+	{name: "spread"}, {name: "gathered", gathered: true}, {name: "owner dies", death: true}, {name: "owners replaced", planned: true},
+}
 
 type event struct {
 	at  time.Time
@@ -114,9 +120,12 @@
 		r.clients = append(r.clients, &client{index: i, name: fmt.Sprint("account-", i), rate: x, burst: x * d.burstSeconds, at: epoch})
 	}
 	r.assign(0, r.members)
-	// The owner of the first part of the second account dies.
-	r.victim = r.owners[0][1][0]
-	r.assign(1, slices.Delete(slices.Clone(r.members), r.victim, r.victim+1))
+	// The owner of the first part of the second account dies, or the owners of both parts are replaced.
+	o := r.owners[0][1]
+	r.victim = o[0]
+	r.assign(1, slices.DeleteFunc(slices.Clone(r.members), func(m assigner.Member) bool {
+		return m == r.members[o[0]] || s.planned && m == r.members[o[1]]
+	}))
 	return r
 }
 
@@ -143,7 +152,7 @@
 
 // owner returns the owner of a part, between a death and the takeover the dead one.
 func (r *run) owner(c *client, part int) int {
-	if r.s.death && !r.now.Before(epoch.Add(takeoverAt)) {
+	if r.s.death && !r.now.Before(epoch.Add(takeoverAt)) || r.s.planned && !r.now.Before(epoch.Add(deathAt)) {
 		return r.owners[1][c.index][part]
 	}
 	return r.owners[0][c.index][part]
@@ -153,7 +162,7 @@
 	for _, c := range r.clients {
 		var os [2]int
 		for p := range os {
-			o, _ := assigner.PartOwner(c.name, p, members)
+			o, _ := assigner.PartOwner(c.name, p+1, members)
 			os[p] = slices.Index(r.members, o)
 		}
 		r.owners[when] = append(r.owners[when], os)
@@ -244,32 +253,58 @@
 	parts   []*limiter.Owner
 	dones   []map[limiter.ID]func(bool)
 	wakes   map[[2]int]time.Time
+	// handed holds the states of parts that were given up, or is nil if owners hand nothing over.
+	handed map[limiter.Owned]limiter.State
 }
 
 func newGranted(r *run) policy {
+	g := newUnhanded(r).(*granted)
+	g.handed = map[limiter.Owned]limiter.State{}
+	return g
+}
+
+// newUnhanded is the policy without hand-over between owners.
+func newUnhanded(r *run) policy {
 	g := &granted{run: r, wakes: map[[2]int]time.Time{}}
 	for range entries {
 		g.holders = append(g.holders, limiter.NewHolder(limiter.HolderConfig{Wait: wait}))
 		g.parts = append(g.parts, limiter.NewOwner())
 		g.dones = append(g.dones, map[limiter.ID]func(bool){})
 	}
-	g.set()
+	g.set(true)
 	if r.s.death {
-		r.after(takeoverAt, g.set)
+		r.after(takeoverAt, func() { g.set(true) })
+	}
+	if r.s.planned {
+		r.after(deathAt, func() { g.set(false) })
+		r.after(deathAt+releaseTime, func() { g.set(true) })
 	}
 	return g
 }
 
-func (g *granted) set() {
+// set applies the present owners; those that are new take over only if takeOver is true.
+func (g *granted) set(takeOver bool) {
 	owned := make([][]limiter.Owned, entries)
 	for _, c := range g.clients {
 		for p, l := range limiter.Parts(c.rate, c.burst) {
 			o := g.owner(c, p)
-			owned[o] = append(owned[o], limiter.Owned{Account: c.name, Part: p, Limit: l})
+			if !takeOver && o != g.owners[0][c.index][p] {
+				continue
+			}
+			w := limiter.Owned{Account: c.name, Part: p, Limit: l}
+			if s, ok := g.handed[w]; ok {
+				w.Inherited = &s
+			}
+			owned[o] = append(owned[o], w)
 		}
 	}
 	for i, o := range g.parts {
 		o.Set(g.now, owned[i])
+		for _, h := range o.HandOvers(g.now) {
+			if g.handed != nil {
+				g.handed[limiter.Owned{Account: h.Account, Part: h.Part, Limit: h.State.Limit}] = h.State
+			}
+		}
 	}
 }
 
@@ -442,7 +477,7 @@
 // refusals than those of an even split.
 func TestPolicies(t *testing.T) {
 	policies := []named{{"owned parts", newGranted}, {"even split", newEven}}
-	compared := []named{{"single owner", newSingle}, {"not shared", newUnshared}}
+	compared := []named{{"no hand-over", newUnhanded}, {"single owner", newSingle}, {"not shared", newUnshared}}
 	if *all {
 		policies = append(policies, compared...)
 	}
--- a/server/allowances.go
+++ b/server/allowances.go
@@ -7,6 +7,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/twitchtv/twirp"
 
+	"celeryhead.dev/celeryhead/assigner"
 	"celeryhead.dev/celeryhead/controller"
 	"celeryhead.dev/celeryhead/limiter"
 	"celeryhead.dev/celeryhead/messenger"
@@ -18,14 +19,50 @@
 	var r []limiter.Owned
 	for n, ls := range v.Limits {
 		for i, l := range ls {
-			if s.control.Owns(v.BucketResource(n, i)) {
-				r = append(r, limiter.Owned{Account: n, Part: i, Limit: l})
+			k := v.BucketResource(n, i)
+			if !s.control.Owns(k) {
+				continue
 			}
+			r = append(r, limiter.Owned{
+				Account:   n,
+				Part:      i,
+				Limit:     l,
+				Divided:   len(ls) > 1,
+				Inherited: inherited(s.control.Residue(k, now)),
+			})
 		}
 	}
 	s.buckets.Set(now, r)
 }
 
+func inherited(r assigner.Residue) *limiter.State {
+	if !r.Bucket.Known {
+		return nil
+	}
+	return &limiter.State{
+		Limit:       limiter.Limit{Rate: r.Bucket.Rate, Burst: r.Bucket.Burst},
+		Tokens:      r.Bucket.Tokens,
+		Outstanding: r.Bucket.Outstanding,
+	}
+}
+
+// reportBuckets adds the bucket parts that this instance gave up to a heartbeat.
+func (s *Server) reportBuckets(b *messenger.Beat, now time.Time) {
+	for _, h := range s.buckets.HandOvers(now) {
+		m := &messenger.BucketState{
+			Account:     h.Account,
+			Rate:        h.State.Limit.Rate,
+			Burst:       h.State.Limit.Burst,
+			Tokens:      h.State.Tokens,
+			Outstanding: h.State.Outstanding,
+		}
+		if h.Divided {
+			m.Part = uint32(h.Part) + 1 //nolint:gosec // At most two parts.
+		}
+		b.Buckets = append(b.Buckets, m)
+	}
+}
+
 // asker asks the owners of bucket parts for tokens.
 type asker struct {
 	server *Server
--- a/server/pools.go
+++ b/server/pools.go
@@ -228,6 +228,7 @@
 	now := p.server.clock()
 	b.Strikes = p.server.notices(now)
 	b.Rate = p.server.started.perSecond(now)
+	p.server.reportBuckets(b, now)
 	for _, o := range p.all() {
 		l := o.Load()
 		// A pool without slots is reported too, so that requests do not go to an owner that waits for an earlier one.
