Do not refuse requests as overload while a target changes its owner

Cause of the second failure of the rolling restart: 9 of 6,250 requests were refused as no_slot within 0.3 s at shymkent-2, which had gained two targets on each of which one request of the earlier owner still ran. The owner reported 6 slots, so its own chooser preferred it to an owner whose report was used up, and it refused at once because the slots were blocked until the requests' deadline (3 s), although they ended much sooner. Ruled out: slots lost by a departed owner (all 16 targets had owners). Before: a work is refused as no_slot and the owner reports 6 slots. After: it reports the slots that it may use, 0 here, refuses as no_owner, after which the entry instance waits, and every heartbeat of the earlier owner frees what has ended. TestChangeOfOwnerIsNoOverload and TestRuleOfLaterReports were seen red without it.

--- a/assigner/assigner_test.go
+++ b/assigner/assigner_test.go
@@ -175,6 +175,28 @@
 	}
 }
 
+// Guards against slots that stay blocked until a deadline although the earlier owner reported that its requests have
+// ended, and against reports that arrive late.
+func TestRuleOfLaterReports(t *testing.T) {
+	r := owned(t, "a1", "a2", "a3")
+	a := newAssigner("a2", r)
+	a.Adopt(start, heads(2, 2, "a1", "a2", "a3"))
+	a.Adopt(after(10*time.Second), heads(3, 3, "a2", "a3"))
+	until := after(15 * time.Second)
+	for _, c := range []struct {
+		reported, want int
+	}{{3, 3}, {1, 1}, {2, 1}, {0, 0}, {3, 0}} {
+		m := map[assigner.Resource]assigner.Residue{}
+		if c.reported > 0 {
+			m[r] = assigner.Residue{Slots: c.reported, Until: until}
+		}
+		a.ObserveRelease(after(11*time.Second), member("a1"), 3, m)
+		if got := a.Residue(r, after(11*time.Second)).Slots; got != c.want {
+			t.Fatalf("%d slots after a report of %d, want %d", got, c.reported, c.want)
+		}
+	}
+}
+
 // Guards against assignments that change without need, and by instances of other regions.
 func TestRuleOfNext(t *testing.T) {
 	h := heads(7, 3, "a1", "a2")
--- a/balancer/pool.go
+++ b/balancer/pool.go
@@ -344,11 +344,12 @@
 // closed returns the refusal of all work while no target can take any, or nil.
 func (p *Pool) closed(now time.Time) *responder.Refusal {
 	var opens time.Time
-	serves, ignore := false, p.ignoresSignals()
+	serves, inherited, ignore := false, true, p.ignoresSignals()
 	for _, t := range p.targets.All() {
 		if !t.serves() {
 			continue
 		}
+		inherited = inherited && t.occupied() && !t.closed.After(now)
 		o := t.opens(now, ignore)
 		if !serves || o.Before(opens) {
 			opens = o
@@ -363,6 +364,10 @@
 		return nil
 	}
 	r := p.refusal(responder.NoSlot, "no target of pool %s that this instance owns accepts work at present")
+	if inherited {
+		// Not load but a change of owner is the cause, and the earlier owner may report soon that its works have ended.
+		r = p.refusal(responder.NoOwner, "works of earlier owners occupy all targets of pool %s that this instance owns")
+	}
 	r.RetryAfter = max(wait, minRetryAfter)
 	return r
 }
@@ -395,10 +400,15 @@
 	Slots, Free, Queued int
 }
 
-// Load returns the slots of targets that serve, how many are free, and the length of the queue.
+// Load returns the slots that works of this instance may take, how many are free, and the length of the queue.
 func (p *Pool) Load(now time.Time) Load {
 	p.refresh(now)
-	return Load{Slots: p.slots(), Free: p.free(now), Queued: p.queue.length}
+	l := Load{Free: p.free(now), Queued: p.queue.length}
+	for _, t := range p.targets.All() {
+		// Slots in which works of an earlier owner run do not count, so that an owner without others gets no requests.
+		l.Slots += t.usable()
+	}
+	return l
 }
 
 // Status describes one target.
--- a/balancer/target.go
+++ b/balancer/target.go
@@ -99,6 +99,19 @@
 	return t.running + t.inherited()
 }
 
+// usable is the number of slots that works of this instance may take.
+func (t *target) usable() int {
+	if !t.serves() {
+		return 0
+	}
+	return max(min(t.capacity(), t.limit)-t.inherited(), 0)
+}
+
+// occupied reports whether works of earlier owners leave no slot to this instance.
+func (t *target) occupied() bool {
+	return t.usable() == 0 && slices.ContainsFunc(t.residues, func(r residue) bool { return !r.own })
+}
+
 // serves reports whether t may receive work now or later.
 func (t *target) serves() bool {
 	return t.state != Draining && t.state != Gone
--- a/balancer/target_test.go
+++ b/balancer/target_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"celeryhead.dev/celeryhead/balancer"
+	"celeryhead.dev/celeryhead/responder"
 )
 
 // Guards against endpoint signals that take out more than half of a pool.
@@ -83,3 +84,46 @@
 		}
 	}
 }
+
+// Guards against an owner that attracts requests, or refuses them as overload, while works of earlier owners occupy
+// its targets.
+func TestChangeOfOwnerIsNoOverload(t *testing.T) {
+	until := epoch.Add(3 * time.Second)
+	busy := []balancer.Residue{{Slots: 1, Until: until}}
+	cases := []struct {
+		name   string
+		a, b   []balancer.Residue
+		slots  int
+		reason responder.Reason
+	}{
+		{name: "both occupied", a: busy, b: busy, reason: responder.NoOwner},
+		{name: "one occupied", a: busy, slots: 1},
+		{name: "none occupied", slots: 2},
+	}
+	for _, c := range cases {
+		p := balancer.New(balancer.Config{Name: "desk"})
+		p.Adopt(epoch, []balancer.Holding{{Target: "a", Slots: slots, Residues: c.a}, {Target: "b", Slots: slots, Residues: c.b}})
+		if n := p.Load(epoch).Slots; n != c.slots {
+			t.Errorf("%s: %d slots reported, want %d", c.name, n, c.slots)
+		}
+		var got responder.Reason
+		if _, a := p.Submit(epoch, balancer.Work{Deadline: until}); len(a.Refused) > 0 {
+			got = a.Refused[0].Refusal.Reason
+		}
+		if got != c.reason {
+			t.Errorf("%s: refused as %q, want %q", c.name, got, c.reason)
+		}
+		p.Inherit(epoch, "a", nil)
+		if _, a := p.Submit(epoch, balancer.Work{Deadline: until}); len(a.Starts) == 0 {
+			t.Errorf("%s: no work starts after the report that the earlier owner's works have ended", c.name)
+		}
+	}
+	// Works that this instance gave up on itself are its own load.
+	p := balancer.New(balancer.Config{Name: "desk", ServiceTime: time.Millisecond})
+	p.Adopt(epoch, []balancer.Holding{{Target: "a", Slots: 1}})
+	_, a := p.Submit(epoch, balancer.Work{Deadline: until})
+	p.Finish(epoch, a.Starts[0].ID, balancer.Timeout)
+	if _, a := p.Submit(epoch, balancer.Work{Deadline: until}); len(a.Refused) == 0 || a.Refused[0].Refusal.Reason != responder.NoSlot {
+		t.Errorf("own work that may still run: %+v, want a refusal as %q", a, responder.NoSlot)
+	}
+}
