Add a drill: faults drawn at random under load

TestDrill compares ledgers and answers of all requests, checks withdrawn keys and the return to full service. make drill shows the same to operators, beside what callers are told. Ruled out: faults of the processes that hold the targets' ledgers, whose loss would take the evidence.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LINT = $(shell $(GO) env GOPATH)/bin/golangci-lint
 PACKAGES = ./...
 
-.PHONY: all build format linter lint vet unit processes test run smoke fuzz generate bench
+.PHONY: all build format linter lint vet unit processes test run smoke drill fuzz generate bench
 
 all: build
 
@@ -45,6 +45,11 @@
 smoke: build
 	$(GO) run ./cmd/demo --bin bin --check
 
+# Brings about faults drawn at random for a minute, under load, and prints them beside what callers are told.
+SEED = 1
+drill: build
+	$(GO) run ./cmd/demo --bin bin --drill 60s --seed $(SEED)
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem $(PACKAGES)
 
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -20,14 +20,18 @@
 type options struct {
 	bin         string
 	check, keep bool
+	drill       time.Duration
+	seed        uint64
 }
 
 func main() {
-	o := options{bin: "bin"}
+	o := options{bin: "bin", seed: 1}
 	flaggy.SetName("demo")
 	flaggy.String(&o.bin, "", "bin", "directory of the built programs")
 	flaggy.Bool(&o.check, "", "check", "check the transcript and exit")
 	flaggy.Bool(&o.keep, "", "keep", "keep settings, certificates and logs")
+	flaggy.Duration(&o.drill, "", "drill", "bring about faults drawn at random for this long, under load, and exit")
+	flaggy.UInt64(&o.seed, "", "seed", "seed of the faults of the drill")
 	flaggy.Parse()
 	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, "demo:", err)
@@ -57,6 +61,9 @@
 	if err := t.play(x); err != nil {
 		return err
 	}
+	if o.drill > 0 {
+		return t.drill(ctx, launcher.DrillConfig{Seed: o.seed, Duration: o.drill})
+	}
 	if o.check {
 		fmt.Println("transcript: ok")
 		return nil
