Let the drill's callers follow look-up answers

Cause: the drill sent reads to every instance in turn, which callers do not do, so its counts said little about what they would see. The callers keep a look-up answer for its time to live and go on to the next instance after a refusal as not run or a broken connection, as docs/callers.md asks.

--- a/cmd/demo/drill.go
+++ b/cmd/demo/drill.go
@@ -27,6 +27,14 @@
 	mu sync.Mutex
 	// second holds the counts since the last line, total all of them.
 	second, total map[string]int
+	// slowest is the longest request since the last line, longest of all of them.
+	slowest, longest time.Duration
+}
+
+func (t *tally) took(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.slowest, t.longest = max(t.slowest, d), max(t.longest, d)
 }
 
 func (t *tally) count(what string) {
@@ -40,8 +48,8 @@
 func (t *tally) line() string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := format(t.second)
-	t.second = map[string]int{}
+	s := fmt.Sprintf("%s; slowest %v", format(t.second), t.slowest.Round(time.Millisecond))
+	t.second, t.slowest = map[string]int{}, 0
 	return s
 }
 
@@ -71,7 +79,7 @@
 	}
 	stop()
 	g.Wait()
-	fmt.Printf("\n%d faults; what callers were told: %s\n", faults, format(n.total))
+	fmt.Printf("\n%d faults; what callers were told: %s; slowest %v\n", faults, format(n.total), n.longest.Round(time.Millisecond))
 	return err
 }
 
@@ -88,33 +96,27 @@
 	}
 }
 
-// call sends reads to the instances in turn until ctx ends.
-func (t *transcript) call(ctx context.Context, caller int, n *tally) {
-	k := &http.Client{Timeout: drillTimeout}
-	for i := caller; ; i++ {
+// call sends reads until ctx ends.
+func (t *transcript) call(ctx context.Context, k int, n *tally) {
+	c := &caller{
+		deployment: t.deployment,
+		client:     &http.Client{Transport: &http.Transport{}, Timeout: drillTimeout},
+		header:     t.key(),
+		address:    fmt.Sprintf("10.%d.%d.1", 1+k%len(t.deployment.Configuration.Regions), 1+k),
+		asked:      k,
+	}
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(drillPause):
 		}
-		n.count(t.once(ctx, k, t.deployment.Instances[i%len(t.deployment.Instances)]))
-	}
-}
-
-// once sends one read and returns what came of it.
-func (t *transcript) once(ctx context.Context, k *http.Client, i *launcher.Instance) string {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.Callers.String()+"/permits/7", http.NoBody)
-	if err != nil {
-		return err.Error()
-	}
-	r.Header = t.key()
-	p, err := k.Do(r)
-	if err != nil {
-		return "no_answer"
-	}
-	defer func() { _ = p.Body.Close() }()
-	if p.StatusCode == http.StatusOK {
-		return "answered"
+		begin := time.Now()
+		s := c.read(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		n.count(s)
+		n.took(time.Since(begin))
 	}
-	return fmt.Sprintf("%s (%s)", p.Header.Get("Celeryhead-Reason"), p.Header.Get("Celeryhead-Ran"))
 }
