Share one ticker loop and one pause between packages

Cause: the same loop around a ticker stood in server (twice), balancer and controller, and the same interruptible pause in claimer, commander and operator.

Ruled out: one loop for all. The controller calls at once, the others after the first interval; Poll and Every keep that difference.

If a pause and its context end at the same moment, the end of the context is now always reported; before, commander and operator chose at random.

--- a/balancer/dispatcher.go
+++ b/balancer/dispatcher.go
@@ -46,16 +46,7 @@
 
 // Run lets time take effect until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) {
-	t := time.NewTicker(tickInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			d.do(d.pool.Tick)
-		}
-	}
+	timer.Every(ctx, tickInterval, func(context.Context) { d.do(d.pool.Tick) })
 }
 
 // Acquire blocks until w may start.
--- a/claimer/sweep.go
+++ b/claimer/sweep.go
@@ -143,7 +143,7 @@
 		if more && err == nil {
 			pause = sweepInterval
 		}
-		if err := sleep(ctx, pause); err != nil {
+		if err := timer.Sleep(ctx, pause); err != nil {
 			return err
 		}
 	}
@@ -166,7 +166,7 @@
 			// After a failed check the expiry row must stay, so that the next sweep finds its claims again.
 			break
 		}
-		if err := sleep(ctx, sweepInterval); err != nil {
+		if err := timer.Sleep(ctx, sweepInterval); err != nil {
 			return false, err
 		}
 	}
@@ -188,10 +188,3 @@
 	r, err := s.config.Store.Commit(ctx, t)
 	return r.Committed, err
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	wait, cancel := context.WithTimeout(ctx, d)
-	defer cancel()
-	<-wait.Done()
-	return ctx.Err()
-}
--- a/commander/change.go
+++ b/commander/change.go
@@ -13,6 +13,7 @@
 	"celeryhead.dev/celeryhead/composer"
 	"celeryhead.dev/celeryhead/messenger"
 	"celeryhead.dev/celeryhead/operator"
+	"celeryhead.dev/celeryhead/timer"
 )
 
 // keyAttempts bounds how often a change of one key is made anew after conflicts with other changes.
@@ -196,7 +197,7 @@
 				return nil
 			}
 		}
-		if !s.pause(ctx) {
+		if timer.Sleep(ctx, s.Pause) != nil {
 			return s.unsettled(r, accepted, err)
 		}
 	}
@@ -242,15 +243,3 @@
 	}
 	return merry.Wrap(errConflict, merry.WithCause(v))
 }
-
-// pause reports false if the wait is over.
-func (s *session) pause(ctx context.Context) bool {
-	t := time.NewTimer(s.Pause)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -152,20 +152,6 @@
 	g.Wait()
 }
 
-// every calls f at once and then at each interval until ctx ends.
-func every(ctx context.Context, d time.Duration, f func(context.Context)) {
-	t := time.NewTicker(d)
-	defer t.Stop()
-	for {
-		f(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
-}
-
 // View returns the newest adopted view.
 func (c *Controller) View() *View {
 	return c.view.Load()
--- a/controller/loops.go
+++ b/controller/loops.go
@@ -7,6 +7,7 @@
 	"celeryhead.dev/celeryhead/attester"
 	"celeryhead.dev/celeryhead/recorder"
 	"celeryhead.dev/celeryhead/storer"
+	"celeryhead.dev/celeryhead/timer"
 	"celeryhead.dev/celeryhead/tracker"
 )
 
@@ -82,7 +83,7 @@
 
 // runStore reads the heads row.
 func (c *Controller) runStore(ctx context.Context) {
-	every(ctx, c.config.Timing.Heartbeat, c.readStore)
+	timer.Poll(ctx, c.config.Timing.Heartbeat, c.readStore)
 }
 
 func (c *Controller) readStore(ctx context.Context) {
@@ -116,7 +117,7 @@
 
 // runList reads the platform's list.
 func (c *Controller) runList(ctx context.Context) {
-	every(ctx, c.config.Timing.ListAge/readsPerListAge, c.readList)
+	timer.Poll(ctx, c.config.Timing.ListAge/readsPerListAge, c.readList)
 }
 
 func (c *Controller) readList(ctx context.Context) {
--- a/controller/propose.go
+++ b/controller/propose.go
@@ -15,6 +15,7 @@
 	"celeryhead.dev/celeryhead/recorder"
 	"celeryhead.dev/celeryhead/steerer"
 	"celeryhead.dev/celeryhead/storer"
+	"celeryhead.dev/celeryhead/timer"
 	"celeryhead.dev/celeryhead/tracker"
 )
 
@@ -37,12 +38,12 @@
 
 // runProposals writes assignments that are due.
 func (c *Controller) runProposals(ctx context.Context) {
-	every(ctx, proposalInterval, c.proposeAssignment)
+	timer.Poll(ctx, proposalInterval, c.proposeAssignment)
 }
 
 // runShifts takes shift steps that are due; the decision goes through all blocks.
 func (c *Controller) runShifts(ctx context.Context) {
-	every(ctx, shiftInterval, c.advanceShifts)
+	timer.Poll(ctx, shiftInterval, c.advanceShifts)
 }
 
 func (c *Controller) proposeAssignment(ctx context.Context) {
--- a/operator/commit.go
+++ b/operator/commit.go
@@ -12,6 +12,7 @@
 	"celeryhead.dev/celeryhead/composer"
 	"celeryhead.dev/celeryhead/recorder"
 	"celeryhead.dev/celeryhead/storer"
+	"celeryhead.dev/celeryhead/timer"
 )
 
 // proposal is a checked change.
@@ -271,12 +272,5 @@
 	}
 	// The jitter protects nothing, so a predictable source is enough.
 	jitter := rand.Int64N(int64(mean) + 1) //nolint:gosec // not a secret
-	t := time.NewTimer(mean/2 + time.Duration(jitter))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return timer.Sleep(ctx, mean/2+time.Duration(jitter))
 }
--- a/server/probes.go
+++ b/server/probes.go
@@ -12,6 +12,7 @@
 
 	"celeryhead.dev/celeryhead/balancer"
 	"celeryhead.dev/celeryhead/forwarder"
+	"celeryhead.dev/celeryhead/timer"
 )
 
 const (
@@ -22,16 +23,7 @@
 
 // runProbes reads the health endpoints of owned targets.
 func (s *Server) runProbes(ctx context.Context) {
-	t := time.NewTicker(probeInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			s.probeAll(ctx)
-		}
-	}
+	timer.Every(ctx, probeInterval, s.probeAll)
 }
 
 func (s *Server) probeAll(ctx context.Context) {
--- a/server/server.go
+++ b/server/server.go
@@ -259,16 +259,9 @@
 const tickInterval = time.Second
 
 func (s *Server) runTicks(ctx context.Context) {
-	t := time.NewTicker(tickInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			s.tickets.Tick(s.clock())
-			s.targets.Tick()
-			s.peers.Tick()
-		}
-	}
+	timer.Every(ctx, tickInterval, func(context.Context) {
+		s.tickets.Tick(s.clock())
+		s.targets.Tick()
+		s.peers.Tick()
+	})
 }
