--- a/exemplifier/esbatu.go
+++ b/exemplifier/esbatu.go
@@ -10,9 +10,9 @@
 
 // EsBatu returns the configuration of Es Batu Nusantara.
 func EsBatu(s Settings) composer.Config {
-	west := composer.Region{Name: "west_java", FailureDomains: []string{"west_java_a", "west_java_b"}}
-	central := composer.Region{Name: "central_java", FailureDomains: []string{"central_java_a", "central_java_b"}}
-	east := composer.Region{Name: "east_java", FailureDomains: []string{"east_java_a", "east_java_b"}}
+	west := region("west_java")
+	central := region("central_java")
+	east := region("east_java")
 	regions := []composer.Region{west, central, east}
 	target := composer.Target{Slots: targetSlots, Connections: connectionsEsBatu}
 
@@ -21,30 +21,9 @@
 		Regions: regions,
 		Links:   composer.Mesh(linkEsBatu, regions...),
 		Pools: s.addresses([]composer.Pool{
-			{
-				Name:        "stock",
-				Targets:     composer.Spread("stock", 16, target, regions...),
-				ServiceTime: 30 * time.Millisecond,
-				Reserve:     0.34,
-				HealthPath:  "/health",
-				LoadPath:    "/load",
-			},
-			{
-				Name:        "ordering",
-				Targets:     composer.Spread("ordering", 12, target, regions...),
-				ServiceTime: 90 * time.Millisecond,
-				Reserve:     0.34,
-				HealthPath:  "/health",
-				LoadPath:    "/load",
-			},
-			{
-				Name:        "delivery",
-				Targets:     composer.Spread("delivery", 12, target, regions...),
-				ServiceTime: 50 * time.Millisecond,
-				Reserve:     0.34,
-				HealthPath:  "/health",
-				LoadPath:    "/load",
-			},
+			pool("stock", 30*time.Millisecond, composer.Spread("stock", 16, target, regions...)),
+			pool("ordering", 90*time.Millisecond, composer.Spread("ordering", 12, target, regions...)),
+			pool("delivery", 50*time.Millisecond, composer.Spread("delivery", 12, target, regions...)),
 		}),
 		Routes: []composer.Route{
 			{
--- a/exemplifier/koshe.go
+++ b/exemplifier/koshe.go
@@ -10,9 +10,9 @@
 
 // Koshe returns the configuration of Koshe Pitch Permits.
 func Koshe(s Settings) composer.Config {
-	almaty := composer.Region{Name: "almaty", FailureDomains: []string{"almaty_a", "almaty_b"}}
-	astana := composer.Region{Name: "astana", FailureDomains: []string{"astana_a", "astana_b"}}
-	shymkent := composer.Region{Name: "shymkent", FailureDomains: []string{"shymkent_a", "shymkent_b"}}
+	almaty := region("almaty")
+	astana := region("astana")
+	shymkent := region("shymkent")
 	regions := []composer.Region{almaty, astana, shymkent}
 	target := composer.Target{Slots: targetSlots, Connections: connectionsKoshe}
 
@@ -21,30 +21,9 @@
 		Regions: regions,
 		Links:   composer.Mesh(linkKoshe, regions...),
 		Pools: s.addresses([]composer.Pool{
-			{
-				Name:        "pitch_map",
-				Targets:     composer.Spread("pitch_map", 16, target, regions...),
-				ServiceTime: 25 * time.Millisecond,
-				Reserve:     0.34,
-				HealthPath:  "/health",
-				LoadPath:    "/load",
-			},
-			{
-				Name:        "fee_ledger",
-				Targets:     composer.Spread("fee_ledger", 12, target, regions...),
-				ServiceTime: 80 * time.Millisecond,
-				Reserve:     0.34,
-				HealthPath:  "/health",
-				LoadPath:    "/load",
-			},
-			{
-				Name:        "booking_desk",
-				Targets:     composer.Spread("booking_desk", 12, target, regions...),
-				ServiceTime: 60 * time.Millisecond,
-				Reserve:     0.34,
-				HealthPath:  "/health",
-				LoadPath:    "/load",
-			},
+			pool("pitch_map", 25*time.Millisecond, composer.Spread("pitch_map", 16, target, regions...)),
+			pool("fee_ledger", 80*time.Millisecond, composer.Spread("fee_ledger", 12, target, regions...)),
+			pool("booking_desk", 60*time.Millisecond, composer.Spread("booking_desk", 12, target, regions...)),
 		}),
 		Routes: []composer.Route{
 			{
--- a/exemplifier/settings.go
+++ b/exemplifier/settings.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"net/netip"
+	"time"
 
 	"celeryhead.dev/celeryhead/composer"
 )
@@ -16,6 +17,8 @@
 	linkKoshe  = 4000
 	linkEsBatu = 280
 	targetPort = 8080
+	// reserve is the share of each owner's slots that is kept for requests of its own region.
+	reserve = 0.34
 )
 
 // Settings replaces what differs between a deployment and a trial of it; the zero value replaces nothing.
@@ -51,6 +54,22 @@
 	return pools
 }
 
+// region has two failure domains.
+func region(name string) composer.Region {
+	return composer.Region{Name: name, FailureDomains: []string{name + "_a", name + "_b"}}
+}
+
+func pool(name string, serviceTime time.Duration, targets []composer.Target) composer.Pool {
+	return composer.Pool{
+		Name:        name,
+		Targets:     targets,
+		ServiceTime: serviceTime,
+		Reserve:     reserve,
+		HealthPath:  "/health",
+		LoadPath:    "/load",
+	}
+}
+
 // account has one key, named first.
 func (s Settings) account(name string, rate, burst float64) composer.Account {
 	const key = "first"
