Fetch the newest version in one place in package commander

Cause: apply, rollback and plan each connected and fetched the newest version in the same lines, and apply and rollback each decided when a change is needless.

Ruled out: one function for apply and rollback as a whole; they differ in what they compare, in their messages and in the check for restored keys.

--- a/commander/change.go
+++ b/commander/change.go
@@ -27,15 +27,12 @@
 	if err = s.needReason(); err != nil {
 		return err
 	}
-	if err = s.connect(); err != nil {
-		return err
-	}
-	newest, err := s.fetch(ctx, 0)
+	newest, err := s.newest(ctx)
 	if err != nil {
 		return err
 	}
 	changes := composer.Diff(newest.config, c)
-	if len(changes) == 0 && s.operationID == "" {
+	if s.isNeedless(changes) {
 		s.note("no changes against version %d", newest.number)
 		return nil
 	}
@@ -51,10 +48,7 @@
 	if err = s.needReason(); err != nil {
 		return err
 	}
-	if err = s.connect(); err != nil {
-		return err
-	}
-	newest, err := s.fetch(ctx, 0)
+	newest, err := s.newest(ctx)
 	if err != nil {
 		return err
 	}
@@ -63,7 +57,7 @@
 		return err
 	}
 	changes := composer.Diff(newest.config, old.config)
-	if len(changes) == 0 && s.operationID == "" {
+	if s.isNeedless(changes) {
 		s.note("version %d is the same as version %d", newest.number, number)
 		return nil
 	}
@@ -75,6 +69,11 @@
 	return s.change(ctx, s.baseOr(newest.number), old.config, operator.KindRollback)
 }
 
+// isNeedless is false for a repeated operation, whose outcome is asked for although the newest version may show its effect.
+func (s *session) isNeedless(changes []composer.Change) bool {
+	return len(changes) == 0 && s.operationID == ""
+}
+
 // baseOr returns the version in --base; a repeated operation must name the base it had, which may be 0.
 func (s *session) baseOr(newest uint64) uint64 {
 	if s.base != 0 || s.operationID != "" {
--- a/commander/session.go
+++ b/commander/session.go
@@ -98,6 +98,14 @@
 	return version{number: m.Version, text: m.Text, config: c}, err
 }
 
+// newest connects and returns the newest version.
+func (s *session) newest(ctx context.Context) (version, error) {
+	if err := s.connect(); err != nil {
+		return version{}, err
+	}
+	return s.fetch(ctx, 0)
+}
+
 // newID returns an operation id that no other operator uses.
 func newID() string {
 	return rand.Text()
--- a/commander/show.go
+++ b/commander/show.go
@@ -54,10 +54,7 @@
 	if err != nil {
 		return err
 	}
-	if err = s.connect(); err != nil {
-		return err
-	}
-	newest, err := s.fetch(ctx, 0)
+	newest, err := s.newest(ctx)
 	if err != nil {
 		return err
 	}
