Keep the refusals of package claimer in a table

Cause: a switch over the verdicts repeated the same return six times.

Before: six cases of one shape. After: one table of refusals by verdict; an unknown verdict is still answered as outcome_unknown.

Ruled out: constructors in package responder; the texts belong to claims.

--- a/claimer/decision.go
+++ b/claimer/decision.go
@@ -78,48 +78,42 @@
 
 // Refusal returns the answer to the caller, or nil if the verdict is Run or Stored.
 func (d Decision) Refusal() *responder.Refusal {
-	r := refusal(d.Verdict)
-	if r != nil {
-		r.RetryAfter = d.RetryAfter
+	if d.Verdict == Run || d.Verdict == Stored {
+		return nil
+	}
+	r, ok := refusals[d.Verdict]
+	if !ok {
+		r = refusals[OutcomeUnknown]
 	}
-	return r
+	r.RetryAfter = d.RetryAfter
+	return &r
 }
 
-func refusal(v Verdict) *responder.Refusal {
-	switch v {
-	case Run, Stored:
-		return nil
-	case Completed:
-		return &responder.Refusal{
-			Status: http.StatusGone, Reason: CompletedWithoutBody, Ran: responder.HasRun,
-			Message: "the request has run; its answer was too large to be kept",
-		}
-	case InProgress:
-		return &responder.Refusal{
-			Status: http.StatusConflict, Reason: responder.InProgress, Ran: responder.Unknown,
-			Message: "an earlier sending with this key may still run; send again later with the same key",
-		}
-	case Mismatch:
-		return &responder.Refusal{
-			Status: http.StatusUnprocessableEntity, Reason: responder.IdempotencyKeyMismatch, Ran: responder.NotRun,
-			Message: "the key was used for another request",
-		}
-	case Unavailable:
-		return &responder.Refusal{
-			Status: http.StatusServiceUnavailable, Reason: responder.ClaimUnavailable, Ran: responder.NotRun,
-			Message: "this sending has not run; use a ticket if the key was never sent before, else send again with the same key",
-		}
-	case Invalid:
-		return &responder.Refusal{
-			Status: http.StatusUnprocessableEntity, Reason: responder.TicketInvalid, Ran: responder.NotRun,
-			Message: "the ticket was not issued to this account",
-		}
-	default:
-		return &responder.Refusal{
-			Status: http.StatusConflict, Reason: responder.OutcomeUnknown, Ran: responder.Unknown,
-			Message: "an earlier sending with this key may have run; its outcome is not known",
-		}
-	}
+var refusals = map[Verdict]responder.Refusal{
+	Completed: {
+		Status: http.StatusGone, Reason: CompletedWithoutBody, Ran: responder.HasRun,
+		Message: "the request has run; its answer was too large to be kept",
+	},
+	InProgress: {
+		Status: http.StatusConflict, Reason: responder.InProgress, Ran: responder.Unknown,
+		Message: "an earlier sending with this key may still run; send again later with the same key",
+	},
+	OutcomeUnknown: {
+		Status: http.StatusConflict, Reason: responder.OutcomeUnknown, Ran: responder.Unknown,
+		Message: "an earlier sending with this key may have run; its outcome is not known",
+	},
+	Mismatch: {
+		Status: http.StatusUnprocessableEntity, Reason: responder.IdempotencyKeyMismatch, Ran: responder.NotRun,
+		Message: "the key was used for another request",
+	},
+	Unavailable: {
+		Status: http.StatusServiceUnavailable, Reason: responder.ClaimUnavailable, Ran: responder.NotRun,
+		Message: "this sending has not run; use a ticket if the key was never sent before, else send again with the same key",
+	},
+	Invalid: {
+		Status: http.StatusUnprocessableEntity, Reason: responder.TicketInvalid, Ran: responder.NotRun,
+		Message: "the ticket was not issued to this account",
+	},
 }
 
 func (r Request) check() error {
