State shared rules once: rows by key, new keys, length of names

Cause: four functions put rows of the store into a map by key; operator and commander each knew how a change of a key looks in a list of changes; loader, composer and claimer each wrote down the longest name, 64 bytes, although tickets work only if the three agree. The doc of storer.Store said that every error of Commit leaves the effect unknown, which claimer and operator contradict by relying on ErrNotSent and ErrRejected.

Ruled out: one check of names for loader and composer. They differ: a configuration refuses a leading '-' or '_', the settings of a daemon do not.

Before: operator, claimer (three times), commander and loader had their own.

--- a/claimer/claims.go
+++ b/claimer/claims.go
@@ -425,10 +425,7 @@
 	defer c.signal()
 	now := c.config.Clock()
 	c.lookups.ended(now, err != nil)
-	current := make(map[string]storer.Row, len(rows))
-	for _, r := range rows {
-		current[r.Key] = r
-	}
+	current := storer.ByKey(rows)
 	for _, o := range list {
 		o.inFlight = false
 		// After a failed read the transaction itself finds the row.
@@ -529,12 +526,9 @@
 }
 
 func (c *Claims) committed(list []*operation, rows []storer.Row) {
-	versions := make(map[string]uint64, len(rows))
-	for _, r := range rows {
-		versions[r.Key] = r.Version
-	}
+	written := storer.ByKey(rows)
 	for _, o := range list {
-		c.effective(o, versions[o.key])
+		c.effective(o, written[o.key].Version)
 	}
 }
 
@@ -557,10 +551,7 @@
 func (c *Claims) conflicted(list []*operation, rows []storer.Row) {
 	c.counters.Conflicts++
 	now := c.config.Clock()
-	current := make(map[string]storer.Row, len(rows))
-	for _, r := range rows {
-		current[r.Key] = r
-	}
+	current := storer.ByKey(rows)
 	var rest []*operation
 	for _, o := range list {
 		r, ok := current[o.key]
--- a/claimer/ticket.go
+++ b/claimer/ticket.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"celeryhead.dev/celeryhead/composer"
 )
 
 // MaxTicketBytes bounds the length of a ticket, so that servers accept it like other Idempotency-Keys;
@@ -19,8 +21,8 @@
 	// ticketPrefix tells tickets from keys chosen by callers; its digit is the version of the format.
 	ticketPrefix = "ct1."
 	nonceBytes   = 16
-	// maxNameBytes is the longest name that a configuration may have; its length takes one byte.
-	maxNameBytes = 64
+	// maxNameBytes is the longest name of an account or instance; its length takes one byte.
+	maxNameBytes = composer.MaxNameLength
 	// signatureBytes is the truncation of HMAC-SHA-256-128 (RFC 4868).
 	signatureBytes = 16
 )
--- a/commander/change.go
+++ b/commander/change.go
@@ -62,7 +62,7 @@
 		return nil
 	}
 	s.noteChanges(changes)
-	if restored := restoredKeys(changes); len(restored) > 0 && !s.restoreKeys {
+	if restored := composer.NewKeys(changes); len(restored) > 0 && !s.restoreKeys {
 		return merry.Errorf("version %d would make withdrawn keys valid again (%s); --restore-keys allows it",
 			number, strings.Join(restored, ", "))
 	}
@@ -82,16 +82,6 @@
 	return newest
 }
 
-func restoredKeys(changes []composer.Change) []string {
-	var out []string
-	for _, c := range changes {
-		if c.Entity == "key" && c.Kind != composer.Removed {
-			out = append(out, c.Name)
-		}
-	}
-	return out
-}
-
 func (s *session) issueKey(ctx context.Context) error {
 	secret, key, err := composer.NewKey(s.account, s.keyName)
 	if err != nil {
--- a/composer/check.go
+++ b/composer/check.go
@@ -12,6 +12,7 @@
 
 // Limits of a configuration.
 const (
+	// MaxNameLength, in bytes, holds for names of instances too; a ticket has room for two names.
 	MaxNameLength = 64
 	// MaxTimeToLive bounds how long callers may follow an old answer.
 	MaxTimeToLive = time.Hour
--- a/composer/diff.go
+++ b/composer/diff.go
@@ -76,6 +76,17 @@
 	return out
 }
 
+// NewKeys returns the names, as account/key, of the keys that changes add or whose secret they replace.
+func NewKeys(changes []Change) []string {
+	var out []string
+	for _, c := range changes {
+		if c.Entity == "key" && c.Kind != Removed {
+			out = append(out, c.Name)
+		}
+	}
+	return out
+}
+
 // entity is a flat view of one part of a configuration.
 type entity struct {
 	// rank orders kinds as in Config.
--- a/loader/load.go
+++ b/loader/load.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"net/netip"
 	"os"
 	"strings"
@@ -10,6 +11,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/pelletier/go-toml/v2"
+
+	"celeryhead.dev/celeryhead/composer"
 )
 
 type file struct {
@@ -140,8 +143,8 @@
 	switch {
 	case v == "":
 		c.problem(n, "is missing")
-	case len(v) > 64:
-		c.problem(n, "is longer than 64 bytes")
+	case len(v) > composer.MaxNameLength:
+		c.problem(n, fmt.Sprintf("is longer than %d bytes", composer.MaxNameLength))
 	case strings.Trim(v, "abcdefghijklmnopqrstuvwxyz0123456789-_") != "":
 		c.problem(n, "may hold only a-z, 0-9, - and _")
 	}
--- a/operator/commit.go
+++ b/operator/commit.go
@@ -106,19 +106,10 @@
 		return made{}, false, nil
 	}
 	version := p.BaseVersion + 1
-	row := storer.Row{Key: recorder.HeadsKey, Version: versionOf(r.Rows, recorder.HeadsKey), Value: heads}
+	row := storer.Row{Key: recorder.HeadsKey, Version: storer.ByKey(r.Rows)[recorder.HeadsKey].Version, Value: heads}
 	return made{version: version, newest: Commit{Heads: row, ConfigVersion: version, Text: p.text}}, true, nil
 }
 
-func versionOf(rows []storer.Row, key string) uint64 {
-	for _, r := range rows {
-		if r.Key == key {
-			return r.Version
-		}
-	}
-	return 0
-}
-
 // snapshot is what an attempt depends on.
 type snapshot struct {
 	// row is the heads row; its version is 0 before the first change.
@@ -205,10 +196,8 @@
 	if p.Kind != KindRollback {
 		return out
 	}
-	for _, c := range changes {
-		if c.Entity == "key" && c.Kind != composer.Removed {
-			out = append(out, "key "+c.Name+" of the earlier version is valid again")
-		}
+	for _, n := range composer.NewKeys(changes) {
+		out = append(out, "key "+n+" of the earlier version is valid again")
 	}
 	return out
 }
--- a/operator/read.go
+++ b/operator/read.go
@@ -73,9 +73,5 @@
 	if err != nil {
 		return nil, err
 	}
-	out := make(map[string]storer.Row, len(rows))
-	for _, r := range rows {
-		out[r.Key] = r
-	}
-	return out, nil
+	return storer.ByKey(rows), nil
 }
--- a/storer/store.go
+++ b/storer/store.go
@@ -9,6 +9,15 @@
 	Value   []byte `json:"value"`
 }
 
+// ByKey returns rows by their keys; the zero Row stands for an absent one, as in a failed check.
+func ByKey(rows []Row) map[string]Row {
+	m := make(map[string]Row, len(rows))
+	for _, r := range rows {
+		m[r.Key] = r
+	}
+	return m
+}
+
 // Check is a condition of a transaction: the row has this version, or is absent if Version is 0.
 type Check struct {
 	Key     string `json:"key"`
@@ -41,6 +50,6 @@
 	Read(ctx context.Context, keys ...string) ([]Row, error)
 	// List returns up to limit rows whose keys have the prefix and sort after the key after, in key order.
 	List(ctx context.Context, prefix, after string, limit int) ([]Row, error)
-	// Commit applies t; a non-nil error means that the effect is unknown.
+	// Commit applies t. After ErrNotSent and ErrRejected it has no effect; after any other error its effect is unknown.
 	Commit(ctx context.Context, t Txn) (Result, error)
 }
