--- a/claimer/operation.go
+++ b/claimer/operation.go
@@ -11,8 +11,11 @@
 type kind int
 
 const (
+	// insert writes a claim, where there is no row or an abandoned one.
 	insert kind = iota
+	// finish adds the outcome to a claim.
 	finish
+	// abandon replaces a claim by an abandoned row.
 	abandon
 )
 
@@ -32,6 +35,7 @@
 	inFlight  bool
 	// givenUp says that the request of an insert was answered as not run while the insert was in flight.
 	givenUp bool
+	// decided says that result, which has room for one, was sent.
 	decided bool
 	result  chan result
 }
--- a/claimer/queue.go
+++ b/claimer/queue.go
@@ -7,19 +7,21 @@
 
 // queue decides when a transaction starts and what it holds; it does no I/O.
 type queue struct {
-	interval  time.Duration
-	rows      int
-	bytes     int
-	maxFlight int
+	// interval is the shortest time between two starts.
+	interval time.Duration
+	// rows and bytes bound one transaction, maxFlight the transactions that have started and not ended.
+	rows, bytes, maxFlight int
 
 	// repeats are the remainders of transactions in which another operation failed; each is
 	// sent by itself, since its checks held a moment ago and new operations could fail it again.
 	repeats [][]*operation
 	// inserts go before other operations, because requests wait for them.
 	inserts, others []*operation
-	notBefore       time.Time
-	inFlight        int
-	failures        int
+	// notBefore is the earliest time of the next start.
+	notBefore time.Time
+	inFlight  int
+	// failures counts the transactions that failed since the last that did not.
+	failures int
 }
 
 // maxBackoff bounds the pause between transactions while the store fails.
