Split the emulated target by job

Cause: emulator/target.go had 475 lines with the configuration, the work of a target and its faulty connections. Three refusals in start repeated the same lines, and the outcomes in the ledger were literals.

Ruled out: a common connection type for Target and Table; they show silence at different layers.

Before: target.go 475 lines.

--- a/emulator/table.go
+++ b/emulator/table.go
@@ -159,6 +159,7 @@
 	answer(w, v)
 }
 
+// admit notes the connection of a call and returns the faults that apply to the call.
 func (t *Table) admit(connection string) (f Faults, silent bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/emulator/target.go
+++ b/emulator/target.go
@@ -2,18 +2,11 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"net"
 	"net/http"
-	"regexp"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,17 +14,6 @@
 	"github.com/gorilla/mux"
 )
 
-// Headers that a target reads and writes.
-const (
-	headerDeadline = "Celeryhead-Deadline"
-	headerRan      = "Celeryhead-Ran"
-	headerRequest  = "X-Request-Id"
-	headerTarget   = "X-Target"
-)
-
-// keyShape matches a caller's key; a target must never see one.
-var keyShape = regexp.MustCompile(`ch_[a-z0-9-]+_[a-z0-9-]+_[A-Za-z0-9_-]{43}`)
-
 // TargetConfig configures a target.
 type TargetConfig struct {
 	Name string
@@ -101,9 +83,13 @@
 	faults   TargetFaults
 	report   TargetReport
 	inFlight int
-	open     map[net.Conn]*atomic.Bool
+	// open maps each open connection to whether it is silent.
+	open map[net.Conn]*atomic.Bool
+	// drained is when the drain signal was set.
+	drained time.Time
+
+	// listener and server are set by Serve.
 	listener *targetListener
-	drained  time.Time
 	server   *http.Server
 }
 
@@ -136,7 +122,7 @@
 	return nil
 }
 
-// Close ends the target and its connections at once.
+// Close ends the target and its connections at once; Serve must have been called.
 func (t *Target) Close() error {
 	return t.server.Close()
 }
@@ -203,273 +189,3 @@
 	}
 	t.setFaultsFrom(f, r.Context().Value(connKey{}))
 }
-
-// work runs a request: it takes a slot, holds it for the service time and answers with what it received.
-func (t *Target) work(w http.ResponseWriter, r *http.Request) {
-	b, err := io.ReadAll(r.Body)
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	i, f, ok := t.start(w, r, b)
-	if !ok {
-		return
-	}
-	d := t.config.ServiceTime
-	if f.ServiceTimeMs > 0 {
-		d = time.Duration(f.ServiceTimeMs) * time.Millisecond
-	}
-	e := time.NewTimer(d)
-	defer e.Stop()
-	select {
-	case <-e.C:
-	case <-r.Context().Done():
-		t.finish(i, "canceled")
-		panic(http.ErrAbortHandler)
-	}
-	if t.config.CrashPath != "" && r.URL.Path == t.config.CrashPath {
-		t.finish(i, "crashed")
-		t.crash()
-		panic(http.ErrAbortHandler)
-	}
-	t.finish(i, "done")
-	reply(w, r, t.config.Name, b, f)
-}
-
-// start enters a run into the ledger, or answers why the request does not run.
-func (t *Target) start(w http.ResponseWriter, r *http.Request, body []byte) (int, TargetFaults, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if showsKey(r, body) {
-		t.report.KeysSeen++
-	}
-	if late(r.Header.Get(headerDeadline)) {
-		t.report.Late++
-		shed(w, http.StatusGatewayTimeout)
-		return 0, t.faults, false
-	}
-	if t.faults.Draining {
-		t.report.DrainArrivals++
-		t.report.LastDrainArrivalMs = time.Since(t.drained).Milliseconds()
-		shed(w, http.StatusServiceUnavailable)
-		return 0, t.faults, false
-	}
-	if t.inFlight >= t.config.Slots {
-		t.report.Shed++
-		shed(w, http.StatusServiceUnavailable)
-		return 0, t.faults, false
-	}
-	t.inFlight++
-	t.report.MaxInFlight = max(t.report.MaxInFlight, t.inFlight)
-	t.report.Runs = append(t.report.Runs, Run{
-		Target:         t.config.Name,
-		Request:        r.Header.Get(headerRequest),
-		Method:         r.Method,
-		Path:           r.URL.RequestURI(),
-		IdempotencyKey: r.Header.Get("Idempotency-Key"),
-		Start:          time.Now(),
-		Outcome:        "running",
-	})
-	return len(t.report.Runs) - 1, t.faults, true
-}
-
-func (t *Target) finish(i int, outcome string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.inFlight--
-	t.report.Runs[i].End = time.Now()
-	t.report.Runs[i].Outcome = outcome
-}
-
-// crash breaks every connection and refuses new ones until the restart.
-func (t *Target) crash() {
-	t.listener.down(t.config.Restart)
-	t.mu.Lock()
-	open := slices.Collect(maps.Keys(t.open))
-	t.mu.Unlock()
-	for _, c := range open {
-		_ = c.Close()
-	}
-}
-
-func reply(w http.ResponseWriter, r *http.Request, name string, body []byte, f TargetFaults) {
-	h := w.Header()
-	h.Set(headerRequest, r.Header.Get(headerRequest))
-	h.Set(headerTarget, name)
-	h.Set("Content-Type", "text/plain")
-	s := sha256.Sum256(body)
-	a := strings.Repeat(fmt.Sprintf("%s %s %s body=%s\n", name, r.Method, r.URL.RequestURI(), hex.EncodeToString(s[:8])), repeats(r))
-	if f.Failing {
-		w.WriteHeader(http.StatusInternalServerError)
-	}
-	if f.Truncate {
-		h.Set("Content-Length", strconv.Itoa(len(a)))
-		_, _ = io.WriteString(w, a[:len(a)/2]) //nolint:gosec // Plain text for tests.
-		panic(http.ErrAbortHandler)
-	}
-	_, _ = io.WriteString(w, a) //nolint:gosec // Plain text for tests.
-}
-
-// repeats lets a request ask for a long answer.
-func repeats(r *http.Request) int {
-	n, err := strconv.Atoi(r.URL.Query().Get("repeat"))
-	if err != nil || n < 1 {
-		return 1
-	}
-	return min(n, 100_000)
-}
-
-func shed(w http.ResponseWriter, status int) {
-	w.Header().Set(headerRan, "not-run")
-	w.WriteHeader(status)
-}
-
-func late(deadline string) bool {
-	if deadline == "" {
-		return false
-	}
-	d, err := time.Parse(time.RFC3339, deadline)
-	return err == nil && time.Now().After(d)
-}
-
-func showsKey(r *http.Request, body []byte) bool {
-	if keyShape.MatchString(r.URL.RequestURI()) || keyShape.Match(body) {
-		return true
-	}
-	for _, h := range []http.Header{r.Header, r.Trailer} {
-		for n, vs := range h {
-			if keyShape.MatchString(n + " " + strings.Join(vs, " ")) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// targetListener counts connections, closes those beyond the limit, and refuses all while the target is down.
-type targetListener struct {
-	net.Listener
-	address net.Addr
-	target  *Target
-
-	mu sync.Mutex
-	// up is closed while the target accepts connections.
-	up chan struct{}
-}
-
-// Accept returns the next connection that the target has room for.
-func (l *targetListener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.accept()
-		if err != nil {
-			return nil, err
-		}
-		if c == nil {
-			continue
-		}
-		if k := l.target.admit(c); k != nil {
-			return k, nil
-		}
-		// A reset tells the client that no byte of its request was read.
-		if s, ok := c.(*net.TCPConn); ok {
-			_ = s.SetLinger(0)
-		}
-		_ = c.Close()
-	}
-}
-
-// accept returns nil without an error if the target went down meanwhile.
-func (l *targetListener) accept() (net.Conn, error) {
-	l.mu.Lock()
-	up, k := l.up, l.Listener
-	l.mu.Unlock()
-	<-up
-	c, err := k.Accept()
-	if err == nil {
-		return c, nil
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.up != up || l.Listener != k {
-		return nil, nil
-	}
-	return nil, err
-}
-
-// down closes the listener, so that connections are refused, and opens it again after d.
-func (l *targetListener) down(d time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	select {
-	case <-l.up:
-	default:
-		return
-	}
-	l.up = make(chan struct{})
-	_ = l.Close()
-	time.AfterFunc(d, l.open)
-}
-
-func (l *targetListener) open() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var c net.ListenConfig
-	k, err := c.Listen(context.Background(), l.address.Network(), l.address.String())
-	if err != nil {
-		time.AfterFunc(retryListen, l.open)
-		return
-	}
-	l.Listener = k
-	close(l.up)
-}
-
-// retryListen is the pause before another try to listen, while another process holds the port.
-const retryListen = 50 * time.Millisecond
-
-func (t *Target) admit(c net.Conn) net.Conn {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.config.Connections > 0 && len(t.open) >= t.config.Connections {
-		return nil
-	}
-	k := &targetConn{Conn: c, target: t}
-	t.open[k] = &k.silent
-	t.report.MaxConnections = max(t.report.MaxConnections, len(t.open))
-	return k
-}
-
-type targetConn struct {
-	net.Conn
-	target *Target
-	silent atomic.Bool
-	closed sync.Once
-}
-
-// Read drops what arrives once the connection is silent.
-func (c *targetConn) Read(b []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(b)
-		if err != nil || !c.silent.Load() {
-			return n, err
-		}
-	}
-}
-
-// Write pretends to send once the connection is silent.
-func (c *targetConn) Write(b []byte) (int, error) {
-	if c.silent.Load() {
-		return len(b), nil
-	}
-	return c.Conn.Write(b)
-}
-
-// Close closes the connection and gives its place free.
-func (c *targetConn) Close() error {
-	c.closed.Do(c.release)
-	return c.Conn.Close()
-}
-
-func (c *targetConn) release() {
-	c.target.mu.Lock()
-	defer c.target.mu.Unlock()
-	delete(c.target.open, c)
-}
