Build the refusals of package server in one file and test what works alone

Cause: refusals were built in five files, some of them twice ("bad request" in callers.go, the leaving instance inline in tickets.go), and server and responder had no tests of their own, so that a fault in a limit or a refusal showed only in the suite with real processes.

Ruled out: a server that runs within the tests. It would wait in real time for lists and proofs; the suite with real processes does that.

Conclusion: statuses, reasons, messages and waits of the refusals are unchanged.

--- a/server/body.go
+++ b/server/body.go
@@ -87,10 +87,6 @@
 	return badRequest("the body could not be read")
 }
 
-func bodyTooLarge() *responder.Refusal {
-	return &responder.Refusal{Status: http.StatusRequestEntityTooLarge, Reason: responder.BodyTooLarge, Ran: responder.NotRun, Message: "the body is larger than this instance accepts"}
-}
-
 // whole reports whether the body is buffered as a whole and can be sent again.
 func (b *body) whole() bool {
 	return b.rest == nil
--- a/server/callers.go
+++ b/server/callers.go
@@ -75,7 +75,7 @@
 func (s *Server) lookup(w http.ResponseWriter, r *http.Request) {
 	a, ok := callerAddress(r)
 	if !ok {
-		s.refuse(w, &responder.Refusal{Status: http.StatusBadRequest, Reason: responder.BadRequest, Ran: responder.NotRun, Message: "address must be an IP address"})
+		s.refuse(w, badRequest("address must be an IP address"))
 		return
 	}
 	s.meter.Lookup()
--- a/server/entry.go
+++ b/server/entry.go
@@ -151,7 +151,7 @@
 		return d, badRequest(forwarder.HeaderDeadline + " is not an RFC 3339 time")
 	}
 	if !p.After(now) {
-		return d, &responder.Refusal{Status: http.StatusGatewayTimeout, Reason: responder.DeadlineExceeded, Ran: responder.NotRun, Message: "the deadline had passed on arrival"}
+		return d, notRun(http.StatusGatewayTimeout, responder.DeadlineExceeded, "the deadline had passed on arrival")
 	}
 	if p.Before(d) {
 		d = p
@@ -172,7 +172,7 @@
 		return badRequest(err.Error())
 	}
 	if k == "" {
-		return &responder.Refusal{Status: http.StatusUnauthorized, Reason: responder.KeyMissing, Ran: responder.NotRun, Message: "this route needs a key"}
+		return keyMissing()
 	}
 	i, ok := v.Keys.Check(k)
 	if !ok {
@@ -200,32 +200,3 @@
 	}
 	return o
 }
-
-func badRequest(m string) *responder.Refusal {
-	return &responder.Refusal{Status: http.StatusBadRequest, Reason: responder.BadRequest, Ran: responder.NotRun, Message: m}
-}
-
-func noRoute(found bool) *responder.Refusal {
-	f := &responder.Refusal{Status: http.StatusNotFound, Reason: responder.NoRoute, Ran: responder.NotRun, Message: "no route has this path"}
-	if found {
-		f.Status, f.Message = http.StatusMethodNotAllowed, "no route of this path has this method"
-	}
-	return f
-}
-
-func keyInvalid() *responder.Refusal {
-	return &responder.Refusal{Status: http.StatusUnauthorized, Reason: responder.KeyInvalid, Ran: responder.NotRun, Message: "the key is not valid"}
-}
-
-// staleRetry is when a caller may try again, preferably at another instance.
-const staleRetry = time.Second
-
-func stale() *responder.Refusal {
-	return &responder.Refusal{
-		Status:     http.StatusServiceUnavailable,
-		Reason:     responder.Stale,
-		Ran:        responder.NotRun,
-		Message:    "this instance cannot tell at present whether its configuration is the newest; use another one",
-		RetryAfter: staleRetry,
-	}
-}
--- a/server/once.go
+++ b/server/once.go
@@ -32,12 +32,7 @@
 func (s *Server) enterOnce(ctx context.Context, w http.ResponseWriter, c *call) *responder.Refusal {
 	k := c.request.Header.Get(headerIdempotencyKey)
 	if k == "" || len(k) > maxIdempotencyKey {
-		return &responder.Refusal{
-			Status:  http.StatusBadRequest,
-			Reason:  responder.IdempotencyKeyMissing,
-			Ran:     responder.NotRun,
-			Message: "this route needs an Idempotency-Key of at most 255 bytes",
-		}
+		return idempotencyKeyMissing()
 	}
 	q := claimer.Request{
 		Account:       c.account.Name,
--- a/server/owner.go
+++ b/server/owner.go
@@ -116,24 +116,6 @@
 	return refusalOf(x)
 }
 
-func refusalOf(x *forwarder.Failure) *responder.Refusal {
-	var f *responder.Refusal
-	if errors.As(x.Err, &f) && x.Ran == responder.NotRun {
-		return f
-	}
-	f = &responder.Refusal{Status: http.StatusBadGateway, Reason: x.Reason, Ran: x.Ran, Message: "the target gave no whole answer"}
-	switch x.Reason {
-	case responder.DeadlineExceeded:
-		f.Status, f.Message = http.StatusGatewayTimeout, "the deadline passed"
-	case responder.BadRequest:
-		f.Status, f.Message = http.StatusBadRequest, "the request cannot be forwarded"
-	case responder.TargetShed:
-		f.Status, f.Message, f.RetryAfter = http.StatusServiceUnavailable, "the target has no room", time.Second
-	default:
-	}
-	return f
-}
-
 // outcome classifies the end of a request for the balancer.
 func (s *Server) outcome(ctx context.Context, c *call, target string, t netip.AddrPort, status int, err error) balancer.Outcome {
 	if err == nil {
@@ -274,21 +256,3 @@
 	c.digest = c.body.digest()
 	return c, nil
 }
-
-func noOwner() *responder.Refusal {
-	return &responder.Refusal{
-		Status:     http.StatusServiceUnavailable,
-		Reason:     responder.NoOwner,
-		Ran:        responder.NotRun,
-		Message:    "no instance can send requests to this pool at present",
-		RetryAfter: time.Second,
-	}
-}
-
-func deadlineExceeded() *responder.Refusal {
-	return &responder.Refusal{Status: http.StatusGatewayTimeout, Reason: responder.DeadlineExceeded, Ran: responder.NotRun, Message: "the deadline passed before the request was sent"}
-}
-
-func targetFailed(n responder.Ran) *responder.Refusal {
-	return &responder.Refusal{Status: http.StatusBadGateway, Reason: responder.TargetFailed, Ran: n, Message: "the target gave no whole answer"}
-}
--- /dev/null
+++ b/server/server_test.go
@@ -0,0 +1,133 @@
+package server_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"celeryhead.dev/celeryhead/certifier"
+	"celeryhead.dev/celeryhead/claimer"
+	"celeryhead.dev/celeryhead/loader"
+	"celeryhead.dev/celeryhead/logger"
+	"celeryhead.dev/celeryhead/responder"
+	"celeryhead.dev/celeryhead/server"
+	"celeryhead.dev/celeryhead/timer"
+)
+
+// newServer returns a server that was never run: it has no proof, no configuration and no peers.
+func newServer(t *testing.T) *server.Server {
+	t.Helper()
+	a, err := certifier.NewAuthority("test", time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := a.Issue(certifier.Peer, "west-1", time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := t.TempDir()
+	s := loader.Default()
+	s.Name, s.Region, s.FailureDomain = "west-1", "west", "west_a"
+	// Nothing listens or is called before Run.
+	s.Platform.Store = []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}
+	for path, b := range map[*string][]byte{&s.TLS.Authority: a.Pair().Certificate, &s.TLS.Certificate: p.Certificate, &s.TLS.Key: p.Key} {
+		f, err := os.CreateTemp(d, "*.pem")
+		if err != nil {
+			t.Fatal(err)
+		}
+		*path = filepath.Clean(f.Name())
+		if _, err := f.Write(b); err != nil {
+			t.Fatal(err)
+		}
+		if err := f.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r, err := server.New(server.Config{Settings: s, Log: logger.Discard()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// Guards P5 and P12: without a proof of freshness an instance must neither run nor admit anything, and must say so.
+func TestFreshInstanceRefuses(t *testing.T) {
+	s := newServer(t)
+	for _, c := range []struct {
+		method, path string
+		leaving      bool
+		status       int
+		reason       responder.Reason
+	}{
+		{http.MethodGet, "/v1/health", false, 200, ""},
+		{http.MethodGet, "/v1/lookup", false, 503, responder.Stale},
+		{http.MethodGet, "/v1/lookup?address=nowhere", false, 400, responder.BadRequest},
+		{http.MethodPost, "/v1/tickets", false, 503, responder.Stale},
+		{http.MethodGet, "/orders", false, 503, responder.Stale},
+		{http.MethodGet, "/orders/../keys", false, 400, responder.BadRequest},
+		{http.MethodGet, "/v1/health", true, 503, ""},
+	} {
+		if c.leaving {
+			s.SetLeaving()
+		}
+		w := httptest.NewRecorder()
+		s.CallersHandler().ServeHTTP(w, httptest.NewRequest(c.method, c.path, http.NoBody))
+		h := w.Header()
+		if w.Code != c.status || h.Get(responder.HeaderReason) != string(c.reason) {
+			t.Errorf("%s %s: status %d, header %v", c.method, c.path, w.Code, h)
+		}
+		if c.reason != "" && h.Get(responder.HeaderRan) != string(responder.NotRun) {
+			t.Errorf("%s %s: ran %q", c.method, c.path, h.Get(responder.HeaderRan))
+		}
+		if c.leaving && h.Get("Connection") != "close" {
+			t.Errorf("%s %s: a leaving instance keeps the connection", c.method, c.path)
+		}
+	}
+}
+
+// Guards P9: a ticket that cannot be decided where it was issued must not run, and must not be said not to have run.
+func TestTicketOfAnotherIncarnation(t *testing.T) {
+	s := newServer(t)
+	issue := func(instance string) string {
+		k, err := claimer.NewTickets(claimer.TicketConfig{Location: claimer.Location{Instance: instance, Incarnation: 7}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, err := k.Issue("maker", timer.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return text
+	}
+	for name, c := range map[string]struct {
+		ticket string
+		passed bool
+		status int
+		ran    responder.Ran
+	}{
+		"earlier incarnation":      {issue("west-1"), false, http.StatusConflict, responder.Unknown},
+		"unknown instance":         {issue("west-2"), false, http.StatusConflict, responder.Unknown},
+		"unknown instance, passed": {issue("west-2"), true, http.StatusConflict, responder.Unknown},
+		"not a ticket":             {"ct1.none", false, http.StatusUnprocessableEntity, responder.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := s.EnterTicket(c.ticket, c.passed)
+			if f == nil || f.Status != c.status || f.Ran != c.ran {
+				t.Errorf("refusal %v, want status %d, ran %s", f, c.status, c.ran)
+			}
+		})
+	}
+}
+
+// Guards against a resend whose caller takes the stored answer for that of a second run.
+func TestReplay(t *testing.T) {
+	w := httptest.NewRecorder()
+	server.Replay(w, &claimer.Outcome{Status: http.StatusCreated, Header: http.Header{"X-Order": {"7"}}, Body: []byte("made")})
+	if w.Code != http.StatusCreated || w.Body.String() != "made" || w.Header().Get("X-Order") != "7" || w.Header().Get("Idempotency-Replayed") != "true" {
+		t.Errorf("status %d, header %v, body %q", w.Code, w.Header(), w.Body)
+	}
+}
--- a/server/tickets.go
+++ b/server/tickets.go
@@ -29,12 +29,7 @@
 		return
 	}
 	if s.leaving.Load() {
-		s.refuse(w, &responder.Refusal{
-			Status:  http.StatusServiceUnavailable,
-			Reason:  responder.Leaving,
-			Ran:     responder.NotRun,
-			Message: "this instance is leaving; use another one",
-		})
+		s.refuse(w, leaving())
 		return
 	}
 	t, err := s.tickets.Issue(c.account.Name, now)
@@ -82,15 +77,6 @@
 	return nil
 }
 
-func outcomeUnknown() *responder.Refusal {
-	return &responder.Refusal{
-		Status:  http.StatusConflict,
-		Reason:  responder.OutcomeUnknown,
-		Ran:     responder.Unknown,
-		Message: "the instance that issued the ticket cannot be asked; an earlier sending may have run",
-	}
-}
-
 // enterPassed serves a request with a ticket that another instance accepted.
 func (s *Server) enterPassed(ctx context.Context, w http.ResponseWriter, c *call) *responder.Refusal {
 	c.passed = true
