--- a/composer/composer_test.go
+++ b/composer/composer_test.go
@@ -216,6 +216,9 @@
 		{`step_interval: must be positive`, func(c *composer.Config) { c.Shifts[0].StepInterval = 0 }},
 		{`kind: "rack" is not one of`, func(c *composer.Config) { c.Drains[0].Kind = "rack" }},
 		{`of: "moon" is not a target`, func(c *composer.Config) { c.Drains[0].Of = "moon" }},
+		{`drain "repair": of: "moon" is not in the failure domains`, func(c *composer.Config) {
+			c.Drains[0].Kind, c.Drains[0].Of = composer.DrainFailureDomain, "moon"
+		}},
 		{`of: "target stock_1" is a duplicate`, func(c *composer.Config) {
 			c.Drains = append(c.Drains, composer.Drain{Name: "again", Kind: composer.DrainTarget, Of: "stock_1"})
 		}},
--- a/composer/key.go
+++ b/composer/key.go
@@ -73,31 +73,36 @@
 
 // WithKey returns a copy of c in which the account has the key; errors: ErrUnknownAccount, ErrKeyExists.
 func (c Config) WithKey(account string, k Key) (Config, error) {
-	c = c.Canonical()
-	i := slices.IndexFunc(c.Accounts, func(a Account) bool { return a.Name == account })
-	if i < 0 {
-		return Config{}, merry.Wrap(ErrUnknownAccount)
-	}
-	a := &c.Accounts[i]
-	if slices.ContainsFunc(a.Keys, func(v Key) bool { return v.Name == k.Name }) {
-		return Config{}, merry.Wrap(ErrKeyExists)
-	}
-	a.Keys = append(a.Keys, k)
-	return c.Canonical(), nil
+	return c.withAccount(account, func(a *Account) error {
+		if slices.ContainsFunc(a.Keys, func(v Key) bool { return v.Name == k.Name }) {
+			return merry.Wrap(ErrKeyExists)
+		}
+		a.Keys = append(a.Keys, k)
+		return nil
+	})
 }
 
 // WithoutKey returns a copy of c in which the account lacks the key; errors: ErrUnknownAccount, ErrUnknownKey.
 func (c Config) WithoutKey(account, name string) (Config, error) {
+	return c.withAccount(account, func(a *Account) error {
+		n := len(a.Keys)
+		a.Keys = slices.DeleteFunc(a.Keys, func(v Key) bool { return v.Name == name })
+		if len(a.Keys) == n {
+			return merry.Wrap(ErrUnknownKey)
+		}
+		return nil
+	})
+}
+
+// withAccount returns a copy of c in which one account was edited.
+func (c Config) withAccount(name string, edit func(*Account) error) (Config, error) {
 	c = c.Canonical()
-	i := slices.IndexFunc(c.Accounts, func(a Account) bool { return a.Name == account })
+	i := slices.IndexFunc(c.Accounts, func(a Account) bool { return a.Name == name })
 	if i < 0 {
 		return Config{}, merry.Wrap(ErrUnknownAccount)
 	}
-	a := &c.Accounts[i]
-	n := len(a.Keys)
-	a.Keys = slices.DeleteFunc(a.Keys, func(v Key) bool { return v.Name == name })
-	if len(a.Keys) == n {
-		return Config{}, merry.Wrap(ErrUnknownKey)
+	if err := edit(&c.Accounts[i]); err != nil {
+		return Config{}, err
 	}
 	return c.Canonical(), nil
 }
