Name entity and field in errors that left them out

Cause: some errors did not say what was wrong with which field: a malformed change said only "kind", a claim request "invalid", a store configuration "invalid address", and the instance list not which of its addresses failed.

Before: "malformed change: kind"; "instance list: status 503". After: "malformed change: kind must be one of [...], not "x""; "instance list at 192.0.2.7:80: status 503". The sentinels are the same.

--- a/claimer/decision.go
+++ b/claimer/decision.go
@@ -117,10 +117,18 @@
 }
 
 func (r Request) check() error {
-	if r.Account == "" || r.Route == "" || r.Key == "" || r.Deadline.IsZero() {
-		return merry.Wrap(ErrRequest)
+	switch {
+	case r.Account == "":
+		return merry.Append(ErrRequest, "account is missing")
+	case r.Route == "":
+		return merry.Append(ErrRequest, "route is missing")
+	case r.Key == "":
+		return merry.Append(ErrRequest, "key is missing")
+	case r.Deadline.IsZero():
+		return merry.Append(ErrRequest, "deadline is missing")
+	default:
+		return nil
 	}
-	return nil
 }
 
 // kept returns the part of o that is stored, and whether it is whole.
--- a/claimer/ticket.go
+++ b/claimer/ticket.go
@@ -74,7 +74,7 @@
 	var b []byte
 	for _, s := range []string{t.account, t.location.Instance} {
 		if len(s) == 0 || len(s) > maxNameBytes {
-			return nil, merry.Wrap(ErrTicket, merry.AppendMessage("name is empty or too long"))
+			return nil, merry.Wrap(ErrTicket, merry.AppendMessagef("name of account or instance must have 1 to %d bytes, not %d", maxNameBytes, len(s)))
 		}
 		b = binary.AppendUvarint(b, uint64(len(s)))
 		b = append(b, s...)
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -18,7 +18,7 @@
 
 // Config configures a lister.
 type Config struct {
-	// Addresses are tried in order.
+	// Addresses are tried in order; at least one.
 	Addresses []netip.AddrPort
 	// Timeout bounds one try.
 	Timeout time.Duration
@@ -48,7 +48,7 @@
 	return &Lister{config: c, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 }
 
-// List returns the instances on the list.
+// List returns the instances on the list; its error is that of the address that was tried last.
 func (l *Lister) List(ctx context.Context) ([]tracker.Entry, error) {
 	var err error
 	for _, a := range l.config.Addresses {
@@ -56,8 +56,9 @@
 		if r, err = l.read(ctx, a); err == nil {
 			return r, nil
 		}
+		err = merry.Prependf(err, "instance list at %s", a)
 	}
-	return nil, merry.Prepend(err, "instance list")
+	return nil, err
 }
 
 func (l *Lister) read(ctx context.Context, a netip.AddrPort) ([]tracker.Entry, error) {
--- a/logger/event.go
+++ b/logger/event.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
 	"github.com/apex/log/handlers/logfmt"
@@ -58,7 +59,7 @@
 func New(c Config) (*Logger, error) {
 	l, err := log.ParseLevel(c.Level)
 	if err != nil {
-		return nil, err
+		return nil, merry.Prependf(err, "log level %q", c.Level)
 	}
 	var h log.Handler = json.New(c.Writer)
 	if c.Format == "logfmt" {
--- a/operator/change.go
+++ b/operator/change.go
@@ -47,13 +47,13 @@
 func (c Change) check() error {
 	switch {
 	case !isOperationID(c.OperationID):
-		return merry.Append(ErrBadChange, "operation_id")
+		return merry.Appendf(ErrBadChange, "operation_id must have 1 to %d letters, digits, '-' or '_'", MaxOperationID)
 	case c.Operator == "" || !isLine(c.Operator):
-		return merry.Append(ErrBadChange, "operator")
+		return merry.Append(ErrBadChange, "operator must be one line that is not empty")
 	case strings.TrimSpace(c.Reason) == "" || len(c.Reason) > MaxReason || !isLine(c.Reason):
-		return merry.Append(ErrBadChange, "reason must be one line that is not empty")
+		return merry.Appendf(ErrBadChange, "reason must be one line of 1 to %d bytes", MaxReason)
 	case !slices.Contains(kinds, c.Kind):
-		return merry.Append(ErrBadChange, "kind")
+		return merry.Appendf(ErrBadChange, "kind must be one of %v, not %q", kinds, c.Kind)
 	default:
 		return nil
 	}
--- a/storer/client.go
+++ b/storer/client.go
@@ -71,11 +71,11 @@
 // New returns a client; the error is ErrConfig if c has no valid address.
 func New(c Config) (*Client, error) {
 	if len(c.Addresses) == 0 {
-		return nil, merry.Wrap(ErrConfig, merry.AppendMessage("no address"))
+		return nil, merry.Wrap(ErrConfig, merry.AppendMessage("addresses: there is none"))
 	}
-	for _, a := range c.Addresses {
+	for i, a := range c.Addresses {
 		if !a.IsValid() {
-			return nil, merry.Wrap(ErrConfig, merry.AppendMessage("invalid address"))
+			return nil, merry.Wrap(ErrConfig, merry.AppendMessagef("addresses: number %d is not valid", i+1))
 		}
 	}
 	if c.Timeout <= 0 {
