Name the parts of the operators' command after what they do

Cause: a newcomer to package commander met round and one (calls of instances), tree, leaf, file and change (flags of commands), accepted (a method that prints, beside a variable of that name) and life, without an explanation. The type of a call was spelt out four times. The emulated list took a channel where the rest takes a context, and had its own ticker loop.

Ruled out: moving the flags into the files of their commands; the help text is easier to review in one place.

After: tryEach, try, addCommands, newCommand, addFile, addChange, noteAccepted, validity; call[T] is a type; List.Run takes a context and uses timer.Every.

The list's check of an instance now also ends with its process's context.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -77,7 +77,7 @@
 
 func runList(ctx context.Context, o options) error {
 	l := emulator.NewList(emulator.ListConfig{Lag: o.lag, Probe: probeInterval})
-	go l.Run(ctx.Done())
+	go l.Run(ctx)
 	return serve(ctx, o.listen, l.Handler())
 }
 
--- a/commander/certificate.go
+++ b/commander/certificate.go
@@ -24,7 +24,7 @@
 
 // makeAuthority creates the authority of a deployment in the output directory.
 func (s *session) makeAuthority(context.Context) error {
-	a, err := certifier.NewAuthority(s.holder, time.Now(), s.life(authorityLife))
+	a, err := certifier.NewAuthority(s.holder, time.Now(), s.validity(authorityLife))
 	if err != nil {
 		return err
 	}
@@ -45,6 +45,7 @@
 	return s.certify(certifier.Operator)
 }
 
+// certify issues a certificate to the holder, by the authority whose files are in the directory.
 func (s *session) certify(r certifier.Role) error {
 	var as []netip.Addr
 	for _, a := range s.addresses {
@@ -66,14 +67,15 @@
 	if err != nil {
 		return merry.Wrap(errUsage, merry.WithCause(err))
 	}
-	issued, err := a.Issue(r, s.holder, time.Now(), s.life(certificateLife), as...)
+	issued, err := a.Issue(r, s.holder, time.Now(), s.validity(certificateLife), as...)
 	if err != nil {
 		return err
 	}
 	return s.writePair(s.holder, issued)
 }
 
-func (s *session) life(otherwise time.Duration) time.Duration {
+// validity returns the time in --days.
+func (s *session) validity(otherwise time.Duration) time.Duration {
 	if s.days == 0 {
 		return otherwise
 	}
@@ -96,6 +98,7 @@
 	return nil
 }
 
+// create writes a file that must not exist.
 func create(path string, b []byte, mode os.FileMode) error {
 	f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, mode) //nolint:gosec // The operator names the directory.
 	if err != nil {
--- a/commander/change.go
+++ b/commander/change.go
@@ -164,7 +164,7 @@
 	// The outcome of an operation that is repeated by hand was unknown before.
 	unknown := s.operationID != ""
 	for {
-		reply, err := round(ctx, s.client, func(ctx context.Context, o messenger.Operator) (*messenger.ApplyReply, error) {
+		reply, err := tryEach(ctx, s.client, func(ctx context.Context, o messenger.Operator) (*messenger.ApplyReply, error) {
 			return o.Apply(ctx, r)
 		})
 		var f *failure
@@ -177,9 +177,9 @@
 		case err != nil:
 			return err
 		case reply.Conflict != nil:
-			return conflict(reply.Conflict)
+			return conflictError(reply.Conflict)
 		default:
-			s.accepted(accepted, reply)
+			s.noteAccepted(accepted, reply)
 			accepted = reply
 			if reply.InForce {
 				s.note("version %d is in force everywhere", reply.Version)
@@ -192,8 +192,8 @@
 	}
 }
 
-// accepted reports a version when it is first known, and who lacks it each time.
-func (s *session) accepted(before, now *messenger.ApplyReply) {
+// noteAccepted reports a version when it is first known, and who lacks it each time.
+func (s *session) noteAccepted(before, now *messenger.ApplyReply) {
 	if before == nil {
 		for _, w := range now.Warnings {
 			s.note("warning: %s", w)
@@ -205,7 +205,7 @@
 	}
 }
 
-// unsettled is the error after the wait.
+// unsettled returns the error after the wait, and tells the operator how to go on; accepted is nil if no instance confirmed the change.
 func (s *session) unsettled(r *messenger.ApplyRequest, accepted *messenger.ApplyReply, last error) error {
 	if accepted != nil {
 		return merry.Appendf(errNotInForce, "version %d lacks a confirmation of %s", accepted.Version, orUnknown(accepted.Missing))
@@ -225,7 +225,7 @@
 	return strings.Join(missing, ", ")
 }
 
-func conflict(c *messenger.Conflict) error {
+func conflictError(c *messenger.Conflict) error {
 	v := &operator.Conflict{Version: c.Version, Operator: c.Operator, Reason: c.Reason}
 	if c.UnixMs != 0 {
 		v.Time = time.UnixMilli(c.UnixMs)
--- a/commander/client.go
+++ b/commander/client.go
@@ -26,9 +26,10 @@
 
 // client calls the instances in turn, beginning with the last one that answered.
 type client struct {
-	servers []string
-	calls   []messenger.Operator
-	next    int
+	servers  []string
+	services []messenger.Operator
+	// next is the service that is called next.
+	next int
 }
 
 func connect(o *options) (*client, error) {
@@ -53,7 +54,7 @@
 			return nil, merry.Appendf(errUsage, "--server %q is not an IP address and port", s)
 		}
 		c.servers = append(c.servers, a.String())
-		c.calls = append(c.calls, messenger.NewOperatorProtobufClient("https://"+a.String(), &http.Client{Transport: transport}))
+		c.services = append(c.services, messenger.NewOperatorProtobufClient("https://"+a.String(), &http.Client{Transport: transport}))
 	}
 	return c, nil
 }
@@ -94,14 +95,17 @@
 	return f.last
 }
 
-// round calls f on each instance until one gives an answer that the next could not better.
+// call is one call of the operator service.
+type call[T any] func(context.Context, messenger.Operator) (T, error)
+
+// tryEach makes a call on each instance until one gives an answer that the next could not better.
 //
 // Its error is a failure, or the refusal of an instance.
-func round[T any](ctx context.Context, c *client, f func(context.Context, messenger.Operator) (T, error)) (T, error) {
+func tryEach[T any](ctx context.Context, c *client, f call[T]) (T, error) {
 	var zero T
 	failed := &failure{}
-	for range c.calls {
-		v, err := one(ctx, c.calls[c.next], f)
+	for range c.services {
+		v, err := try(ctx, c.services[c.next], f)
 		if err == nil {
 			return v, nil
 		}
@@ -110,15 +114,15 @@
 		}
 		failed.mayHaveRun = failed.mayHaveRun || mayHaveRun(err)
 		failed.last = merry.Prepend(err, c.servers[c.next])
-		c.next = (c.next + 1) % len(c.calls)
+		c.next = (c.next + 1) % len(c.services)
 	}
 	return zero, failed
 }
 
-func one[T any](ctx context.Context, o messenger.Operator, f func(context.Context, messenger.Operator) (T, error)) (T, error) {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
+func try[T any](ctx context.Context, o messenger.Operator, f call[T]) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return f(call, o)
+	return f(ctx, o)
 }
 
 // isRetryable reports whether another instance may do better.
@@ -146,9 +150,9 @@
 	return !errors.As(err, &op) || op.Op != "dial"
 }
 
-// read calls f on the instances once each.
-func read[T any](ctx context.Context, c *client, f func(context.Context, messenger.Operator) (T, error)) (T, error) {
-	v, err := round(ctx, c, f)
+// read makes a call without an effect on the instances, once each at most.
+func read[T any](ctx context.Context, c *client, f call[T]) (T, error) {
+	v, err := tryEach(ctx, c, f)
 	return v, unreachable(err)
 }
 
--- a/commander/options.go
+++ b/commander/options.go
@@ -63,8 +63,8 @@
 	p.ShowCompletion = false
 	// The flag is taken by export.
 	p.DisableShowVersionWithVersion()
-	connection(p, o)
-	commands := tree(p, o)
+	addConnection(p, o)
+	commands := addCommands(p, o)
 	if err = p.ParseArgs(args); err != nil {
 		return nil, merry.Wrap(errUsage, merry.WithCause(err))
 	}
@@ -77,7 +77,8 @@
 	return nil, merry.Append(errUsage, "a command is missing")
 }
 
-func connection(p *flaggy.Parser, o *options) {
+// addConnection adds the flags that all commands share.
+func addConnection(p *flaggy.Parser, o *options) {
 	p.StringSlice(&o.servers, "s", "server", "Address and port of an instance; may be given several times, the next is tried if one fails.")
 	p.String(&o.ca, "", "ca", "File with the certificate of the authority (PEM).")
 	p.String(&o.cert, "", "cert", "File with the operator's certificate (PEM).")
@@ -87,21 +88,22 @@
 	p.Duration(&o.wait, "w", "wait", "How long to wait for a change to be in force everywhere.")
 }
 
-func tree(p *flaggy.Parser, o *options) []*command {
-	check := leaf("check", "Checks a configuration file without a connection.", (*session).check)
-	file(check, o)
+// addCommands adds the command tree and returns its leaves.
+func addCommands(p *flaggy.Parser, o *options) []*command {
+	check := newCommand("check", "Checks a configuration file without a connection.", (*session).check)
+	addFile(check, o)
 
-	plan := leaf("plan", "Shows what a file would change.", (*session).plan)
-	file(plan, o)
+	plan := newCommand("plan", "Shows what a file would change.", (*session).plan)
+	addFile(plan, o)
 
-	apply := leaf("apply", "Makes the configuration in a file the newest version.", (*session).apply)
-	file(apply, o)
-	change(apply, o)
+	apply := newCommand("apply", "Makes the configuration in a file the newest version.", (*session).apply)
+	addFile(apply, o)
+	addChange(apply, o)
 
-	status := leaf("status", "Shows instances, targets, shifts and accounts.", (*session).status)
+	status := newCommand("status", "Shows instances, targets, shifts and accounts.", (*session).status)
 
-	issue := leaf("issue", "Makes a key; prints its secret once.", (*session).issueKey)
-	withdraw := leaf("withdraw", "Withdraws a key.", (*session).withdrawKey)
+	issue := newCommand("issue", "Makes a key; prints its secret once.", (*session).issueKey)
+	withdraw := newCommand("withdraw", "Withdraws a key.", (*session).withdrawKey)
 	keys := flaggy.NewSubcommand("key")
 	keys.Description = "Issues and withdraws keys of client accounts."
 	for _, c := range []*command{issue, withdraw} {
@@ -111,19 +113,19 @@
 		keys.AttachSubcommand(c.Subcommand, 1)
 	}
 
-	audit := leaf("audit", "Shows who changed what, and why.", (*session).audit)
+	audit := newCommand("audit", "Shows who changed what, and why.", (*session).audit)
 	audit.UInt64(&o.after, "a", "after", "Show versions above this one only.")
 	audit.UInt32(&o.limit, "l", "limit", "Show at most this many versions (100).")
 
-	rollback := leaf("rollback", "Makes an earlier configuration the newest version.", (*session).rollback)
+	rollback := newCommand("rollback", "Makes an earlier configuration the newest version.", (*session).rollback)
 	rollback.AddPositionalValue(&o.toVersion, "version", 1, true, "Version whose configuration to take.")
-	change(rollback, o)
+	addChange(rollback, o)
 	rollback.Bool(&o.restoreKeys, "", "restore-keys", "Allow keys that were withdrawn since to become valid again.")
 
-	export := leaf("export", "Prints a configuration.", (*session).export)
+	export := newCommand("export", "Prints a configuration.", (*session).export)
 	export.UInt64(&o.version, "v", "version", "Version to print (the newest).")
 
-	certificates, certify := certificateTree(o)
+	certificates, certify := newCertificates(o)
 
 	for _, c := range []*flaggy.Subcommand{
 		check.Subcommand, plan.Subcommand, apply.Subcommand, status.Subcommand, keys,
@@ -134,13 +136,13 @@
 	return append(certify, check, plan, apply, status, issue, withdraw, audit, rollback, export)
 }
 
-func certificateTree(o *options) (*flaggy.Subcommand, []*command) {
+func newCertificates(o *options) (*flaggy.Subcommand, []*command) {
 	t := flaggy.NewSubcommand("certificate")
 	t.Description = "Makes the certificates of a deployment, in files of a directory."
 	cs := []*command{
-		leaf("authority", "Makes the authority that signs the others.", (*session).makeAuthority),
-		leaf("peer", "Makes the certificate of an instance.", (*session).certifyPeer),
-		leaf("operator", "Makes the certificate of an operator.", (*session).certifyOperator),
+		newCommand("authority", "Makes the authority that signs the others.", (*session).makeAuthority),
+		newCommand("peer", "Makes the certificate of an instance.", (*session).certifyPeer),
+		newCommand("operator", "Makes the certificate of an operator.", (*session).certifyOperator),
 	}
 	for _, c := range cs {
 		c.AddPositionalValue(&o.holder, "name", 1, true, "Name of the deployment, instance or operator.")
@@ -152,17 +154,18 @@
 	return t, cs
 }
 
-func leaf(name, description string, run func(*session, context.Context) error) *command {
+func newCommand(name, description string, run func(*session, context.Context) error) *command {
 	c := &command{Subcommand: flaggy.NewSubcommand(name), run: run}
 	c.Description = description
 	return c
 }
 
-func file(c *command, o *options) {
+func addFile(c *command, o *options) {
 	c.AddPositionalValue(&o.file, "file", 1, true, "Configuration in TOML.")
 }
 
-func change(c *command, o *options) {
+// addChange adds the flags of commands that make a change.
+func addChange(c *command, o *options) {
 	c.String(&o.reason, "r", "reason", "Reason for the audit trail; required.")
 	c.UInt64(&o.base, "b", "base", "Version that plan showed; refuses the change if there is a newer one.")
 	c.String(&o.operationID, "", "operation-id", "Repeats an earlier change on the version in --base whose outcome is unknown.")
--- a/commander/session.go
+++ b/commander/session.go
@@ -54,17 +54,20 @@
 	client *client
 }
 
+// connect prepares the client; connections are opened by calls.
 func (s *session) connect() error {
 	c, err := connect(&s.options)
 	s.client = c
 	return err
 }
 
+// print writes a line of results.
 func (s *session) print(format string, args ...any) {
 	// A reader that went away is no reason to stop a change halfway.
 	_, _ = fmt.Fprintf(s.Out, format+"\n", args...)
 }
 
+// note writes a line about progress, a warning or an error.
 func (s *session) note(format string, args ...any) {
 	_, _ = fmt.Fprintf(s.Err, format+"\n", args...)
 }
--- a/emulator/list.go
+++ b/emulator/list.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"celeryhead.dev/celeryhead/timer"
 )
 
 // Instance is an entry of the platform's list of instances.
@@ -41,6 +43,7 @@
 	config ListConfig
 	mu     sync.Mutex
 	known  map[string]*listed
+	// past holds the lists that may still be answered, oldest first.
 	past   []snapshot
 	faults Faults
 }
@@ -70,21 +73,12 @@
 	return r
 }
 
-// Run checks the instances until done is closed.
-func (l *List) Run(done <-chan struct{}) {
+// Run checks the instances until ctx ends.
+func (l *List) Run(ctx context.Context) {
 	if l.config.Probe <= 0 {
 		return
 	}
-	t := time.NewTicker(l.config.Probe)
-	defer t.Stop()
-	for {
-		select {
-		case <-done:
-			return
-		case <-t.C:
-			l.probe()
-		}
-	}
+	timer.Every(ctx, l.config.Probe, l.probe)
 }
 
 // Put adds or replaces an instance.
@@ -103,7 +97,8 @@
 	l.record()
 }
 
-func (l *List) probe() {
+// probe notes which instances accept a connection.
+func (l *List) probe(ctx context.Context) {
 	l.mu.Lock()
 	a := make(map[string]netip.AddrPort, len(l.known))
 	for n, k := range l.known {
@@ -113,7 +108,7 @@
 	up := make(map[string]bool, len(a))
 	d := net.Dialer{Timeout: l.config.Probe}
 	for n, i := range a {
-		c, err := d.DialContext(context.Background(), "tcp", i.String())
+		c, err := d.DialContext(ctx, "tcp", i.String())
 		up[n] = err == nil
 		if err == nil {
 			_ = c.Close()
