--- a/commander/change.go
+++ b/commander/change.go
@@ -13,6 +13,7 @@
 	"celeryhead.dev/celeryhead/composer"
 	"celeryhead.dev/celeryhead/messenger"
 	"celeryhead.dev/celeryhead/operator"
+	"celeryhead.dev/celeryhead/timer"
 )
 
 // keyAttempts bounds how often a change of one key is made anew after conflicts with other changes.
@@ -23,18 +24,12 @@
 	if err != nil {
 		return err
 	}
-	if err = s.needReason(); err != nil {
-		return err
-	}
-	if err = s.connect(); err != nil {
-		return err
-	}
-	newest, err := s.fetch(ctx, 0)
+	newest, err := s.prepare(ctx)
 	if err != nil {
 		return err
 	}
 	changes := composer.Diff(newest.config, c)
-	if len(changes) == 0 && s.operationID == "" {
+	if s.isNeedless(changes) {
 		s.note("no changes against version %d", newest.number)
 		return nil
 	}
@@ -47,13 +42,7 @@
 	if err != nil {
 		return err
 	}
-	if err = s.needReason(); err != nil {
-		return err
-	}
-	if err = s.connect(); err != nil {
-		return err
-	}
-	newest, err := s.fetch(ctx, 0)
+	newest, err := s.prepare(ctx)
 	if err != nil {
 		return err
 	}
@@ -62,18 +51,23 @@
 		return err
 	}
 	changes := composer.Diff(newest.config, old.config)
-	if len(changes) == 0 && s.operationID == "" {
+	if s.isNeedless(changes) {
 		s.note("version %d is the same as version %d", newest.number, number)
 		return nil
 	}
 	s.noteChanges(changes)
-	if restored := restoredKeys(changes); len(restored) > 0 && !s.restoreKeys {
+	if restored := composer.NewKeys(changes); len(restored) > 0 && !s.restoreKeys {
 		return merry.Errorf("version %d would make withdrawn keys valid again (%s); --restore-keys allows it",
 			number, strings.Join(restored, ", "))
 	}
 	return s.change(ctx, s.baseOr(newest.number), old.config, operator.KindRollback)
 }
 
+// isNeedless is false for a repeated operation, whose outcome is asked for although the newest version may show its effect.
+func (s *session) isNeedless(changes []composer.Change) bool {
+	return len(changes) == 0 && s.operationID == ""
+}
+
 // baseOr returns the version in --base; a repeated operation must name the base it had, which may be 0.
 func (s *session) baseOr(newest uint64) uint64 {
 	if s.base != 0 || s.operationID != "" {
@@ -82,16 +76,6 @@
 	return newest
 }
 
-func restoredKeys(changes []composer.Change) []string {
-	var out []string
-	for _, c := range changes {
-		if c.Entity == "key" && c.Kind != composer.Removed {
-			out = append(out, c.Name)
-		}
-	}
-	return out
-}
-
 func (s *session) issueKey(ctx context.Context) error {
 	secret, key, err := composer.NewKey(s.account, s.keyName)
 	if err != nil {
@@ -140,11 +124,12 @@
 	return last
 }
 
-func (s *session) needReason() error {
+// prepare refuses a change without a reason and returns the newest version.
+func (s *session) prepare(ctx context.Context) (version, error) {
 	if strings.TrimSpace(s.reason) == "" {
-		return merry.Append(errUsage, "--reason is required")
+		return version{}, merry.Append(errUsage, "--reason is required")
 	}
-	return nil
+	return s.newest(ctx)
 }
 
 // change makes c the version after base and waits until it is in force everywhere.
@@ -174,7 +159,7 @@
 	// The outcome of an operation that is repeated by hand was unknown before.
 	unknown := s.operationID != ""
 	for {
-		reply, err := round(ctx, s.client, func(ctx context.Context, o messenger.Operator) (*messenger.ApplyReply, error) {
+		reply, err := tryEach(ctx, s.client, func(ctx context.Context, o messenger.Operator) (*messenger.ApplyReply, error) {
 			return o.Apply(ctx, r)
 		})
 		var f *failure
@@ -187,23 +172,23 @@
 		case err != nil:
 			return err
 		case reply.Conflict != nil:
-			return conflict(reply.Conflict)
+			return conflictError(reply.Conflict)
 		default:
-			s.accepted(accepted, reply)
+			s.noteAccepted(accepted, reply)
 			accepted = reply
 			if reply.InForce {
 				s.note("version %d is in force everywhere", reply.Version)
 				return nil
 			}
 		}
-		if !s.pause(ctx) {
+		if timer.Sleep(ctx, s.Pause) != nil {
 			return s.unsettled(r, accepted, err)
 		}
 	}
 }
 
-// accepted reports a version when it is first known, and who lacks it each time.
-func (s *session) accepted(before, now *messenger.ApplyReply) {
+// noteAccepted reports a version when it is first known, and who lacks it each time.
+func (s *session) noteAccepted(before, now *messenger.ApplyReply) {
 	if before == nil {
 		for _, w := range now.Warnings {
 			s.note("warning: %s", w)
@@ -215,7 +200,7 @@
 	}
 }
 
-// unsettled is the error after the wait.
+// unsettled returns the error after the wait, and tells the operator how to go on; accepted is nil if no instance confirmed the change.
 func (s *session) unsettled(r *messenger.ApplyRequest, accepted *messenger.ApplyReply, last error) error {
 	if accepted != nil {
 		return merry.Appendf(errNotInForce, "version %d lacks a confirmation of %s", accepted.Version, orUnknown(accepted.Missing))
@@ -235,22 +220,10 @@
 	return strings.Join(missing, ", ")
 }
 
-func conflict(c *messenger.Conflict) error {
+func conflictError(c *messenger.Conflict) error {
 	v := &operator.Conflict{Version: c.Version, Operator: c.Operator, Reason: c.Reason}
 	if c.UnixMs != 0 {
 		v.Time = time.UnixMilli(c.UnixMs)
 	}
 	return merry.Wrap(errConflict, merry.WithCause(v))
 }
-
-// pause reports false if the wait is over.
-func (s *session) pause(ctx context.Context) bool {
-	t := time.NewTimer(s.Pause)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/commander/session.go
+++ b/commander/session.go
@@ -54,17 +54,20 @@
 	client *client
 }
 
+// connect prepares the client; connections are opened by calls.
 func (s *session) connect() error {
 	c, err := connect(&s.options)
 	s.client = c
 	return err
 }
 
+// print writes a line of results.
 func (s *session) print(format string, args ...any) {
 	// A reader that went away is no reason to stop a change halfway.
 	_, _ = fmt.Fprintf(s.Out, format+"\n", args...)
 }
 
+// note writes a line about progress, a warning or an error.
 func (s *session) note(format string, args ...any) {
 	_, _ = fmt.Fprintf(s.Err, format+"\n", args...)
 }
@@ -98,6 +101,14 @@
 	return version{number: m.Version, text: m.Text, config: c}, err
 }
 
+// newest connects and returns the newest version.
+func (s *session) newest(ctx context.Context) (version, error) {
+	if err := s.connect(); err != nil {
+		return version{}, err
+	}
+	return s.fetch(ctx, 0)
+}
+
 // newID returns an operation id that no other operator uses.
 func newID() string {
 	return rand.Text()
--- a/operator/commit.go
+++ b/operator/commit.go
@@ -12,6 +12,7 @@
 	"celeryhead.dev/celeryhead/composer"
 	"celeryhead.dev/celeryhead/recorder"
 	"celeryhead.dev/celeryhead/storer"
+	"celeryhead.dev/celeryhead/timer"
 )
 
 // proposal is a checked change.
@@ -105,19 +106,10 @@
 		return made{}, false, nil
 	}
 	version := p.BaseVersion + 1
-	row := storer.Row{Key: recorder.HeadsKey, Version: versionOf(r.Rows, recorder.HeadsKey), Value: heads}
+	row := storer.Row{Key: recorder.HeadsKey, Version: storer.ByKey(r.Rows)[recorder.HeadsKey].Version, Value: heads}
 	return made{version: version, newest: Commit{Heads: row, ConfigVersion: version, Text: p.text}}, true, nil
 }
 
-func versionOf(rows []storer.Row, key string) uint64 {
-	for _, r := range rows {
-		if r.Key == key {
-			return r.Version
-		}
-	}
-	return 0
-}
-
 // snapshot is what an attempt depends on.
 type snapshot struct {
 	// row is the heads row; its version is 0 before the first change.
@@ -204,10 +196,8 @@
 	if p.Kind != KindRollback {
 		return out
 	}
-	for _, c := range changes {
-		if c.Entity == "key" && c.Kind != composer.Removed {
-			out = append(out, "key "+c.Name+" of the earlier version is valid again")
-		}
+	for _, n := range composer.NewKeys(changes) {
+		out = append(out, "key "+n+" of the earlier version is valid again")
 	}
 	return out
 }
@@ -271,12 +261,5 @@
 	}
 	// The jitter protects nothing, so a predictable source is enough.
 	jitter := rand.Int64N(int64(mean) + 1) //nolint:gosec // not a secret
-	t := time.NewTimer(mean/2 + time.Duration(jitter))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return timer.Sleep(ctx, mean/2+time.Duration(jitter))
 }
