Retry to an owner that reports free slots without spending the budget

Ruled out: a larger budget, which would also allow more retries under overload; a budget that starts full, which helps only at the start. Change: no budget is spent while an owner that was not tried reports free slots, still at most 2 retries and only after a refusal as not run. TestRetryToFreeSlots is new; TestRetryBudget is as strict as before.

--- a/balancer/chooser.go
+++ b/balancer/chooser.go
@@ -206,9 +206,23 @@
 	c.retries.Attempt()
 }
 
-// Retry reports whether a refused request may be sent to another owner; see RetryPolicy.Allow.
-func (c *Chooser) Retry(now time.Time, r *responder.Refusal, retries int, deadline time.Time) bool {
-	return c.retries.Allow(now, r, retries, deadline)
+// Retry reports whether a request that the owners tried have refused may be sent to another one. A retry to a slot that
+// an owner reports as free spends no budget, because it takes nothing from other requests.
+func (c *Chooser) Retry(now time.Time, r *responder.Refusal, deadline time.Time, tried ...string) bool {
+	if !c.retries.Retryable(now, r, len(tried)-1, deadline) {
+		return false
+	}
+	return c.hasRoom(now, tried) || c.retries.Spend(now)
+}
+
+// hasRoom reports whether an owner that was not tried reported free slots lately.
+func (c *Chooser) hasRoom(now time.Time, tried []string) bool {
+	for _, o := range c.owners.All() {
+		if o.serves(now) && o.known(now) && o.free >= 1 && !slices.Contains(tried, o.Name) {
+			return true
+		}
+	}
+	return false
 }
 
 func notRun(r *responder.Refusal) bool {
--- a/balancer/chooser_test.go
+++ b/balancer/chooser_test.go
@@ -105,7 +105,7 @@
 	n := 0
 	for range 10_000 {
 		c.Attempt()
-		if c.Retry(epoch, refusal, 0, epoch.Add(time.Second)) {
+		if c.Retry(epoch, refusal, epoch.Add(time.Second), "a") {
 			n++
 		}
 	}
@@ -115,19 +115,53 @@
 	for range 100 {
 		c.Attempt()
 	}
-	for r := range 3 {
-		if ok := c.Retry(epoch, refusal, r, epoch.Add(time.Second)); ok != (r < 2) {
+	tried := []string{"a", "b", "c"}
+	for r := range tried {
+		if ok := c.Retry(epoch, refusal, epoch.Add(time.Second), tried[:r+1]...); ok != (r < 2) {
 			t.Fatalf("retry %d of one request allowed: %t", r+1, ok)
 		}
 	}
-	if c.Retry(epoch, refusal, 0, epoch) {
+	if c.Retry(epoch, refusal, epoch, "a") {
 		t.Fatal("retry after the deadline")
 	}
-	if c.Retry(epoch, &responder.Refusal{Ran: responder.Unknown}, 0, epoch.Add(time.Second)) {
+	if c.Retry(epoch, &responder.Refusal{Ran: responder.Unknown}, epoch.Add(time.Second), "a") {
 		t.Fatal("retry of a request that may have run")
 	}
 }
 
+// Guards against requests that are refused for lack of a budget although an owner has room, as at an instance that has
+// just started, and against retries beyond the budget to owners whose slots are taken, unknown or no longer reported.
+func TestRetryToFreeSlots(t *testing.T) {
+	refusal := &responder.Refusal{Ran: responder.NotRun}
+	cases := []struct {
+		name    string
+		load    balancer.Load
+		age     time.Duration
+		suspect bool
+		tried   []string
+		want    bool
+	}{
+		{name: "free slots", load: balancer.Load{Slots: 3, Free: 1}, tried: []string{"a"}, want: true},
+		{name: "no free slots", load: balancer.Load{Slots: 3}, tried: []string{"a"}},
+		{name: "free slots and works that wait", load: balancer.Load{Slots: 3, Free: 1, Queued: 1}, tried: []string{"a"}},
+		{name: "an old report", load: balancer.Load{Slots: 3, Free: 3}, age: 2 * time.Second, tried: []string{"a"}},
+		{name: "a suspect", load: balancer.Load{Slots: 3, Free: 3}, suspect: true, tried: []string{"a"}},
+		{name: "tried already", load: balancer.Load{Slots: 3, Free: 3}, tried: []string{"a", "b"}},
+	}
+	for _, x := range cases {
+		c := balancer.NewChooser(balancer.ChooserConfig{})
+		c.Adopt([]balancer.Owner{{Name: "a"}, {Name: "b", Suspect: x.suspect}})
+		c.Report(epoch, "b", x.load)
+		now := epoch.Add(x.age)
+		if got := c.Retry(now, refusal, now.Add(time.Second), x.tried...); got != x.want {
+			t.Errorf("%s: retry %t, want %t", x.name, got, x.want)
+		}
+		if c.Retry(now, refusal, now.Add(time.Second), "a", "b", "c") {
+			t.Errorf("%s: a third retry", x.name)
+		}
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	c := balancer.NewChooser(balancer.ChooserConfig{Name: "entry", Region: "west", Seed: 1})
 	var os []balancer.Owner
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -31,5 +31,15 @@
 // Allow reports whether a request with the given result may be retried, and spends a retry if so.
 // Retries counts the earlier retries of the request; deadline is that of its first attempt.
 func (p *RetryPolicy[R]) Allow(now time.Time, result R, retries int, deadline time.Time) bool {
-	return p.c.Retryable(result) && retries < p.c.Max && deadline.After(now) && p.budget.Take(now, 1)
+	return p.Retryable(now, result, retries, deadline) && p.Spend(now)
+}
+
+// Retryable reports whether a request with the given result may be retried, as Allow does, whatever the budget.
+func (p *RetryPolicy[R]) Retryable(now time.Time, result R, retries int, deadline time.Time) bool {
+	return p.c.Retryable(result) && retries < p.c.Max && deadline.After(now)
+}
+
+// Spend takes a retry from the budget and reports whether there was one.
+func (p *RetryPolicy[R]) Spend(now time.Time) bool {
+	return p.budget.Take(now, 1)
 }
--- a/balancer/simulation_test.go
+++ b/balancer/simulation_test.go
@@ -521,7 +521,7 @@
 	}
 	r.tries++
 	x := &responder.Refusal{Ran: responder.NotRun}
-	if !r.done && p.chooser[r.entry].Retry(p.now, x, r.tries-1, r.at.Add(simDeadline)) {
+	if !r.done && p.chooser[r.entry].Retry(p.now, x, r.at.Add(simDeadline), r.tried...) {
 		p.forward(r)
 		return
 	}
--- a/server/choosers.go
+++ b/server/choosers.go
@@ -121,9 +121,9 @@
 	return owner{name: o.Name, address: c.instances[o.Name].Peer}, true
 }
 
-// retry reports whether a refused request may go to another owner.
-func (c *choosers) retry(k *call, f *responder.Refusal, now time.Time, retries int) bool {
+// retry reports whether a request that the owners tried have refused may go to another one.
+func (c *choosers) retry(k *call, f *responder.Refusal, now time.Time, tried []string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.get(k.route.Pool, k.region).Retry(now, f, retries, k.deadline)
+	return c.get(k.route.Pool, k.region).Retry(now, f, k.deadline, tried...)
 }
--- a/server/forward.go
+++ b/server/forward.go
@@ -58,10 +58,10 @@
 			return a, f
 		}
 		last = f
-		if !s.choosers.retry(c, f, s.clock(), len(tried)) {
+		tried = append(tried, o.name)
+		if !s.choosers.retry(c, f, s.clock(), tried) {
 			return nil, last
 		}
-		tried = append(tried, o.name)
 		s.meter.Retry()
 	}
 }
