--- a/logger/events.go
+++ b/logger/events.go
@@ -19,6 +19,7 @@
 	proofLost          = register(2004, log.WarnLevel, "proof of freshness expired")
 	proofRegained      = register(2005, log.InfoLevel, "proof of freshness regained")
 	fetchFailed        = register(2006, log.WarnLevel, "fetching heads or configuration failed")
+	contentWrong       = register(2007, log.WarnLevel, "fetched chunk or manifest does not match its digest")
 	memberChanged      = register(3001, log.InfoLevel, "member state changed")
 	assignmentWritten  = register(3002, log.InfoLevel, "assignment written")
 	assignmentFailed   = register(3003, log.WarnLevel, "assignment not written")
@@ -98,6 +99,11 @@
 	l.emit(fetchFailed, log.Fields{"from": from, "error": err.Error()})
 }
 
+// ContentWrong reports a source of configurations that gave wrong content; another source is used.
+func (l *Logger) ContentWrong(from string, err error) {
+	l.emit(contentWrong, log.Fields{"from": from, "error": err.Error()})
+}
+
 // MemberChanged reports a new state of an instance as seen from here.
 func (l *Logger) MemberChanged(name, state string) {
 	l.emit(memberChanged, log.Fields{"member": name, "state": state})
--- a/recorder/keys.go
+++ b/recorder/keys.go
@@ -8,7 +8,18 @@
 // AuditPrefix begins the keys of all audit rows.
 const AuditPrefix = "audit/"
 
-// ConfigKey returns the key of the row that holds the canonical TOML of a configuration version.
+// ManifestKey returns the key of the row that holds the manifest of a configuration version.
+func ManifestKey(version uint64) string {
+	return fmt.Sprintf("manifest/%020d", version)
+}
+
+// ChunkKey returns the key of the row that holds the chunk with a SHA-256 digest; versions share their chunks.
+func ChunkKey(digest [32]byte) string {
+	return fmt.Sprintf("chunk/%x", digest)
+}
+
+// ConfigKey returns the key of the row that holds the canonical TOML of a configuration version
+// that was made before manifests were written.
 func ConfigKey(version uint64) string {
 	return fmt.Sprintf("config/%020d", version)
 }
