Store and fetch configurations in chunks

Ruled out: a field for the manifest in the heads row, because its decoding is strict and daemons of the version before would refuse the row; the digest of the text stays the one that is checked. One transaction for any text: a new text at the target size is 2,675 rows, so chunks beyond 200 rows or 1 MB are written ahead, where they do no harm if the change is not made.

TestFetchFromFaultyPeer fails without other holders (store down), and without the cache; TestWholeTextRows fails if chunks of a whole text count as written.

--- a/controller/adopt.go
+++ b/controller/adopt.go
@@ -9,14 +9,13 @@
 	"github.com/ansel1/merry/v2"
 
 	"celeryhead.dev/celeryhead/assigner"
-	"celeryhead.dev/celeryhead/composer"
-	"celeryhead.dev/celeryhead/messenger"
+	"celeryhead.dev/celeryhead/chunker"
 	"celeryhead.dev/celeryhead/recorder"
 	"celeryhead.dev/celeryhead/storer"
 )
 
-// source returns the text of a configuration version.
-type source func(ctx context.Context, version uint64) ([]byte, error)
+// source returns the configuration that a heads row names.
+type source func(ctx context.Context, h recorder.Heads) (*chunker.Tree, error)
 
 func emptyHeads() recorder.Heads {
 	return recorder.Heads{Assignments: map[string]recorder.Assignment{}, Shifts: map[string]recorder.ShiftStep{}}
@@ -37,7 +36,7 @@
 	if h.ConfigVersion < old.Heads.ConfigVersion {
 		return merry.Errorf("heads version %d names configuration %d, older than %d", r.Version, h.ConfigVersion, old.Heads.ConfigVersion)
 	}
-	t, err := c.text(ctx, old, h, fetch)
+	t, err := c.tree(ctx, old, h, fetch)
 	if err != nil {
 		return err
 	}
@@ -49,21 +48,22 @@
 	c.apply(old, v)
 	c.config.Log.HeadsAdopted(r.Version, from)
 	if h.ConfigVersion != old.Heads.ConfigVersion {
+		c.collector.Forget()
 		c.config.Log.ConfigAdopted(h.ConfigVersion, from)
 	}
 	c.kickTicks()
 	return nil
 }
 
-func (c *Controller) text(ctx context.Context, old *View, h recorder.Heads, fetch source) ([]byte, error) {
+func (c *Controller) tree(ctx context.Context, old *View, h recorder.Heads, fetch source) (*chunker.Tree, error) {
 	if h.ConfigVersion == old.Heads.ConfigVersion {
-		return old.Text, nil
+		return old.Tree, nil
 	}
-	t, err := fetch(ctx, h.ConfigVersion)
+	t, err := fetch(ctx, h)
 	if err != nil {
 		return nil, merry.Prependf(err, "fetching configuration %d", h.ConfigVersion)
 	}
-	if recorder.Digest(composer.Digest(t)) != h.ConfigDigest {
+	if recorder.Digest(t.Manifest.TextDigest) != h.ConfigDigest {
 		err := merry.New("digest of the text differs from the heads row")
 		c.config.Log.ConfigRejected(h.ConfigVersion, err)
 		return nil, err
@@ -123,34 +123,3 @@
 		}
 	}
 }
-
-// fromStore reads configuration texts from the store.
-func (c *Controller) fromStore(ctx context.Context, version uint64) ([]byte, error) {
-	r, err := c.config.Store.Read(ctx, recorder.ConfigKey(version))
-	if err != nil {
-		return nil, err
-	}
-	if len(r) == 0 {
-		return nil, merry.Errorf("configuration %d is not in the store", version)
-	}
-	return r[0].Value, nil
-}
-
-// adoptFromPeer fetches the heads row, and the configuration if it is new, from a peer that has a newer version.
-func (c *Controller) adoptFromPeer(ctx context.Context, name string, p messenger.Peer) {
-	x, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	r, err := p.FetchHeads(x, &messenger.FetchHeadsRequest{})
-	if err == nil {
-		err = c.adopt(x, storer.Row{Key: recorder.HeadsKey, Version: r.Version, Value: r.Value}, name, func(ctx context.Context, v uint64) ([]byte, error) {
-			t, err := p.FetchConfiguration(ctx, &messenger.FetchConfigurationRequest{Version: v})
-			if err != nil {
-				return nil, err
-			}
-			return t.Text, nil
-		})
-	}
-	if err != nil {
-		c.config.Log.FetchFailed(name, err)
-	}
-}
--- a/controller/capacity_test.go
+++ b/controller/capacity_test.go
@@ -28,7 +28,7 @@
 func (noHooks) Fill(*messenger.Beat)    {}
 func (noHooks) Receive(*messenger.Beat) {}
 
-func newController(b *testing.B) *controller.Controller {
+func newController(b testing.TB) *controller.Controller {
 	l, err := logger.New(logger.Config{Level: "error", Format: "json", Writer: io.Discard})
 	if err != nil {
 		b.Fatal(err)
@@ -117,7 +117,7 @@
 	return float64(m.HeapAlloc)
 }
 
-func configuration(b *testing.B, blocks int) []byte {
+func configuration(b testing.TB, blocks int) []byte {
 	c := composer.Config{
 		Lookup:  composer.Lookup{TimeToLive: 5 * time.Second},
 		Regions: []composer.Region{{Name: "west", FailureDomains: []string{"west_a"}}, {Name: "east", FailureDomains: []string{"east_a"}}},
@@ -133,7 +133,7 @@
 	return t
 }
 
-func adopt(b *testing.B, c *controller.Controller, text []byte, config, version uint64) {
+func adopt(b testing.TB, c *controller.Controller, text []byte, config, version uint64) {
 	h := recorder.Heads{ConfigVersion: config, ConfigDigest: sha256.Sum256(text)}
 	v, err := h.Encode()
 	if err != nil {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -11,6 +11,7 @@
 
 	"celeryhead.dev/celeryhead/assigner"
 	"celeryhead.dev/celeryhead/attester"
+	"celeryhead.dev/celeryhead/collector"
 	"celeryhead.dev/celeryhead/loader"
 	"celeryhead.dev/celeryhead/logger"
 	"celeryhead.dev/celeryhead/messenger"
@@ -58,10 +59,11 @@
 
 // Controller keeps one instance informed; it is safe for concurrent use.
 type Controller struct {
-	config Config
-	gate   attester.Gate
-	view   atomic.Pointer[View]
-	live   atomic.Pointer[steerer.Fleet]
+	config    Config
+	gate      attester.Gate
+	view      atomic.Pointer[View]
+	live      atomic.Pointer[steerer.Fleet]
+	collector *collector.Collector
 	// adopting serializes adoptions, which may wait for a fetch.
 	adopting sync.Mutex
 	kick     chan struct{}
@@ -117,14 +119,15 @@
 		return nil, merry.Prepend(err, "controller")
 	}
 	k := &Controller{
-		config:   c,
-		kick:     make(chan struct{}, 1),
-		tracker:  t,
-		attester: attester.New(attester.Config{Region: c.Self.Region, Freshness: c.Timing.Freshness, ListAge: c.Timing.ListAge}),
-		assigner: assigner.New(assigner.Config{Self: member(c.Self), Freshness: c.Timing.Freshness}),
-		members:  map[string]tracker.State{},
-		reports:  map[string]report{},
-		pending:  map[string]bool{},
+		config:    c,
+		collector: collector.New(collector.Config{Wrong: c.Log.ContentWrong}),
+		kick:      make(chan struct{}, 1),
+		tracker:   t,
+		attester:  attester.New(attester.Config{Region: c.Self.Region, Freshness: c.Timing.Freshness, ListAge: c.Timing.ListAge}),
+		assigner:  assigner.New(assigner.Config{Self: member(c.Self), Freshness: c.Timing.Freshness}),
+		members:   map[string]tracker.State{},
+		reports:   map[string]report{},
+		pending:   map[string]bool{},
 	}
 	v, err := newView(nil, storer.Row{}, emptyHeads(), nil)
 	if err != nil {
--- a/controller/loops.go
+++ b/controller/loops.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// fetchTimeout bounds fetching heads and configuration from a peer.
-	fetchTimeout = 2 * time.Second
 	// beatTimeout bounds one heartbeat.
 	beatTimeout = time.Second
 	// ticksPerHeartbeat is how often due heartbeats are looked for within one heartbeat interval.
@@ -105,7 +103,7 @@
 	if len(rs) > 0 {
 		r = rs[0]
 	}
-	if err := c.adopt(x, r, "store", c.fromStore); err != nil {
+	if err := c.adopt(ctx, r, "store", c.fromSources()); err != nil {
 		c.config.Log.FetchFailed("store", err)
 	}
 	c.mu.Lock()
--- a/controller/propose.go
+++ b/controller/propose.go
@@ -10,6 +10,7 @@
 
 	"celeryhead.dev/celeryhead/assigner"
 	"celeryhead.dev/celeryhead/attester"
+	"celeryhead.dev/celeryhead/chunker"
 	"celeryhead.dev/celeryhead/messenger"
 	"celeryhead.dev/celeryhead/operator"
 	"celeryhead.dev/celeryhead/recorder"
@@ -174,12 +175,14 @@
 	if !r.Committed || len(r.Rows) == 0 {
 		return errCollision
 	}
-	return c.adopt(x, storer.Row{Key: recorder.HeadsKey, Version: r.Rows[0].Version, Value: b}, "own write", c.fromStore)
+	return c.adopt(x, storer.Row{Key: recorder.HeadsKey, Version: r.Rows[0].Version, Value: b}, "own write", c.fromSources())
 }
 
 // Publish adopts a committed change and waits until it is in force on every instance.
 func (c *Controller) Publish(ctx context.Context, m operator.Commit) ([]string, error) {
-	err := c.adopt(ctx, m.Heads, "operator", func(context.Context, uint64) ([]byte, error) { return m.Text, nil })
+	err := c.adopt(ctx, m.Heads, "operator", func(context.Context, recorder.Heads) (*chunker.Tree, error) {
+		return chunker.New(m.Text, chunker.DefaultSizes), nil
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/controller/view.go
+++ b/controller/view.go
@@ -7,6 +7,7 @@
 
 	"celeryhead.dev/celeryhead/assigner"
 	"celeryhead.dev/celeryhead/authenticator"
+	"celeryhead.dev/celeryhead/chunker"
 	"celeryhead.dev/celeryhead/composer"
 	"celeryhead.dev/celeryhead/limiter"
 	"celeryhead.dev/celeryhead/recorder"
@@ -20,7 +21,9 @@
 	Row   storer.Row
 	Heads recorder.Heads
 	// Text is the configuration in canonical TOML.
-	Text     []byte
+	Text []byte
+	// Tree holds the chunks of Text; it is nil before the first configuration.
+	Tree     *chunker.Tree
 	Config   composer.Config
 	Accounts map[string]composer.Account
 	Pools    map[string]composer.Pool
@@ -34,18 +37,19 @@
 }
 
 // newView returns the view of a heads row; a configuration that is the same as in the old view is not parsed again.
-func newView(old *View, r storer.Row, h recorder.Heads, text []byte) (*View, error) {
-	v := &View{Row: r, Heads: h, Text: text}
+func newView(old *View, r storer.Row, h recorder.Heads, t *chunker.Tree) (*View, error) {
+	v := &View{Row: r, Heads: h}
 	switch {
 	case old != nil && old.Heads.ConfigVersion == h.ConfigVersion:
 		v.copyConfig(old)
 	case h.ConfigVersion == 0:
 		v.setConfig(composer.Config{})
 	default:
-		c, err := parseConfig(text)
+		c, err := parseConfig(t.Text)
 		if err != nil {
 			return nil, err
 		}
+		v.Text, v.Tree = t.Text, t
 		v.setConfig(c)
 	}
 	v.Steering = steerer.New(steerer.Config{Configuration: v.Config, Steps: steps(h)})
@@ -61,7 +65,7 @@
 }
 
 func (v *View) copyConfig(o *View) {
-	v.Text, v.Config, v.Accounts, v.Pools = o.Text, o.Config, o.Accounts, o.Pools
+	v.Text, v.Tree, v.Config, v.Accounts, v.Pools = o.Text, o.Tree, o.Config, o.Accounts, o.Pools
 	v.TargetRegions, v.Keys, v.Routes, v.Limits = o.TargetRegions, o.Keys, o.Routes, o.Limits
 }
 
--- a/operator/commit.go
+++ b/operator/commit.go
@@ -1,14 +1,15 @@
 package operator
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
+	"celeryhead.dev/celeryhead/chunker"
 	"celeryhead.dev/celeryhead/composer"
 	"celeryhead.dev/celeryhead/recorder"
 	"celeryhead.dev/celeryhead/storer"
@@ -19,8 +20,10 @@
 type proposal struct {
 	Change
 	config composer.Config
-	// text is canonical.
-	text []byte
+	// tree holds the canonical text.
+	tree *chunker.Tree
+	// ahead holds the first key of each transaction of chunks that was committed before the change.
+	ahead map[string]bool
 	// warnings belong to the attempt that was committed last.
 	warnings []string
 	// uncertain is true while an earlier commit may still take effect.
@@ -41,7 +44,10 @@
 	if err != nil {
 		return nil, merry.Wrap(ErrInvalid, merry.WithCause(err))
 	}
-	return &proposal{Change: c, config: config, text: text}, nil
+	if len(text) > chunker.MaxText {
+		return nil, merry.Append(ErrInvalid, "text is too large")
+	}
+	return &proposal{Change: c, config: config, tree: chunker.New(text, chunker.DefaultSizes), ahead: map[string]bool{}}, nil
 }
 
 // made is a change that took effect.
@@ -93,10 +99,19 @@
 	if s.heads.ConfigVersion != p.BaseVersion {
 		return made{}, true, o.conflict(ctx, s.heads.ConfigVersion)
 	}
-	t, heads, err := o.transaction(p, s)
+	base, err := o.base(ctx, s)
+	if err != nil {
+		return made{}, errors.Is(err, recorder.ErrCorrupt), err
+	}
+	t, heads, err := o.transaction(p, s, base)
 	if err != nil {
 		return made{}, true, err
 	}
+	chunks := newChunks(s.writtenOf(base), p.tree)
+	if err = o.writeAhead(ctx, p, chunks[:len(chunks)-1]); err != nil {
+		return made{}, false, err
+	}
+	t.Writes = append(chunks[len(chunks)-1], t.Writes...)
 	r, err := o.try(ctx, t)
 	if err != nil {
 		p.uncertain, p.uncertainOn = true, s.row.Version
@@ -107,7 +122,7 @@
 	}
 	version := p.BaseVersion + 1
 	row := storer.Row{Key: recorder.HeadsKey, Version: storer.ByKey(r.Rows)[recorder.HeadsKey].Version, Value: heads}
-	return made{version: version, newest: Commit{Heads: row, ConfigVersion: version, Text: p.text}}, true, nil
+	return made{version: version, newest: Commit{Heads: row, ConfigVersion: version, Text: p.tree.Text}}, true, nil
 }
 
 // snapshot is what an attempt depends on.
@@ -117,17 +132,20 @@
 	heads recorder.Heads
 	// madeVersion is the version that the operation made earlier, or 0.
 	madeVersion uint64
-	// base is the text that the change was made against.
-	base []byte
+	// base is the version that the change was made against; nil before the first one.
+	base *version
 }
 
 func (o *Operator) snapshot(ctx context.Context, p *proposal) (snapshot, error) {
-	operation, base := recorder.OperationKey(p.OperationID), recorder.ConfigKey(p.BaseVersion)
-	rows, err := o.read(ctx, recorder.HeadsKey, operation, base)
+	operation := recorder.OperationKey(p.OperationID)
+	rows, err := o.read(ctx, append(keysOf(p.BaseVersion), recorder.HeadsKey, operation)...)
 	if err != nil {
 		return snapshot{}, err
 	}
-	s := snapshot{row: rows[recorder.HeadsKey], base: rows[base].Value}
+	s := snapshot{row: rows[recorder.HeadsKey]}
+	if s.base, err = versionIn(rows, p.BaseVersion); err != nil {
+		return snapshot{}, err
+	}
 	if s.heads, err = recorder.DecodeHeads(s.row.Value); err != nil {
 		return snapshot{}, err
 	}
@@ -137,16 +155,32 @@
 	return s, err
 }
 
-// transaction also returns the new value of the heads row.
-func (o *Operator) transaction(p *proposal, s snapshot) (storer.Txn, []byte, error) {
+// base returns the text that a change is made against, or nil before the first version.
+func (o *Operator) base(ctx context.Context, s snapshot) (*chunker.Tree, error) {
+	if s.heads.ConfigVersion == 0 {
+		return nil, nil //nolint:nilnil // Documented.
+	}
+	if s.base == nil {
+		return nil, merry.Append(recorder.ErrCorrupt, "no text of the base version")
+	}
+	return o.tree(ctx, s.base)
+}
+
+// writtenOf returns the tree whose chunks have rows: none if the row of the base version holds its whole text.
+func (s snapshot) writtenOf(base *chunker.Tree) *chunker.Tree {
+	if s.base == nil || s.base.manifest == nil {
+		return nil
+	}
+	return base
+}
+
+// transaction also returns the new value of the heads row; the chunks are not in it.
+func (o *Operator) transaction(p *proposal, s snapshot, t *chunker.Tree) (storer.Txn, []byte, error) {
 	version := p.BaseVersion + 1
 	var base composer.Config
 	var err error
-	if p.BaseVersion != 0 {
-		if len(s.base) == 0 {
-			return storer.Txn{}, nil, merry.Append(recorder.ErrCorrupt, "no text of the base version")
-		}
-		if base, err = composer.Parse(s.base); err != nil {
+	if t != nil {
+		if base, err = composer.Parse(t.Text); err != nil {
 			return storer.Txn{}, nil, merry.Wrap(recorder.ErrCorrupt, merry.WithCause(err))
 		}
 	}
@@ -170,19 +204,23 @@
 		return storer.Txn{}, nil, err
 	}
 	h := s.heads.Clone()
-	h.ConfigVersion, h.ConfigDigest = version, composer.Digest(p.text)
+	h.ConfigVersion, h.ConfigDigest = version, recorder.Digest(p.tree.Manifest.TextDigest)
 	h.Shifts = carry(base, p.config, h.Shifts)
 	heads, err := h.Encode()
 	if err != nil {
 		return storer.Txn{}, nil, err
 	}
+	manifest, err := p.tree.Manifest.Encode()
+	if err != nil {
+		return storer.Txn{}, nil, err
+	}
 	return storer.Txn{
 		Checks: []storer.Check{
 			{Key: recorder.HeadsKey, Version: s.row.Version},
 			{Key: recorder.OperationKey(p.OperationID)},
 		},
 		Writes: []storer.Write{
-			{Key: recorder.ConfigKey(version), Value: p.text},
+			{Key: recorder.ManifestKey(version), Value: manifest},
 			{Key: recorder.AuditKey(version), Value: audit},
 			{Key: recorder.OperationKey(p.OperationID), Value: recorder.EncodeVersion(version)},
 			{Key: recorder.HeadsKey, Value: heads},
@@ -215,9 +253,8 @@
 
 // found returns the earlier effect of p, and refuses an operation id whose earlier change differs from p.
 func (o *Operator) found(ctx context.Context, p *proposal, s snapshot) (made, error) {
-	config, audit := recorder.ConfigKey(s.madeVersion), recorder.AuditKey(s.madeVersion)
-	newest := recorder.ConfigKey(s.heads.ConfigVersion)
-	rows, err := o.read(ctx, config, audit, newest)
+	audit := recorder.AuditKey(s.madeVersion)
+	rows, err := o.read(ctx, slices.Concat(keysOf(s.madeVersion), keysOf(s.heads.ConfigVersion), []string{audit})...)
 	if err != nil {
 		return made{}, merry.Wrap(ErrOutcomeUnknown, merry.WithCause(err))
 	}
@@ -225,12 +262,40 @@
 	if err != nil {
 		return made{}, err
 	}
-	same := bytes.Equal(rows[config].Value, p.text) && a.BaseVersion == p.BaseVersion && a.Operator == p.Operator
+	v, err := versionIn(rows, s.madeVersion)
+	if err != nil {
+		return made{}, err
+	}
+	same := v != nil && v.digest() == p.tree.Manifest.TextDigest && a.BaseVersion == p.BaseVersion && a.Operator == p.Operator
 	if !same {
 		return made{}, merry.Wrap(ErrOperationReused)
 	}
-	c := Commit{Heads: s.row, ConfigVersion: s.heads.ConfigVersion, Text: rows[newest].Value}
-	return made{version: s.madeVersion, newest: c}, nil
+	text, err := o.newest(ctx, p, rows, s.heads.ConfigVersion)
+	if err != nil {
+		return made{}, err
+	}
+	return made{version: s.madeVersion, newest: Commit{Heads: s.row, ConfigVersion: s.heads.ConfigVersion, Text: text}}, nil
+}
+
+// newest returns the text of a version that is at least as new as p. Errors: recorder.ErrCorrupt, ErrOutcomeUnknown.
+func (o *Operator) newest(ctx context.Context, p *proposal, rows map[string]storer.Row, number uint64) ([]byte, error) {
+	v, err := versionIn(rows, number)
+	switch {
+	case err != nil:
+		return nil, err
+	case v == nil:
+		return nil, merry.Append(recorder.ErrCorrupt, "no text of the newest version")
+	case v.digest() == p.tree.Manifest.TextDigest:
+		return p.tree.Text, nil
+	}
+	t, err := o.tree(ctx, v)
+	if errors.Is(err, recorder.ErrCorrupt) {
+		return nil, err
+	}
+	if err != nil {
+		return nil, merry.Wrap(ErrOutcomeUnknown, merry.WithCause(err))
+	}
+	return t.Text, nil
 }
 
 func (o *Operator) conflict(ctx context.Context, version uint64) error {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -6,6 +6,8 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"celeryhead.dev/celeryhead/chunker"
+	"celeryhead.dev/celeryhead/collector"
 	"celeryhead.dev/celeryhead/storer"
 	"celeryhead.dev/celeryhead/timer"
 )
@@ -49,6 +51,10 @@
 	Backoff time.Duration
 	// Timeout limits each call of the store.
 	Timeout time.Duration
+	// Collector reads versions from the store; the default is one of its own.
+	Collector *collector.Collector
+	// Held returns chunks that need not be read from the store; it may be nil.
+	Held func(chunker.Name) ([]byte, bool)
 }
 
 // Operator makes changes on one instance; it is safe for concurrent use.
@@ -80,6 +86,9 @@
 	if c.Timeout == 0 {
 		c.Timeout = DefaultTimeout
 	}
+	if c.Collector == nil {
+		c.Collector = collector.New(collector.Config{CallTimeout: c.Timeout})
+	}
 	return &Operator{config: c}
 }
 
--- a/operator/read.go
+++ b/operator/read.go
@@ -31,16 +31,18 @@
 		}
 		version = h.ConfigVersion
 	}
-	key := recorder.ConfigKey(version)
-	rows, err := o.read(ctx, key)
+	v, err := o.stored(ctx, version)
 	if err != nil {
-		return 0, nil, merry.Wrap(ErrStoreDown, merry.WithCause(err))
+		return 0, nil, readError(err)
 	}
-	r := rows[key]
-	if r.Version == 0 {
+	if v == nil {
 		return 0, nil, merry.Wrap(ErrUnknownVersion)
 	}
-	return version, r.Value, nil
+	t, err := o.tree(ctx, v)
+	if err != nil {
+		return 0, nil, readError(err)
+	}
+	return version, t.Text, nil
 }
 
 // Audit returns up to limit audit rows of versions above after, in order of version; a limit of 0 is 100. Errors: ErrStoreDown, recorder.ErrCorrupt.
--- a/server/peers.go
+++ b/server/peers.go
@@ -69,3 +69,17 @@
 	}
 	return t, nil
 }
+
+// FetchManifest returns the manifest of a configuration.
+func (p *peerService) FetchManifest(_ context.Context, r *messenger.FetchManifestRequest) (*messenger.ManifestRow, error) {
+	m, err := p.server.control.FetchManifest(r.Version)
+	if err == nil && m == nil {
+		return nil, twirp.NotFoundError("this instance applies another version")
+	}
+	return m, err
+}
+
+// FetchChunks returns chunks of the configuration that this instance applies.
+func (p *peerService) FetchChunks(_ context.Context, r *messenger.FetchChunksRequest) (*messenger.Chunks, error) {
+	return p.server.control.FetchChunks(r)
+}
--- a/server/server.go
+++ b/server/server.go
@@ -126,7 +126,13 @@
 	if err != nil {
 		return nil, err
 	}
-	s.operator = operator.New(operator.Config{Store: s.store, Publish: s.control.Publish, Instance: s.self.Name})
+	s.operator = operator.New(operator.Config{
+		Store:     s.store,
+		Publish:   s.control.Publish,
+		Instance:  s.self.Name,
+		Collector: s.control.Collector(),
+		Held:      s.control.Chunk,
+	})
 	return s, nil
 }
 
