Add a benchmark of changes at the target size

Cause: operator.Apply was not run at 160,000 blocks (CAPACITY.md 3.6).

Ruled out: deriving it from Parse, Encode and Diff, because Apply also reads the base version and writes rows.

--- a/operator/chunks_test.go
+++ b/operator/chunks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/netip"
 	"strings"
 	"testing"
@@ -171,3 +172,36 @@
 		})
 	}
 }
+
+// BenchmarkApplyBlocks changes one block on a store in memory; it reports the bytes and rows that a change writes.
+func BenchmarkApplyBlocks(b *testing.B) {
+	for _, n := range []int{1_000, 16_000, 160_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			m, seen := emulator.NewMemory(), &commits{}
+			texts := [][]byte{large(n, n/2), large(n, -1)}
+			o := onStore(m, (&published{}).publish)
+			first := change("first", 0, 0)
+			first.Text = texts[0]
+			if _, err := o.Apply(b.Context(), first); err != nil {
+				b.Fatal(err)
+			}
+			m.Inject(emulator.MemoryFaults{BeforeCommit: seen.before})
+			b.ReportAllocs()
+			for i := uint64(1); b.Loop(); i++ {
+				c := change(fmt.Sprint(i), i, 0)
+				c.Text = texts[i%2]
+				if _, err := o.Apply(b.Context(), c); err != nil {
+					b.Fatal(err)
+				}
+			}
+			rows, bytes := 0, 0
+			for _, t := range seen.txns {
+				r, s := size(t)
+				rows += r
+				bytes += s
+			}
+			b.ReportMetric(float64(rows)/float64(len(seen.txns)), "rows/change")
+			b.ReportMetric(float64(bytes)/float64(len(seen.txns)), "B/change")
+		})
+	}
+}
