Test a configuration of many chunks with real processes, and the bound of kept chunks

Cause: the suite applied configurations of one chunk only, and nothing checked the bound of the cache.

Ruled out: leaving the store up in the test of a new instance, because the store then hides peers that give nothing.

Before: a chunk larger than half of a small cache was kept, up to two chunks beyond the bound; a repeat of a write ahead recognized a transaction by its first row. After: such a chunk is not kept, and rows are recognized one by one.

--- a/collector/cache.go
+++ b/collector/cache.go
@@ -8,7 +8,8 @@
 
 // cache keeps the chunks that were put last, at most limit bytes; it is safe for concurrent use.
 //
-// It has two generations of half the limit each: the older one is dropped when the younger one is full.
+// It has two generations of half the limit each: the older one is dropped when the younger one is full. A chunk that
+// is larger than a generation is not kept.
 type cache struct {
 	limit int
 
@@ -30,6 +31,9 @@
 func (c *cache) put(n chunker.Name, b []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(b) > c.limit/2 {
+		return
+	}
 	if c.size+len(b) > c.limit/2 {
 		c.old, c.young, c.size = c.young, nil, 0
 	}
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -40,6 +40,7 @@
 	calls int
 	asked int
 	gave  int
+	bytes int
 }
 
 type fault string
@@ -102,6 +103,9 @@
 		}
 	}
 	f.gave += len(l)
+	for _, b := range l {
+		f.bytes += len(b)
+	}
 	return l, nil
 }
 
@@ -187,6 +191,29 @@
 	}
 }
 
+// Guards against chunks that are kept beyond the bound after fetches that broke off.
+func TestKeepsWithinBound(t *testing.T) {
+	text := tree(200_000)
+	for _, bound := range []int{1, 50_000, 200_000, 1 << 20} {
+		c := collector.New(collector.Config{CacheBytes: bound})
+		for good := range 4 {
+			if _, err := c.Collect(t.Context(), wanted(text), &fake{name: "dying", tree: text, fault: fails, good: good}); !errors.Is(err, collector.ErrIncomplete) {
+				t.Fatalf("error %v", err)
+			}
+		}
+		live, all := &fake{name: "live", tree: text}, 0
+		for _, b := range text.Chunks() {
+			all += len(b)
+		}
+		if _, err := c.Collect(t.Context(), wanted(text), live); err != nil {
+			t.Fatal(err)
+		}
+		if kept := all - live.bytes; kept > bound || kept == 0 && bound > chunker.MaxChunk {
+			t.Errorf("%d bytes were kept, the bound is %d", kept, bound)
+		}
+	}
+}
+
 // Guards against a text that cannot be collected because the cache is small or sources have a part of it each, and
 // against batches beyond their bounds.
 func TestSourcesWithParts(t *testing.T) {
--- a/launcher/operate_test.go
+++ b/launcher/operate_test.go
@@ -14,11 +14,14 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"celeryhead.dev/celeryhead/composer"
+	"celeryhead.dev/celeryhead/emulator"
 	"celeryhead.dev/celeryhead/launcher"
+	"celeryhead.dev/celeryhead/messenger"
 )
 
 // operate runs the operators' command against the deployment and returns its output and exit code.
@@ -135,6 +138,40 @@
 	})
 }
 
+// Guards P12 with a configuration of many chunks: a change of one block is in force within the target's 7 s, and an
+// instance that starts while the store is down gets the whole of it from its peers.
+func TestManyBlocksInForce(t *testing.T) {
+	const blocks = 8_000
+	s := start(t, launcher.Config{})
+	s.change("many blocks", func(c *composer.Config) {
+		for i := range blocks {
+			a := netip.AddrFrom4([4]byte{100, 64, byte(i >> 8), byte(i)})
+			c.Blocks = append(c.Blocks, composer.Block{Prefix: netip.PrefixFrom(a, 32), Region: c.Regions[0].Name, Weight: 0.001})
+		}
+	})
+	begin := time.Now()
+	s.change("one block", func(c *composer.Config) { c.Blocks[len(c.Blocks)-blocks/2].Weight = 0.002 })
+	if d := time.Since(begin); d > inForce {
+		t.Errorf("a change of one block was in force after %v", d)
+	} else {
+		t.Logf("a change of one block was in force after %v", d)
+	}
+	faults(s, emulator.Faults{Down: true})
+	i := s.Instances[5]
+	i.Process.Kill()
+	if err := s.StartInstance(i); err != nil {
+		t.Fatal(err)
+	}
+	o, err := s.OperatorClient(i)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.eventually(20*time.Second, func() bool {
+		r, err := o.Status(t.Context(), &messenger.Empty{})
+		return err == nil && r.ConfigVersion == 3
+	})
+}
+
 // found returns the words that out holds, so that a failure does not print all of out.
 func found(out string, words ...string) []string {
 	return slices.DeleteFunc(words, func(w string) bool { return !strings.Contains(out, w) })
--- a/operator/chunks.go
+++ b/operator/chunks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"celeryhead.dev/celeryhead/chunker"
 	"celeryhead.dev/celeryhead/recorder"
@@ -38,16 +39,19 @@
 	return out
 }
 
-// writeAhead commits the transactions that precede the change.
+// writeAhead commits the transactions that precede the change, without the rows that an earlier attempt wrote.
 func (o *Operator) writeAhead(ctx context.Context, p *proposal, ahead [][]storer.Write) error {
-	for _, w := range ahead {
-		if p.ahead[w[0].Key] {
+	for _, l := range ahead {
+		l = slices.DeleteFunc(l, func(w storer.Write) bool { return p.ahead[w.Key] })
+		if len(l) == 0 {
 			continue
 		}
-		if _, err := o.try(ctx, storer.Txn{Writes: w}); err != nil {
+		if _, err := o.try(ctx, storer.Txn{Writes: l}); err != nil {
 			return err
 		}
-		p.ahead[w[0].Key] = true
+		for _, w := range l {
+			p.ahead[w.Key] = true
+		}
 	}
 	return nil
 }
--- a/operator/commit.go
+++ b/operator/commit.go
@@ -22,7 +22,7 @@
 	config composer.Config
 	// tree holds the canonical text.
 	tree *chunker.Tree
-	// ahead holds the first key of each transaction of chunks that was committed before the change.
+	// ahead holds the keys of the chunks that were committed before the change.
 	ahead map[string]bool
 	// warnings belong to the attempt that was committed last.
 	warnings []string
