Use kept chunks before others push them out

Cause: TestKeepsWithinBound failed with "0 bytes were kept, the bound is 200000 / 1048576".

Ruled out: an order of fetching from the end, which would only move the case.

Before: a collection found a chunk in the cache, fetched others first, and by then the chunk had been dropped; so a text larger than half of the cache was fetched again. After: a chunk that is found is kept by the collection.

Conclusion: what a try that broke off has left is used, whatever the size of the text.

--- a/collector/collector.go
+++ b/collector/collector.go
@@ -227,5 +227,10 @@
 			return b, true
 		}
 	}
-	return j.collector.cache.get(n)
+	b, ok := j.collector.cache.get(n)
+	if ok {
+		// Chunks that this collection fetches may push it out before it is used.
+		j.gathered[n] = b
+	}
+	return b, ok
 }
