Put a relay on each path between daemons, store and list

Cause: one relay before each service was shared by all daemons, so no region could be cut off. Ruled out: a relay before the listener that tells dialing daemons apart (needs another announced address and bound source addresses), and another list for each region (announced addresses replace it). After: launcher.Relay; Config.Through is asked for each path; the optional setting peer_addresses holds the address by which a daemon dials a peer, where a link translates addresses. Both tests now interrupt links between peers.

--- a/launcher/deployment.go
+++ b/launcher/deployment.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -45,8 +46,9 @@
 	CrashPath string
 	// Edit changes the configuration before it is written; nil changes nothing.
 	Edit func(*composer.Config)
-	// Through returns the address by which daemons reach a service, for tests that put a relay in between; nil changes nothing.
-	Through func(service string, a netip.AddrPort) netip.AddrPort
+	// Through returns the address by which a daemon reaches a service at a, for tests that put a relay in between; nil
+	// changes nothing. It is asked again when a daemon is started again.
+	Through func(p Path, a netip.AddrPort) netip.AddrPort
 }
 
 // Instance is a daemon of a deployment.
@@ -96,7 +98,7 @@
 		c.ListLag = time.Second
 	}
 	if c.Through == nil {
-		c.Through = func(_ string, a netip.AddrPort) netip.AddrPort { return a }
+		c.Through = func(_ Path, a netip.AddrPort) netip.AddrPort { return a }
 	}
 	d := &Deployment{Config: c, Secrets: map[string]string{}}
 	for _, f := range []func(context.Context) error{d.plan, d.certify, d.startPlatform, d.startTargets, d.startInstances} {
@@ -283,7 +285,7 @@
 		Region:        i.Region,
 		FailureDomain: i.FailureDomain,
 		CallerAddress: i.Callers,
-		PeerAddress:   d.Config.Through("peer:"+i.Name, i.Peers),
+		PeerAddress:   i.Peers,
 		State:         "live",
 	})
 	if err != nil {
@@ -325,9 +327,27 @@
 
 [timing]
 list_lag = %q
-`, i.Name, i.Region, i.FailureDomain, i.Callers, i.Peers, i.Operators, i.Metrics,
+
+[peer_addresses]
+%s`, i.Name, i.Region, i.FailureDomain, i.Callers, i.Peers, i.Operators, i.Metrics,
 		d.path("authority.pem"), d.path(i.Name+".pem"), d.path(i.Name+".key"),
-		d.Config.Through("table", d.TableAddress), d.Config.Through("list", d.ListAddress), d.Config.ListLag)
+		d.Config.Through(Path{From: i.Name, To: ToTable}, d.TableAddress),
+		d.Config.Through(Path{From: i.Name, To: ToList}, d.ListAddress),
+		d.Config.ListLag, d.peerAddresses(i))
+}
+
+// peerAddresses returns the settings of the peers that an instance reaches by another address than they announce.
+func (d *Deployment) peerAddresses(i *Instance) string {
+	var b strings.Builder
+	for _, p := range d.Instances {
+		if p == i {
+			continue
+		}
+		if a := d.Config.Through(Path{From: i.Name, To: p.Name}, p.Peers); a != p.Peers {
+			fmt.Fprintf(&b, "%s = %q\n", p.Name, a)
+		}
+	}
+	return b.String()
 }
 
 // SetFaults posts faults to a stand-in.
--- a/launcher/faults_test.go
+++ b/launcher/faults_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/netip"
 	"strings"
 	"syscall"
 	"testing"
@@ -87,13 +86,8 @@
 // Guards P3 and P5: a withdrawn key stops within seconds at every instance, also on open connections, at an instance
 // that was paused, and at one that is cut off from its peers and the store.
 func TestWithdrawnKeyStops(t *testing.T) {
-	rs := map[string]*relay{}
-	s := start(t, launcher.Config{Through: func(n string, a netip.AddrPort) netip.AddrPort {
-		if rs[n] == nil {
-			rs[n] = newRelay(t, a)
-		}
-		return rs[n].address()
-	}})
+	n := newNetwork(t)
+	s := start(t, launcher.Config{Through: n.through})
 	read := order{method: http.MethodGet, path: "/permits/1", account: "craft-fairs"}
 	for _, i := range s.Instances {
 		if a := s.send(i, read); !a.answered() {
@@ -102,13 +96,8 @@
 	}
 	paused, cut := s.Instances[4], s.Instances[6]
 	paused.Process.Signal(syscall.SIGSTOP)
-	rs["table"].setCut(true)
-	for n, r := range rs {
-		if n == "peer:"+cut.Name || n == "peer:"+paused.Name {
-			r.setCut(true)
-		}
-	}
-	rs["table"].setCut(false)
+	n.on(peersOf(paused.Name), (*launcher.Relay).Cut)
+	n.on(around(cut.Name), (*launcher.Relay).Cut)
 	pause(100 * time.Millisecond)
 	b := time.Now()
 	done := make(chan time.Duration, 1)
@@ -234,25 +223,28 @@
 	}
 }
 
-// Guards against requests that hang on connections which went silent, towards targets, peers and the store.
+// Guards against requests that hang on connections which went silent, towards targets, peers and the store, while the
+// regions of a new deployment get their first assignments.
 func TestSilentConnections(t *testing.T) {
-	rs := map[string]*relay{}
-	s := start(t, launcher.Config{Through: func(n string, a netip.AddrPort) netip.AddrPort {
-		if rs[n] == nil {
-			rs[n] = newRelay(t, a)
-		}
-		return rs[n].address()
-	}})
+	testSilentConnections(t, func(*system) { pause(time.Second) })
+}
+
+// Guards against the same once every region has its assignment.
+func TestSilentConnectionsOnceSettled(t *testing.T) {
+	testSilentConnections(t, (*system).settle)
+}
+
+func testSilentConnections(t *testing.T, wait func(*system)) {
+	n := newNetwork(t)
+	s := start(t, launcher.Config{Through: n.through})
 	stop := s.callers(8, func(r *rand.Rand, caller, count int) []sending {
 		if caller%2 == 0 {
 			return s.book(r, fmt.Sprintf("silent-%d-%d", caller, count), 5)
 		}
 		return []sending{s.send(s.pick(r), order{method: http.MethodGet, path: "/permits/1", account: "almaty-markets", key: fmt.Sprintf("r-%d-%d", caller, count)})}
 	})
-	pause(time.Second)
-	for _, r := range rs {
-		r.silence()
-	}
+	wait(s)
+	n.on(anyPath, (*launcher.Relay).Silence)
 	for n := range s.Targets {
 		if err := s.SetFaults(t.Context(), s.Targets[n], emulator.TargetFaults{Silent: true}); err != nil {
 			t.Fatal(err)
--- a/launcher/harness_test.go
+++ b/launcher/harness_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -336,87 +337,58 @@
 	return time.Since(b)
 }
 
-// relay forwards connections and can cut them or let old ones go silent.
-type relay struct {
-	to  netip.AddrPort
-	l   net.Listener
-	mu  sync.Mutex
-	cut bool
-	cs  map[net.Conn]*bool
+// network holds a relay on each path from a daemon to the store, to the list and to each other daemon.
+type network struct {
+	t      *testing.T
+	relays map[launcher.Path]*launcher.Relay
 }
 
-func newRelay(t *testing.T, to netip.AddrPort) *relay {
+func newNetwork(t *testing.T) *network {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := &relay{to: to, l: l, cs: map[net.Conn]*bool{}}
-	t.Cleanup(func() { _ = l.Close(); r.setCut(true) })
-	go r.accept()
-	return r
+	n := &network{t: t, relays: map[launcher.Path]*launcher.Relay{}}
+	t.Cleanup(func() { n.on(anyPath, (*launcher.Relay).Close) })
+	return n
 }
 
-func (r *relay) address() netip.AddrPort {
-	return netip.MustParseAddrPort(r.l.Addr().String())
+// through returns the relay's address on a path to a.
+func (n *network) through(p launcher.Path, a netip.AddrPort) netip.AddrPort {
+	if n.relays[p] == nil {
+		r, err := launcher.NewRelay(a)
+		if err != nil {
+			n.t.Fatal(err)
+		}
+		n.relays[p] = r
+	}
+	return n.relays[p].Address()
 }
 
-func (r *relay) setCut(on bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.cut = on
-	for c := range r.cs {
-		if on {
-			_ = c.Close()
+// on calls f for the relays of all paths that match, and fails the test if there are none.
+func (n *network) on(match func(launcher.Path) bool, f func(*launcher.Relay)) {
+	n.t.Helper()
+	k := 0
+	for p, r := range n.relays {
+		if match(p) {
+			f(r)
+			k++
 		}
 	}
+	if k == 0 {
+		n.t.Error("no path matches")
+	}
 }
 
-func (r *relay) silence() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, s := range r.cs {
-		*s = true
-	}
+func anyPath(launcher.Path) bool {
+	return true
 }
 
-func (r *relay) accept() {
-	for {
-		c, err := r.l.Accept()
-		if err != nil {
-			return
-		}
-		r.mu.Lock()
-		ok := !r.cut
-		silent := new(bool)
-		r.cs[c] = silent
-		r.mu.Unlock()
-		k, err := net.Dial("tcp", r.to.String())
-		if !ok || err != nil {
-			_ = c.Close()
-			continue
-		}
-		go r.pump(c, k, silent)
-		go r.pump(k, c, silent)
-	}
+// around matches the paths between a group of daemons and everything else, in both directions.
+func around(names ...string) func(launcher.Path) bool {
+	return func(p launcher.Path) bool { return slices.Contains(names, p.From) != slices.Contains(names, p.To) }
 }
 
-func (r *relay) pump(from, to net.Conn, silent *bool) {
-	defer func() { _ = from.Close(); _ = to.Close() }()
-	b := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(b)
-		if err != nil {
-			return
-		}
-		r.mu.Lock()
-		drop := *silent
-		r.mu.Unlock()
-		if drop {
-			continue
-		}
-		if _, err := to.Write(b[:n]); err != nil {
-			return
-		}
+// peersOf matches the paths between a daemon and the other daemons, in both directions.
+func peersOf(name string) func(launcher.Path) bool {
+	return func(p launcher.Path) bool {
+		return around(name)(p) && p.To != launcher.ToTable && p.To != launcher.ToList
 	}
 }
--- a/loader/load.go
+++ b/loader/load.go
@@ -25,6 +25,8 @@
 	Timing        fileTiming    `toml:"timing"`
 	Limits        fileLimits    `toml:"limits"`
 	Log           fileLog       `toml:"log"`
+	// PeerAddresses holds an IP address and port for the name of a peer.
+	PeerAddresses map[string]string `toml:"peer_addresses"`
 }
 
 type fileListeners struct {
@@ -136,9 +138,19 @@
 	c.timing(f.Timing, &s.Timing)
 	c.limits(f.Limits, &s.Limits)
 	c.log(f.Log, &s.Log)
+	s.PeerAddresses = c.peerAddresses(f.PeerAddresses)
 	return s
 }
 
+func (c *checker) peerAddresses(f map[string]string) map[string]netip.AddrPort {
+	r := make(map[string]netip.AddrPort, len(f))
+	for n, v := range f {
+		k := "peer_addresses." + n
+		r[c.name(k, n)] = c.address(k, v)
+	}
+	return r
+}
+
 func (c *checker) name(n, v string) string {
 	switch {
 	case v == "":
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -31,11 +31,11 @@
 
 // Guards against settings that are accepted but not applied.
 func TestParse(t *testing.T) {
-	s, err := loader.Parse([]byte(valid + "[timing]\nfreshness = \"4s\"\n"))
+	s, err := loader.Parse([]byte(valid + "[timing]\nfreshness = \"4s\"\n[peer_addresses]\nastana-1 = \"192.0.2.7:8443\"\n"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Name != "almaty-1" || s.Timing.Freshness != 4*time.Second || s.Listeners.Peers.Port() != 8082 || s.Limits.Queue != 256 {
+	if s.Name != "almaty-1" || s.Timing.Freshness != 4*time.Second || s.Listeners.Peers.Port() != 8082 || s.Limits.Queue != 256 || s.PeerAddresses["astana-1"].Port() != 8443 {
 		t.Fatalf("settings = %+v", s)
 	}
 }
@@ -56,6 +56,7 @@
 		{`[platform]`, "[timing]\nheartbeat = \"soon\"\n[platform]", "timing.heartbeat: must be a positive duration"},
 		{`[platform]`, "[limits]\nqueue = 0\n[platform]", "limits.queue"},
 		{`[platform]`, "[log]\nlevel = \"loud\"\n[platform]", "log.level"},
+		{`[platform]`, "[peer_addresses]\nastana-1 = \"astana:1\"\n[platform]", "peer_addresses.astana-1: must be an IP address"},
 	}
 	for _, c := range cases {
 		t.Run(c.want, func(t *testing.T) {
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -16,6 +16,9 @@
 	Timing        Timing
 	Limits        Limits
 	Log           Log
+	// PeerAddresses are dialed in place of the addresses that peers announce, by the peer's name, where a link between
+	// regions translates addresses.
+	PeerAddresses map[string]netip.AddrPort
 }
 
 // Listeners are the addresses a daemon listens on.
--- a/server/choosers.go
+++ b/server/choosers.go
@@ -118,7 +118,7 @@
 	if !ok {
 		return owner{}, false
 	}
-	return owner{name: o.Name, address: c.instances[o.Name].Peer}, true
+	return owner{name: o.Name, address: c.server.links.address(c.instances[o.Name])}, true
 }
 
 // retry reports whether a request that the owners tried have refused may go to another one.
--- a/server/links.go
+++ b/server/links.go
@@ -20,6 +20,8 @@
 // links keeps a client of the peer service for each instance.
 type links struct {
 	tls *tls.Config
+	// addresses are dialed in place of those that instances announce, by name.
+	addresses map[string]netip.AddrPort
 
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*link
@@ -34,15 +36,24 @@
 	timeouts int
 }
 
-func newLinks(t *tls.Config) *links {
-	return &links{tls: t, peers: map[netip.AddrPort]*link{}}
+func newLinks(t *tls.Config, addresses map[string]netip.AddrPort) *links {
+	return &links{tls: t, addresses: addresses, peers: map[netip.AddrPort]*link{}}
+}
+
+// address returns where the peer listener of an instance is dialed.
+func (l *links) address(i tracker.Instance) netip.AddrPort {
+	if a, ok := l.addresses[i.Name]; ok {
+		return a
+	}
+	return i.Peer
 }
 
 // Peer returns the client for an instance.
 func (l *links) Peer(i tracker.Instance) messenger.Peer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if k, ok := l.peers[i.Peer]; ok {
+	a := l.address(i)
+	if k, ok := l.peers[a]; ok {
 		return k
 	}
 	k := &link{}
@@ -54,8 +65,8 @@
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 		TLSHandshakeTimeout: time.Second,
 	}
-	k.Peer = messenger.NewPeerProtobufClient("https://"+i.Peer.String(), &http.Client{Transport: k})
-	l.peers[i.Peer] = k
+	k.Peer = messenger.NewPeerProtobufClient("https://"+a.String(), &http.Client{Transport: k})
+	l.peers[a] = k
 	return k
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -94,7 +94,7 @@
 	if s.store, err = storer.New(storer.Config{Addresses: c.Settings.Platform.Store, Timeout: c.Settings.Platform.StoreTimeout}); err != nil {
 		return nil, err
 	}
-	s.links = newLinks(t)
+	s.links = newLinks(t, c.Settings.PeerAddresses)
 	s.targets = forwarder.New(forwarder.Config{MaxConnections: maxTargetConnections})
 	s.peers = forwarder.New(forwarder.Config{TLS: t, MaxConnections: maxPeerConnections, MaxIdle: maxPeerConnections})
 	s.pools = newPools(s)
--- a/server/tickets.go
+++ b/server/tickets.go
@@ -66,7 +66,7 @@
 	if c.passed {
 		return outcomeUnknown()
 	}
-	a, f := s.hop(ctx, c, owner{name: i.Name, address: i.Peer}, enterPath)
+	a, f := s.hop(ctx, c, owner{name: i.Name, address: s.links.address(i)}, enterPath)
 	if f != nil {
 		if f.Reason == responder.NoOwner {
 			f = outcomeUnknown()
