Test regions that are cut off with real processes

Cause: no test with real processes cut a region off (docs/proofs.md). After: a region without store and peers; a key withdrawn meanwhile; a store outage with a cut region and a dead instance elsewhere; ledgers against answers in each. Found: a region that is cut off from the list too refuses open requests after 3 s (TestRegionIsCutOff), and an account whose two part holders are lost in a store outage gets nothing (TestAllowanceInStoreOutageAndRegionCutOff); both are in KNOWN-RED.txt, with their checks as they are. Ruled out: relaxing the need for a list reading; an unlisted region would go on while others take over its targets (trace unlisted_owner).

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	$(GO) test -timeout 20m ./launcher -skip '^($(KNOWN_RED))$$'
 	@if [ -n '$(KNOWN_RED)' ]; then \
 		echo 'known red, from KNOWN-RED.txt: $(KNOWN_RED)'; \
-		$(GO) test -timeout 5m ./launcher -run '^($(KNOWN_RED))$$' || true; \
+		$(GO) test -timeout 10m ./launcher -run '^($(KNOWN_RED))$$' || true; \
 	fi
 
 test: lint vet build unit processes
--- a/launcher/operate_test.go
+++ b/launcher/operate_test.go
@@ -26,9 +26,15 @@
 
 // operate runs the operators' command against the deployment and returns its output and exit code.
 func (s *system) operate(args ...string) (string, int) {
+	s.t.Helper()
+	return s.operateAt(s.Instances, args...)
+}
+
+// operateAt runs the operators' command with the named instances as its servers.
+func (s *system) operateAt(at []*launcher.Instance, args ...string) (string, int) {
 	s.t.Helper()
 	a := []string{"--ca", s.Operator.Authority, "--cert", s.Operator.Certificate, "--key", s.Operator.Key}
-	for _, i := range s.Instances {
+	for _, i := range at {
 		a = append(a, "--server", i.Operators.String())
 	}
 	c := exec.Command(filepath.Join(bin, "celeryhead"), append(a, args...)...)
@@ -62,14 +68,23 @@
 // ticket asks an instance for a ticket.
 func (s *system) ticket(i *launcher.Instance) string {
 	s.t.Helper()
+	k, a := s.tryTicket(i)
+	if k == "" {
+		s.t.Fatalf("ticket: %v: %s", a, a.body)
+	}
+	return k
+}
+
+// tryTicket asks an instance for a ticket, which is empty if the instance issued none.
+func (s *system) tryTicket(i *launcher.Instance) (string, sending) {
 	a := s.send(i, order{method: http.MethodPost, path: "/v1/tickets", account: "almaty-markets"})
 	var k struct {
 		Ticket string `json:"ticket"`
 	}
-	if err := json.Unmarshal([]byte(a.body), &k); err != nil || k.Ticket == "" {
-		s.t.Fatalf("ticket: %v: %s", a, a.body)
+	if err := json.Unmarshal([]byte(a.body), &k); err != nil {
+		return "", a
 	}
-	return k.Ticket
+	return k.Ticket, a
 }
 
 // follow reads through the first instance of a look-up answer; the answer is used once.
