Keep instances in the assignments when only a link to them failed

Cause: an instance that does not hear a peer for 1.5 s removed it from the assignments, although everyone else heard it. Others added it again, and it removed the writer in turn.

A row in the store by which a suspected instance objects would be exact, but needs a store round trip within the 1.5 s.

Now heartbeats name the peers that their sender does not hear, and an instance stays while anybody that the writer hears does not name it. An instance that was left out removes nobody, and one that came back is doubted with a growing hold. The decision when a proposal is due moved from the controller to assigner.Schedule, so that the tests run it.

--- a/assigner/next.go
+++ b/assigner/next.go
@@ -10,8 +10,10 @@
 	Self Member
 	// Active holds the instances that take part, the own one included if it acts.
 	Active []Member
-	// Doubtful holds suspected instances that are not due for removal yet.
+	// Doubtful holds suspected instances that stay members for now.
 	Doubtful []Member
+	// Leaving holds instances that leave gracefully.
+	Leaving []Member
 	// Peered holds the regions of the peer set and of the own instance, whatever its members' states.
 	Peered []string
 }
@@ -62,7 +64,8 @@
 		}
 	}
 	for _, m := range old {
-		doubtful := slices.ContainsFunc(s.Doubtful, m.is)
+		// A later incarnation was added by an instance that heard it.
+		doubtful := slices.ContainsFunc(s.Doubtful, func(d Member) bool { return d.Name == m.Name && d.Incarnation <= m.Incarnation })
 		if doubtful && !slices.ContainsFunc(r, m.is) {
 			r = append(r, m)
 		}
--- a/attester/trace_test.go
+++ b/attester/trace_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"celeryhead.dev/celeryhead/assigner"
 	"celeryhead.dev/celeryhead/attester"
 )
 
@@ -29,6 +30,7 @@
 	Newest   *bool   `json:"newest_version"`
 	Target   string  `json:"target"`
 	Owner    *string `json:"owner"`
+	Epoch    *uint64 `json:"fleet_epoch"`
 }
 
 type trace struct {
@@ -59,6 +61,8 @@
 		n.stale = true
 	case "change":
 		n.execute(n.change)
+	case "one_way", "apart":
+		w.faults[e.Event+" "+e.Instance+" "+e.Peer] = end
 	case "link":
 		w.faults["link "+min(e.Instance, e.Peer)+" "+max(e.Instance, e.Peer)] = end
 	default:
@@ -86,6 +90,7 @@
 
 func (w *world) compare(t *testing.T, o outcome) {
 	equal(t, o, "owner", o.Owner, w.owner(o.Target))
+	equal(t, o, "fleet epoch", o.Epoch, w.heads.Scopes[assigner.FleetScope].Epoch)
 	n := w.live(o.Instance)
 	if n == nil {
 		return
--- a/attester/world_test.go
+++ b/attester/world_test.go
@@ -89,6 +89,10 @@
 	reports []report
 	log     []string
 	fail    string
+	// rule replaces the rule of removal, for comparisons.
+	rule rule
+	// reportNothing hides whom instances hear.
+	reportNothing bool
 }
 
 // node is one process.
@@ -112,7 +116,12 @@
 	// lag is the least part of the list lag in the readings of this process.
 	lag float64
 	// stale makes the list show this process the oldest state that it may.
-	stale bool
+	stale    bool
+	schedule assigner.Schedule
+	// assigned is when the newest change of an assignment was adopted.
+	assigned time.Time
+	// unheard holds what each peer last said that it does not hear.
+	unheard map[string][]string
 }
 
 // wait is a change that the process follows, and whether it reported it as expired.
@@ -177,8 +186,12 @@
 	return w.loss > 0 && w.rng.Float64() < w.loss
 }
 
+// cut reports whether messages from a to b are lost.
 func (w *world) cut(a, b *node) bool {
 	x, y := a.self.Name, b.self.Name
+	if w.on("one_way "+x+" "+y) || w.on("apart "+a.self.Region+" "+b.self.Region) || w.on("apart "+b.self.Region+" "+a.self.Region) {
+		return true
+	}
 	if x > y {
 		x, y = y, x
 	}
@@ -360,13 +373,14 @@
 			return
 		}
 		a := p.message(p.tracker.Heartbeat(p.now()))
-		if !w.cut(n, p) && !w.drops() {
+		if !w.cut(p, n) && !w.drops() {
 			w.deliver(n, w.delay(), func() { n.answered(p, sent, a) })
 		}
 	})
 }
 
 func (n *node) receive(from *node, m message) bool {
+	n.noteUnheard(&m.contact)
 	ok := n.tracker.ObserveHeartbeat(n.now(), m.contact)
 	i := m.contact.From
 	n.attester.RecordVersion(i.Name, i.Incarnation, m.version, m.contact.State == tracker.Gone)
@@ -380,6 +394,7 @@
 }
 
 func (n *node) answered(from *node, sent time.Time, m message) {
+	n.noteUnheard(&m.contact)
 	i := m.contact.From
 	if !n.tracker.ObserveAnswer(sent, n.now(), m.contact) {
 		return
@@ -402,7 +417,7 @@
 	}
 	w.deliver(p, w.delay(), func() {
 		h := p.heads
-		if !w.cut(n, p) && !w.drops() {
+		if !w.cut(p, n) && !w.drops() {
 			w.deliver(n, w.delay(), func() { n.adopt(h) })
 		}
 	})
@@ -412,13 +427,25 @@
 	if h.Version <= n.attester.Version() {
 		return
 	}
+	if scopesText(n.heads) != scopesText(h) {
+		n.assigned = n.now()
+	}
 	n.heads = h
+	n.tracker.ObserveAssignment(n.now(), names(h.Scopes[assigner.FleetScope].Members))
 	n.assigner.Adopt(n.now(), h)
 	n.attester.Adopt(h.Version)
 	n.assigner.Release(h.Version)
 	n.w.logf("%s#%d adopts %d", n.self.Name, n.self.Incarnation, h.Version)
 }
 
+func names(ms []assigner.Member) map[string]bool {
+	r := map[string]bool{}
+	for _, m := range ms {
+		r[m.Name] = true
+	}
+	return r
+}
+
 func (w *world) storeDown(n *node) bool {
 	return w.on("store") || w.on("store "+n.self.Name)
 }
@@ -521,13 +548,19 @@
 	if n.writing || !n.tracker.Acts(now) || n.w.storeDown(n) {
 		return
 	}
+	if n.w.rule != nil {
+		p = n.w.rule(n, p)
+	}
 	s := assigner.Standing{Self: member(n.self), Active: members(n.tracker.Members(now)), Doubtful: members(p.Doubtful)}
 	s.Peered = append(s.Peered, n.self.Region)
 	for _, x := range n.tracker.Peers(now) {
 		s.Peered = append(s.Peered, x.Region)
+		if x.State == tracker.Leaving {
+			s.Leaving = append(s.Leaving, member(x.Instance))
+		}
 	}
 	q, ok := n.assigner.Next(s)
-	if !ok || !n.attester.Valid(attester.Fleet, now) {
+	if !n.schedule.Due(now, n.assigned, n.assigner, s, q, ok) || !n.attester.Valid(attester.Fleet, now) {
 		return
 	}
 	n.writing = true
--- a/controller/adopt.go
+++ b/controller/adopt.go
@@ -78,6 +78,7 @@
 	if !maps.EqualFunc(old.Heads.Assignments, v.Heads.Assignments, sameEpoch) {
 		c.assigned = now
 	}
+	c.tracker.ObserveAssignment(now, fleetMembers(v.Heads))
 	c.assigner.SetDeadlines(deadlines(old, v))
 	change, _ := c.assigner.Adopt(now, assignments(v.Row.Version, v.Heads))
 	c.inherit(change, now)
@@ -92,6 +93,14 @@
 	c.publish(c.config.Clock())
 }
 
+func fleetMembers(h recorder.Heads) map[string]bool {
+	m := map[string]bool{}
+	for _, i := range h.Assignments[assigner.FleetScope].Members {
+		m[i.Name] = true
+	}
+	return m
+}
+
 func sameEpoch(a, b recorder.Assignment) bool {
 	return a.Epoch == b.Epoch
 }
--- a/controller/beats.go
+++ b/controller/beats.go
@@ -157,6 +157,7 @@
 		ConfigVersion:   c.view.Load().Heads.ConfigVersion,
 		Acts:            k.Acts,
 		ReleasedVersion: c.assigner.Released(now),
+		Unheard:         k.Unheard,
 	}
 	b.From.State = s
 	c.addInherited(b, now)
@@ -184,7 +185,7 @@
 }
 
 func contact(b *messenger.Beat) tracker.Contact {
-	return tracker.Contact{From: instance(b.GetFrom()), State: state(b.GetFrom().GetState()), Acts: b.Acts}
+	return tracker.Contact{From: instance(b.GetFrom()), State: state(b.GetFrom().GetState()), Acts: b.Acts, Unheard: b.Unheard}
 }
 
 func state(s string) tracker.State {
--- a/controller/propose.go
+++ b/controller/propose.go
@@ -26,15 +26,12 @@
 const (
 	proposalInterval = 100 * time.Millisecond
 	shiftInterval    = time.Second
-	// proposalDelay is how much longer each further instance waits before it writes an assignment that is due, so that writes rarely collide.
-	proposalDelay = 200 * time.Millisecond
 )
 
-// proposalState remembers since when which assignment is due.
+// proposalState remembers when an assignment is due and which shifts are held.
 type proposalState struct {
-	base uint64
-	due  time.Time
-	held map[string]steerer.Hold
+	schedule assigner.Schedule
+	held     map[string]steerer.Hold
 }
 
 // runProposals writes assignments that are due.
@@ -94,36 +91,7 @@
 	}
 	s := c.assignerStanding(now)
 	p, ok := c.assigner.Next(s)
-	if !ok {
-		c.proposal.due = time.Time{}
-		return p, false
-	}
-	if c.proposal.due.IsZero() || c.proposal.base != p.Base {
-		c.proposal.base = p.Base
-		c.proposal.due = c.earliest(now, s).Add(proposalDelay * time.Duration(rank(s)))
-	}
-	return p, !now.Before(c.proposal.due)
-}
-
-// earliest returns when the next assignment may be written. After a crash that is now. A join or a graceful leave
-// waits until the owners of the assignment before the last one are certain to have stopped: an owner that releases
-// a resource earlier must keep its release back, and the next owner would wait although everyone is alive.
-func (c *Controller) earliest(now time.Time, s assigner.Standing) time.Time {
-	for _, a := range c.view.Load().Heads.Assignments {
-		for _, m := range a.Members {
-			if m.Name == c.config.Self.Name || slices.ContainsFunc(s.Active, func(o assigner.Member) bool { return o.Name == m.Name }) {
-				continue
-			}
-			if c.tracker.State(now, m.Name) != tracker.Leaving {
-				return now
-			}
-		}
-	}
-	t := c.assigned.Add(c.config.Timing.Freshness + proposalInterval)
-	if t.Before(now) {
-		return now
-	}
-	return t
+	return p, c.proposal.schedule.Due(now, c.assigned, c.assigner, s, p, ok)
 }
 
 // mayPropose reports whether the present assignment is known; a deployment without heads row has none.
@@ -131,15 +99,6 @@
 	return c.blank || c.gate.Valid(attester.Fleet, now) || c.gate.Valid(attester.Region, now)
 }
 
-func rank(s assigner.Standing) int {
-	n := make([]string, 0, len(s.Active))
-	for _, m := range s.Active {
-		n = append(n, m.Name)
-	}
-	slices.Sort(n)
-	return max(0, slices.Index(n, s.Self.Name))
-}
-
 func (c *Controller) assignerStanding(now time.Time) assigner.Standing {
 	s := assigner.Standing{Self: member(c.config.Self), Peered: []string{c.config.Self.Region}}
 	for _, i := range c.tracker.Members(now) {
@@ -150,6 +109,9 @@
 		s.Doubtful = append(s.Doubtful, member(i))
 	}
 	for _, i := range c.tracker.Peers(now) {
+		if i.State == tracker.Leaving {
+			s.Leaving = append(s.Leaving, member(i.Instance))
+		}
 		if !slices.Contains(s.Peered, i.Region) {
 			s.Peered = append(s.Peered, i.Region)
 		}
--- a/tracker/observe.go
+++ b/tracker/observe.go
@@ -121,6 +121,7 @@
 	if p.Incarnation != 0 {
 		p.announced, p.confirmed = Joining, false
 		p.since, p.heard, p.sent = now, time.Time{}, time.Time{}
+		p.unheard, p.doubt = nil, doubt{}
 	}
 	p.Instance = i
 	p.evidence = now
@@ -164,7 +165,9 @@
 	}
 	p := t.count(now, c.From, Contacted)
 	p.announced = c.State
+	p.doubt.hear(now, p.heard)
 	p.heard, p.evidence = now, now
+	p.unheard = c.Unheard
 	p.absentSince = time.Time{}
 	return true
 }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -109,6 +109,8 @@
 	State State
 	// Acts is the sender's Tracker.Acts.
 	Acts bool
+	// Unheard names the peers that the sender has not heard for two heartbeats.
+	Unheard []string
 }
 
 // Peer is one member of the peer set.
@@ -135,6 +137,9 @@
 	evidence time.Time
 	// absentSince is when the first reading without the instance arrived.
 	absentSince time.Time
+	// unheard is Contact.Unheard of the newest message.
+	unheard []string
+	doubt   doubt
 }
 
 // departure remembers an incarnation that left the peer set.
@@ -160,6 +165,10 @@
 	revision uint64
 	ticked   time.Time
 	resumed  time.Time
+	// assigned reports that the newest assignment with members names the own instance; leftOut that only an earlier one does.
+	assigned, leftOut bool
+	// unheard is Contact.Unheard as of the last tick.
+	unheard []string
 }
 
 // New returns a tracker without peers; it reports ErrSelf if the own identity is incomplete.
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -13,7 +13,8 @@
 	Heartbeat []Instance
 	// Remove holds the instances that should leave the assignments.
 	Remove []Instance
-	// Doubtful holds the suspected instances that stay in the assignments for now.
+	// Doubtful holds the suspected instances that stay in the assignments for now, because their jitter has not passed
+	// or because only a link to them may have failed.
 	Doubtful []Instance
 }
 
@@ -22,6 +23,7 @@
 	t.noticePause(now)
 	t.admit(now)
 	t.forget(now)
+	t.unheard = t.findUnheard(now)
 	var r Plan
 	for _, p := range t.peers.All() {
 		if !now.Before(p.sent.Add(t.c.Heartbeat)) {
@@ -29,7 +31,7 @@
 		}
 		s := t.silence(now, p)
 		switch {
-		case s >= t.c.Suspicion+t.jitter(p):
+		case s >= t.c.Suspicion+t.jitter() && t.removable(now, p):
 			r.Remove = append(r.Remove, p.Instance)
 		case s >= t.c.Suspicion:
 			r.Doubtful = append(r.Doubtful, p.Instance)
@@ -59,12 +61,12 @@
 	return now.Sub(latest(latest(p.since, p.heard), t.resumed))
 }
 
-// jitter spreads the removals of one peer over its observers.
-func (t *Tracker) jitter(p *peer) time.Duration {
-	var b [24]byte
+// jitter spreads the removals over the observers. It is the same for all peers, so
+// that instances which fall silent together leave with one write.
+func (t *Tracker) jitter() time.Duration {
+	var b [16]byte
 	binary.LittleEndian.PutUint64(b[0:], t.c.Seed)
-	binary.LittleEndian.PutUint64(b[8:], xxhash.Sum64String(p.Name))
-	binary.LittleEndian.PutUint64(b[16:], p.Incarnation)
+	binary.LittleEndian.PutUint64(b[8:], xxhash.Sum64String(t.c.Self.Name))
 	return time.Duration(float64(t.c.Jitter) * float64(xxhash.Sum64(b[:])>>11) / (1 << 53))
 }
 
@@ -98,7 +100,7 @@
 
 // Heartbeat returns the membership part of a heartbeat or of its answer.
 func (t *Tracker) Heartbeat(now time.Time) Contact {
-	return Contact{From: t.c.Self, State: t.Own(now), Acts: t.Acts(now)}
+	return Contact{From: t.c.Self, State: t.Own(now), Acts: t.Acts(now), Unheard: t.unheard}
 }
 
 // Revision changes whenever Admitted, Newcomer or the members of the peer set do.
