Hold back copies of a request that may crash its targets

Cause: a request was refused after two strikes, but copies that ran at the same time on several targets crashed one each before the first strike was known. 28 copies at once over 7 instances crashed all 16 targets of a pool.

Ruled out: one copy at a time for every request (identical look-ups would wait for each other); the instance that saw the crash as the one that tries again (its only target may be the crashed one; the sequential test then saw 16 of 20 sendings refused in place of 18); rendezvous order alone (it names instances that own targets but do not serve yet: 17 of 20).

Now an owner runs the first copy alone and lets the others wait until it ended well, 1 s at most. After a strike all copies go to one owner, which runs one at a time until one ended well or the fingerprint is blocked. A strike that was followed by a good end is told to all peers.

Conclusion: bounded by the number of owners instead of the copies. Requests that take longer than 1 s to crash are held back only after a strike.

--- a/balancer/chooser.go
+++ b/balancer/chooser.go
@@ -148,6 +148,17 @@
 	return !o.Suspect && (o.slots > 0 || now.Sub(o.reported) > reportAge)
 }
 
+// Serving returns the owners that are not suspect and do not report a pool without slots.
+func (c *Chooser) Serving(now time.Time) []string {
+	var r []string
+	for n, o := range c.owners.All() {
+		if o.serves(now) {
+			r = append(r, n)
+		}
+	}
+	return r
+}
+
 // pair draws two candidates weighted by their free slots and returns the one with more room for its size.
 func (c *Chooser) pair(now time.Time, os []*owner) *owner {
 	if len(os) == 0 {
--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -28,6 +28,8 @@
 	Block     time.Duration
 	// Max limits the fingerprints kept.
 	Max int
+	// Hold is how long a copy of a request without strikes waits for the first one to end.
+	Hold time.Duration
 }
 
 // Strike says that a request crashed a target.
@@ -36,12 +38,15 @@
 	ID          string
 	Fingerprint Fingerprint
 	At          time.Time
+	// Cleared reports that a copy ended well after the strike. The strike still counts towards a block.
+	Cleared bool
 }
 
 // Breaker counts strikes; it is not safe for concurrent use.
 type Breaker struct {
 	config Config
 	rows   *indexer.Table[Fingerprint, row]
+	gate   gate
 }
 
 type row struct {
@@ -65,7 +70,10 @@
 	if c.Max == 0 {
 		c.Max = DefaultMax
 	}
-	return &Breaker{config: c, rows: indexer.New[Fingerprint, row]()}
+	if c.Hold == 0 {
+		c.Hold = DefaultHold
+	}
+	return &Breaker{config: c, rows: indexer.New[Fingerprint, row](), gate: newGate()}
 }
 
 // Strike records s and reports whether it was news, so that the caller passes it on to peers at most once.
@@ -84,9 +92,12 @@
 		}
 		r = b.rows.Put(s.Fingerprint, row{})
 	}
-	if slices.ContainsFunc(r.strikes, func(o Strike) bool { return o.ID == s.ID }) {
-		return false
+	if i := slices.IndexFunc(r.strikes, func(o Strike) bool { return o.ID == s.ID }); i >= 0 {
+		news := s.Cleared && !r.strikes[i].Cleared
+		r.strikes[i].Cleared = r.strikes[i].Cleared || s.Cleared
+		return news
 	}
+	b.gate.trusted.Delete(s.Fingerprint)
 	r.insert(s)
 	b.block(r)
 	if len(r.strikes) > maxStrikes {
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -43,6 +43,15 @@
 
 // run reports whether the request ran, and crashed its target, at instance i.
 func (f *fleet) run(now time.Time, i int, p breaker.Fingerprint, delay time.Duration) bool {
+	f.deliver(now)
+	if !f.members[i].Blocked(now, p).IsZero() {
+		return false
+	}
+	f.strike(now, i, p, delay)
+	return true
+}
+
+func (f *fleet) deliver(now time.Time) {
 	f.pending = slices.DeleteFunc(f.pending, func(d delivery) bool {
 		if d.at.After(now) {
 			return false
@@ -50,16 +59,19 @@
 		f.members[d.to].Strike(now, d.strike)
 		return true
 	})
-	if !f.members[i].Blocked(now, p).IsZero() {
-		return false
-	}
+}
+
+func (f *fleet) strike(now time.Time, i int, p breaker.Fingerprint, delay time.Duration) {
 	f.crashes++
 	s := breaker.Strike{ID: fmt.Sprint(i, "-", f.crashes), Fingerprint: p, At: now}
 	f.members[i].Strike(now, s)
+	f.send(now, s, delay)
+}
+
+func (f *fleet) send(now time.Time, s breaker.Strike, delay time.Duration) {
 	for to := range f.members {
 		f.pending = append(f.pending, delivery{now.Add(delay), to, s}, delivery{now.Add(2 * delay), to, s})
 	}
-	return true
 }
 
 // Guards against a request that its caller sends again at one instance after the other and that crashes target after target.
--- a/breaker/doc.go
+++ b/breaker/doc.go
@@ -22,8 +22,12 @@
 // target that dies for other reasons spreads its strikes over the different
 // requests that it ran, and each of them stays below the threshold.
 //
-// Bound. A request that its caller sends again only after the strike before has
-// reached the peers crashes at most Threshold targets in Block. While strikes are
-// under way, each instance may run the request until it knows of Threshold
-// strikes; copies that run at the same moment are not held back.
+// Copies. The first copy of a fingerprint runs alone at an instance; the others
+// wait until it ended well, or for Hold if there is no strike. With a strike that
+// no copy ended well after, copies run one at a time; the caller sends them to one
+// instance.
+//
+// Bound. A request that crashes its target within Hold takes down at most one
+// target for each instance, and one more; at most Threshold if its caller sends
+// it again only after the strike before has reached the peers.
 package breaker
--- a/launcher/faults_test.go
+++ b/launcher/faults_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -234,6 +235,37 @@
 	}
 }
 
+// Guards against copies of a crashing request that are sent at the same time and crash a target each before the first
+// crash is known, and against later copies that crash more.
+func TestCopiesOfACrashingRequest(t *testing.T) {
+	s := start(t, launcher.Config{CrashPath: "/permits/crash"})
+	crash := order{method: http.MethodGet, path: "/permits/crash", account: "almaty-markets"}
+	var g sync.WaitGroup
+	for k := range 28 {
+		g.Go(func() { s.send(s.Instances[k%7], crash) })
+	}
+	g.Wait()
+	for k := range 7 {
+		if a := s.send(s.Instances[k], crash); a.reason != "crash_suspect" {
+			t.Errorf("a later copy: %v: %s", a, a.body)
+		}
+		// Targets that crashed accept connections again after a second.
+		s.eventually(5*time.Second, func() bool {
+			return s.send(s.Instances[k], order{method: http.MethodGet, path: "/permits/1", account: "almaty-markets"}).answered()
+		})
+	}
+	n := 0
+	for _, r := range s.runs() {
+		if r.Outcome == "crashed" {
+			n++
+		}
+	}
+	// One target for each owner that ran a copy before it knew of a strike, and one more.
+	if n > len(s.Instances)+1 {
+		t.Errorf("%d targets crashed, want at most %d", n, len(s.Instances)+1)
+	}
+}
+
 // Guards against requests that hang on connections which went silent, towards targets, peers and the store.
 func TestSilentConnections(t *testing.T) {
 	rs := map[string]*relay{}
--- a/server/choosers.go
+++ b/server/choosers.go
@@ -121,6 +121,19 @@
 	return owner{name: o.Name, address: c.instances[o.Name].Peer}, true
 }
 
+// serving returns the owners of the pool that are heard and have slots.
+func (c *choosers) serving(k *call, now time.Time) []string {
+	var own balancer.Load
+	if p := c.server.pools.get(k.route.Pool); p != nil {
+		own = p.Load()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.get(k.route.Pool, k.region)
+	h.Report(now, c.server.self.Name, own)
+	return h.Serving(now)
+}
+
 // retry reports whether a request that the owners tried have refused may go to another one.
 func (c *choosers) retry(k *call, f *responder.Refusal, now time.Time, tried []string) bool {
 	c.mu.Lock()
--- a/server/entry.go
+++ b/server/entry.go
@@ -10,6 +10,7 @@
 
 	"celeryhead.dev/celeryhead/attester"
 	"celeryhead.dev/celeryhead/authenticator"
+	"celeryhead.dev/celeryhead/breaker"
 	"celeryhead.dev/celeryhead/composer"
 	"celeryhead.dev/celeryhead/controller"
 	"celeryhead.dev/celeryhead/forwarder"
@@ -36,6 +37,10 @@
 	admitted bool
 	body     *body
 	digest   [32]byte
+	// suspect is true if the request had a strike when its owner was chosen.
+	suspect bool
+	// pass is held while the request runs on a target of this instance.
+	pass breaker.Pass
 	// passed is true if another instance accepted the request and passed it on because of its ticket.
 	passed bool
 }
--- a/server/forward.go
+++ b/server/forward.go
@@ -49,7 +49,7 @@
 	var tried []string
 	last := noOwner()
 	for {
-		o, ok := s.choosers.choose(c, s.clock(), tried)
+		o, ok := s.choose(c, tried)
 		if !ok {
 			return nil, last
 		}
@@ -95,6 +95,9 @@
 	r.Header.Set(headerURI, c.request.URL.RequestURI())
 	r.Header.Set(headerRoute, c.route.Name)
 	r.Header.Set(headerRegion, c.region)
+	if c.suspect {
+		r.Header.Set(headerSuspect, "1")
+	}
 	if !c.route.Open {
 		r.Header.Set(headerAccount, c.account.Name)
 		r.Header.Set(headerKey, hex.EncodeToString(c.identity.Digest[:]))
--- a/server/owner.go
+++ b/server/owner.go
@@ -26,6 +26,8 @@
 	headerKey     = internalPrefix + "Key-Digest"
 	headerRegion  = internalPrefix + "Region"
 	headerURI     = internalPrefix + "Uri"
+	// headerSuspect says that the entry instance knows a strike of the request.
+	headerSuspect = internalPrefix + "Suspect"
 	forwardPath   = "/forward"
 	enterPath     = "/enter"
 )
@@ -36,6 +38,9 @@
 	if p == nil {
 		return nil, noOwner()
 	}
+	if f := s.start(ctx, c); f != nil {
+		return nil, f
+	}
 	l, err := p.Acquire(ctx, balancer.Work{
 		Account:  c.account.Name,
 		Rate:     c.account.Rate,
@@ -43,12 +48,21 @@
 		Remote:   c.region != s.self.Region,
 	})
 	if err != nil {
-		return nil, acquireRefusal(err)
+		s.end(c, balancer.NotSent)
+		return nil, unplaced(c, acquireRefusal(err))
 	}
 	a, f := s.send(ctx, c, l)
 	return a, f
 }
 
+// unplaced lets a request with a strike wait and choose again when the targets here are gone, which it may have crashed.
+func unplaced(c *call, f *responder.Refusal) *responder.Refusal {
+	if c.suspect && f.Reason == responder.NoSlot {
+		return noOwner()
+	}
+	return f
+}
+
 func acquireRefusal(err error) *responder.Refusal {
 	var f *responder.Refusal
 	if errors.As(err, &f) {
@@ -61,7 +75,7 @@
 func (s *Server) send(ctx context.Context, c *call, l *balancer.Lease) (*forwarder.Answer, *responder.Refusal) {
 	t, ok := s.control.View().Address(l.Target)
 	if !ok {
-		l.Release(balancer.NotSent)
+		s.release(c, l, balancer.NotSent)
 		return nil, noOwner()
 	}
 	r := *c.request
@@ -77,10 +91,15 @@
 		return nil, s.failed(ctx, c, l, t, err)
 	}
 	removeInternal(a.Header)
-	a.Body = &leasedBody{ReadCloser: a.Body, release: func(err error) { l.Release(s.outcome(ctx, c, l.Target, t, a.Status, err)) }}
+	a.Body = &leasedBody{ReadCloser: a.Body, release: func(err error) { s.release(c, l, s.outcome(ctx, c, l.Target, t, a.Status, err)) }}
 	return a, nil
 }
 
+func (s *Server) release(c *call, l *balancer.Lease, o balancer.Outcome) {
+	l.Release(o)
+	s.end(c, o)
+}
+
 // admit is asked just before the first byte goes to a target: a proof, a key or a deadline may have lapsed since the request was accepted.
 func (s *Server) admit(c *call, target string) error {
 	now := s.clock()
@@ -105,7 +124,7 @@
 
 // failed releases the lease of a request without an answer and returns what its caller is told.
 func (s *Server) failed(ctx context.Context, c *call, l *balancer.Lease, t netip.AddrPort, err error) *responder.Refusal {
-	l.Release(s.outcome(ctx, c, l.Target, t, 0, err))
+	s.release(c, l, s.outcome(ctx, c, l.Target, t, 0, err))
 	var x *forwarder.Failure
 	if !errors.As(err, &x) {
 		return targetFailed(responder.Unknown)
@@ -223,7 +242,7 @@
 func (s *Server) receive(w http.ResponseWriter, r *http.Request) (*call, *responder.Refusal) {
 	v := s.control.View()
 	h := r.Header
-	c := &call{region: h.Get(headerRegion)}
+	c := &call{region: h.Get(headerRegion), suspect: h.Get(headerSuspect) != ""}
 	var ok bool
 	if c.route, ok = v.Routes.Named(h.Get(headerRoute)); !ok {
 		return nil, stale()
--- a/server/strikes.go
+++ b/server/strikes.go
@@ -4,9 +4,12 @@
 	"context"
 	"crypto/rand"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"celeryhead.dev/celeryhead/assigner"
+	"celeryhead.dev/celeryhead/balancer"
 	"celeryhead.dev/celeryhead/breaker"
 	"celeryhead.dev/celeryhead/messenger"
 	"celeryhead.dev/celeryhead/responder"
@@ -22,9 +25,28 @@
 type strikes struct {
 	mu      sync.Mutex
 	breaker *breaker.Breaker
+	// changed is closed when a copy has ended or a strike arrived; nil while nobody waits.
+	changed chan struct{}
 }
 
-func fingerprint(c *call) breaker.Fingerprint {
+// wake lets the copies that wait ask again; s.mu is held.
+func (s *strikes) wake() {
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
+}
+
+// wait returns what is closed at the next change; s.mu is held.
+func (s *strikes) wait() <-chan struct{} {
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	return s.changed
+}
+
+// fingerprint needs the digest of the body.
+func (c *call) fingerprint() breaker.Fingerprint {
 	return breaker.Request{
 		Account: c.account.Name,
 		Route:   c.route.Name,
@@ -38,27 +60,156 @@
 func (s *Server) checkCrash(c *call) *responder.Refusal {
 	now := s.clock()
 	s.strikes.mu.Lock()
-	t := s.strikes.breaker.Blocked(now, fingerprint(c))
+	t := s.strikes.breaker.Blocked(now, c.fingerprint())
 	s.strikes.mu.Unlock()
 	if t.IsZero() {
 		return nil
 	}
+	return s.crashSuspect(c, t.Sub(now))
+}
+
+func (s *Server) crashSuspect(c *call, d time.Duration) *responder.Refusal {
 	s.log.FingerprintBlocked(c.account.Name, c.route.Name)
 	return &responder.Refusal{
 		Status:     http.StatusUnprocessableEntity,
 		Reason:     responder.CrashSuspect,
 		Ran:        responder.NotRun,
 		Message:    "targets crashed while they ran this request",
-		RetryAfter: t.Sub(now),
+		RetryAfter: d,
+	}
+}
+
+// start waits until a copy of a request may run on a target of this instance.
+func (s *Server) start(ctx context.Context, c *call) *responder.Refusal {
+	begun := s.clock()
+	// A copy that has waited for the whole hold asks again.
+	hold := time.NewTimer(breaker.DefaultHold)
+	defer hold.Stop()
+	for {
+		started, changed, f := s.tryStart(c, begun)
+		if started || f != nil {
+			return f
+		}
+		select {
+		case <-ctx.Done():
+			return deadlineExceeded()
+		case <-changed:
+		case <-hold.C:
+		}
+	}
+}
+
+// tryStart reports whether the copy may run; if not, it returns what is closed at the next change, or a refusal.
+func (s *Server) tryStart(c *call, begun time.Time) (bool, <-chan struct{}, *responder.Refusal) {
+	now, k := s.clock(), c.fingerprint()
+	s.strikes.mu.Lock()
+	defer s.strikes.mu.Unlock()
+	b := s.strikes.breaker
+	if u := b.Blocked(now, k); !u.IsZero() {
+		return false, nil, s.crashSuspect(c, u.Sub(now))
+	}
+	if b.Suspect(now, k) && !c.suspect {
+		// The entry instance did not know the strike when it chose this one; it chooses again.
+		return false, nil, noOwner()
+	}
+	var ok bool
+	if c.pass, ok = b.Start(now, k, now.Sub(begun)); ok {
+		return true, nil, nil
+	}
+	return false, s.strikes.wait(), nil
+}
+
+// end takes back what start gave; a copy that ended well clears the strikes of its fingerprint.
+func (s *Server) end(c *call, o balancer.Outcome) {
+	s.strikes.mu.Lock()
+	cleared := s.strikes.breaker.End(s.clock(), c.pass, endedWell(o))
+	c.pass = breaker.Pass{}
+	s.strikes.wake()
+	s.strikes.mu.Unlock()
+	for _, k := range cleared {
+		s.tell(&messenger.StrikeNotice{Id: k.ID, Fingerprint: k.Fingerprint[:], AgeMs: s.clock().Sub(k.At).Milliseconds(), Cleared: true})
+	}
+}
+
+// endedWell reports whether a target certainly survived a request; after a timeout, or when the caller gave up, it may
+// still crash.
+func endedWell(o balancer.Outcome) bool {
+	return o == balancer.Success || o == balancer.Failure
+}
+
+// choose returns the owner that gets a request. The copies of one with a strike meet at one instance.
+func (s *Server) choose(c *call, tried []string) (owner, bool) {
+	now := s.clock()
+	s.strikes.mu.Lock()
+	c.suspect = s.strikes.breaker.Suspect(now, c.fingerprint())
+	s.strikes.mu.Unlock()
+	if !c.suspect {
+		return s.choosers.choose(c, now, tried)
+	}
+	serving := s.choosers.serving(c, now)
+	os := s.owners(c.route.Pool)
+	if ready := slices.DeleteFunc(slices.Clone(os), func(o owned) bool { return !slices.Contains(serving, o.name) }); len(ready) > 0 {
+		os = ready
+	}
+	os = slices.DeleteFunc(os, func(o owned) bool { return slices.Contains(tried, o.name) })
+	return meeting(c.fingerprint(), os)
+}
+
+// owned is an owner with the number of targets that it has in a pool.
+type owned struct {
+	owner
+	targets int
+}
+
+func (s *Server) owners(pool string) []owned {
+	v := s.control.View()
+	var os []owned
+	for _, t := range v.Pools[pool].Targets {
+		i, ok := s.control.Owner(v.TargetResource(t.Name))
+		if !ok {
+			continue
+		}
+		k := slices.IndexFunc(os, func(o owned) bool { return o.name == i.Name })
+		if k < 0 {
+			k = len(os)
+			os = append(os, owned{owner: owner{name: i.Name, address: i.Peer}})
+		}
+		os[k].targets++
 	}
+	return os
+}
+
+// meeting returns the owner with the most targets, since a crash takes one of them away, and among equals the first in
+// rendezvous order of the fingerprint.
+func meeting(f breaker.Fingerprint, os []owned) (owner, bool) {
+	most := 0
+	for _, o := range os {
+		most = max(most, o.targets)
+	}
+	var ms []assigner.Member
+	for _, o := range os {
+		if o.targets == most {
+			ms = append(ms, assigner.Member{Name: o.name})
+		}
+	}
+	m, ok := assigner.Owner(string(f[:]), ms)
+	if !ok {
+		return owner{}, false
+	}
+	return os[slices.IndexFunc(os, func(o owned) bool { return o.name == m.Name })].owner, true
 }
 
 // strike records that a request crashed a target, and tells all peers.
 func (s *Server) strike(c *call) {
 	n := &messenger.StrikeNotice{Id: rand.Text()}
-	f := fingerprint(c)
+	f := c.fingerprint()
 	n.Fingerprint = f[:]
 	s.recordStrike(n)
+	s.tell(n)
+}
+
+// tell sends a strike to all peers.
+func (s *Server) tell(n *messenger.StrikeNotice) {
 	for _, p := range s.control.Peers() {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), strikeTimeout)
@@ -76,10 +227,12 @@
 	now := s.clock()
 	s.strikes.mu.Lock()
 	defer s.strikes.mu.Unlock()
+	defer s.strikes.wake()
 	s.strikes.breaker.Strike(now, breaker.Strike{
 		ID:          n.Id,
 		Fingerprint: breaker.Fingerprint(n.Fingerprint),
 		At:          now.Add(-time.Duration(n.AgeMs) * time.Millisecond),
+		Cleared:     n.Cleared,
 	})
 }
 
@@ -90,7 +243,7 @@
 	s.strikes.breaker.Tick(now)
 	var r []*messenger.StrikeNotice
 	for _, k := range s.strikes.breaker.Strikes(now, strikesPerBeat) {
-		r = append(r, &messenger.StrikeNotice{Id: k.ID, Fingerprint: k.Fingerprint[:], AgeMs: now.Sub(k.At).Milliseconds()})
+		r = append(r, &messenger.StrikeNotice{Id: k.ID, Fingerprint: k.Fingerprint[:], AgeMs: now.Sub(k.At).Milliseconds(), Cleared: k.Cleared})
 	}
 	return r
 }
