Run two tests with real processes side by side

Ports given out are remembered, because another deployment could choose one whose process has not opened it yet.

--- a/Makefile
+++ b/Makefile
@@ -27,14 +27,15 @@
 unit:
 	$(GO) test -race -timeout 20m $$($(GO) list $(PACKAGES) | grep -v /launcher)
 
-# The tests with real processes run alone, because they check times of seconds; they build the daemons with the race detector.
+# The tests with real processes run apart from the others and two at a time, because they check times of seconds; they
+# build the daemons with the race detector.
 # Tests named in KNOWN-RED.txt run too and are printed, but do not decide.
 KNOWN_RED = $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 processes:
-	$(GO) test -timeout 20m ./launcher -skip '^($(KNOWN_RED))$$'
+	$(GO) test -timeout 20m -parallel 2 ./launcher -skip '^($(KNOWN_RED))$$'
 	@if [ -n '$(KNOWN_RED)' ]; then \
 		echo 'known red, from KNOWN-RED.txt: $(KNOWN_RED)'; \
-		$(GO) test -timeout 10m ./launcher -run '^($(KNOWN_RED))$$' || true; \
+		$(GO) test -timeout 10m -parallel 2 ./launcher -run '^($(KNOWN_RED))$$' || true; \
 	fi
 
 test: lint vet build unit processes
--- a/launcher/addresses.go
+++ b/launcher/addresses.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"sync"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -16,14 +17,26 @@
 	portTries = 10_000
 )
 
-// freeAddresses returns loopback addresses that were free a moment ago.
+// given holds the ports that this process has given out: another deployment must not choose one whose process has not
+// opened it yet, or is being restarted.
+var given = struct {
+	sync.Mutex
+	ports map[int]bool
+}{ports: map[int]bool{}}
+
+// freeAddresses returns loopback addresses that were free a moment ago and that it has not returned before.
 func freeAddresses(n int) ([]netip.AddrPort, error) {
+	given.Lock()
+	defer given.Unlock()
 	var r []netip.AddrPort
 	for range portTries {
 		if len(r) == n {
 			return r, nil
 		}
 		p := firstPort + rand.N(lastPort-firstPort) //nolint:gosec // Deployments that run side by side only need different ports.
+		if given.ports[p] {
+			continue
+		}
 		l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: p})
 		if err != nil {
 			continue
@@ -34,6 +47,7 @@
 		if err != nil {
 			return nil, err
 		}
+		given.ports[p] = true
 		r = append(r, a)
 	}
 	return nil, merry.Errorf("fewer than %d free ports between %d and %d", n, firstPort, lastPort)
--- a/launcher/harness_test.go
+++ b/launcher/harness_test.go
@@ -65,9 +65,11 @@
 	client *http.Client
 }
 
-// start starts a deployment with its configuration applied and every target in use.
+// start starts a deployment with its configuration applied and every target in use. Tests with deployments run side by
+// side, as many as -parallel says, since they mostly wait.
 func start(t *testing.T, c launcher.Config) *system {
 	t.Helper()
+	t.Parallel()
 	c.Bin, c.Dir = bin, t.TempDir()
 	if c.Edit == nil {
 		c.Edit = quick
