Count the reserve for local work over usable slots

Ruled out: the retry budget (retries to free slots need none now, and it failed all the same, since no owner accepted remote work). Before: 2 cold targets start 0 remote works, 6 start 2. After: 1 and 4 (TestRemoteWorkAtColdTargets, seen red).

--- a/balancer/pool.go
+++ b/balancer/pool.go
@@ -92,7 +92,8 @@
 
 // submitRemote starts w if slots beyond the reserve are free and nobody waits.
 func (p *Pool) submitRemote(now time.Time, id ID, w Work, a *Actions) {
-	reserve := int(math.Ceil(p.c.Reserve * float64(p.slots())))
+	// A share of the slots that may be used, or owners of cold targets would refuse all remote work.
+	reserve := int(math.Ceil(p.c.Reserve * float64(p.usable())))
 	if p.queue.length > 0 || p.free(now) <= reserve {
 		a.refuse(id, p.full())
 		return
@@ -403,12 +404,17 @@
 // Load returns the slots that works of this instance may take, how many are free, and the length of the queue.
 func (p *Pool) Load(now time.Time) Load {
 	p.refresh(now)
-	l := Load{Free: p.free(now), Queued: p.queue.length}
+	// Slots in which works of an earlier owner run do not count, so that an owner without others gets no requests.
+	return Load{Slots: p.usable(), Free: p.free(now), Queued: p.queue.length}
+}
+
+// usable is the number of slots that works of this instance may take.
+func (p *Pool) usable() int {
+	n := 0
 	for _, t := range p.targets.All() {
-		// Slots in which works of an earlier owner run do not count, so that an owner without others gets no requests.
-		l.Slots += t.usable()
+		n += t.usable()
 	}
-	return l
+	return n
 }
 
 // Status describes one target.
--- a/balancer/target_test.go
+++ b/balancer/target_test.go
@@ -127,3 +127,25 @@
 		t.Errorf("own work that may still run: %+v, want a refusal as %q", a, responder.NoSlot)
 	}
 }
+
+// Guards against owners that refuse all remote work while their targets are cold, as after the start of a deployment,
+// and against remote work that takes the reserve.
+func TestRemoteWorkAtColdTargets(t *testing.T) {
+	for n := 1; n <= 6; n++ {
+		p := balancer.New(balancer.Config{Reserve: 0.2})
+		var hs []balancer.Holding
+		for i := range n {
+			hs = append(hs, balancer.Holding{Target: fmt.Sprint(i), Slots: slots})
+		}
+		p.Adopt(epoch, hs)
+		started := 0
+		for range n + 1 {
+			_, a := p.Submit(epoch, balancer.Work{Deadline: epoch.Add(time.Second), Remote: true})
+			started += len(a.Starts)
+		}
+		// Each cold target offers one slot; a fifth of them, rounded up, stays free.
+		if want := n - (n+4)/5; started != want {
+			t.Errorf("%d cold targets: %d remote works started, want %d", n, started, want)
+		}
+	}
+}
