--- a/attester/links_test.go
+++ b/attester/links_test.go
@@ -189,6 +189,7 @@
 func TestLinkFaults(t *testing.T) {
 	for _, f := range linkFaults {
 		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
 			w := linkWorld(3)
 			f.start(w, w.now.Add(linkRun))
 			if e := w.observe(linkRun); w.fail != "" || e.epochs > f.epochs {
@@ -200,6 +201,7 @@
 
 // Guards against link faults, and deaths at the same time, that keep a dead instance in the assignments.
 func TestDeadInstanceIsRemovedInTime(t *testing.T) {
+	t.Parallel()
 	for _, fault := range []string{"", "link a1 a3", "link a1 b1", "one_way a3 a1", "apart b c", "apart a b"} {
 		for seed := range uint64(10) {
 			w := linkWorld(seed)
@@ -223,6 +225,7 @@
 // against changes without bound while none does.
 func TestRandomLinkFaults(t *testing.T) {
 	const span = 80 * time.Second
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := linkWorld(rapid.Uint64().Draw(t, "seed"))
 		hub := rapid.Bool().Draw(t, "hub")
--- a/attester/property_test.go
+++ b/attester/property_test.go
@@ -170,6 +170,7 @@
 // valid proof after a change was reported, and against versions that go back,
 // over every event of a run with arbitrary faults.
 func TestInvariantsUnderFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		w := newWorld(seed, rapid.IntRange(0, 3).Draw(t, "steady") == 0)
--- a/attester/trace_test.go
+++ b/attester/trace_test.go
@@ -175,6 +175,7 @@
 		{"region cut off", attester.Region, []string{"region b", "store b1", "store b2", "store b3"}, "b", 10 * time.Minute},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(2, true)
 			w.fleet(6)
 			w.run(start.Add(20 * time.Second))
