--- a/server/allowances.go
+++ b/server/allowances.go
@@ -159,10 +159,14 @@
 	v := s.control.View()
 	b := v.Steering.Find(c.caller)
 	h := v.Steering.Shift(b)
-	if h == nil || h.To != s.self.Region {
+	if h == nil {
+		return
+	}
+	if h.To != s.self.Region {
+		c.avoid = h.To
 		return
 	}
 	if f := s.allowance.Take(ctx, controller.ShiftBucket(h.Name), s.clock().Add(placeWait)); f != nil {
-		c.region = h.From
+		c.region, c.avoid = h.From, h.To
 	}
 }
--- a/server/choosers.go
+++ b/server/choosers.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -114,13 +115,27 @@
 	if len(tried) == 0 {
 		h.Attempt()
 	}
-	o, ok := h.Choose(now, len(k.body.head)+answerBytes, tried...)
+	o, ok := h.Choose(now, len(k.body.head)+answerBytes, c.excluded(k, tried)...)
 	if !ok {
 		return owner{}, false
 	}
 	return owner{name: o.Name, address: c.server.links.address(c.instances[o.Name])}, true
 }
 
+// excluded returns the owners that were tried and those in the region to avoid; c.mu is held.
+func (c *choosers) excluded(k *call, tried []string) []string {
+	if k.avoid == "" {
+		return tried
+	}
+	r := slices.Clone(tried)
+	for n, i := range c.instances {
+		if i.Region == k.avoid {
+			r = append(r, n)
+		}
+	}
+	return r
+}
+
 // serving returns the owners of the pool that are heard and have slots.
 func (c *choosers) serving(k *call, now time.Time) []string {
 	var own balancer.Load
--- a/server/entry.go
+++ b/server/entry.go
@@ -37,6 +37,9 @@
 	admitted bool
 	body     *body
 	digest   [32]byte
+	// avoid is the region to which a shift moves the request's block, if the request has no token of the shift: it must
+	// not get there beyond the cap when its own region is full.
+	avoid string
 	// suspect is true if the request had a strike when its owner was chosen.
 	suspect bool
 	// pass is held while the request runs on a target of this instance.
