Tell an unanswered dial from a passed deadline, and retry only at owners that serve

A request that the region's own owners had refused as stale was retried, within the budget, at a suspected owner beyond the silent links; the dial there ended after its own limit of 1 s, and that was reported as the deadline of the request. Also found: the harness set the duration of a sending after it was copied to its caller, so it was always 0 and the bound of 4 s in TestSilentConnections could not fail. Ruled out: the proof of the region, which had lapsed as it should (every request was refused as not run); a longer deadline, which only hides the wait. Change: a dial that ends at its own limit is ErrDialTimeout, target_unreachable, so that the request may go on elsewhere; no retry while the owners left are suspected or report no slots; the harness returns the duration. Before: TestUnansweredDialLeavesTheRequestItsTime: "with 1m0s left: deadline_exceeded (not-run), want target_unreachable"; TestNoRetryToOwnersThatDoNotServe: "suspect: retry true, want false", "without slots: retry true, want false".

--- a/balancer/chooser.go
+++ b/balancer/chooser.go
@@ -218,14 +218,33 @@
 }
 
 // Retry reports whether a request that the owners tried have refused may be sent to another one. A retry to a slot that
-// an owner reports as free spends no budget, because it takes nothing from other requests.
+// an owner reports as free spends no budget, because it takes nothing from other requests. While owners that were not
+// tried are all suspect or without slots there is no retry: a try that cannot be answered would use up the deadline.
 func (c *Chooser) Retry(now time.Time, r *responder.Refusal, deadline time.Time, tried ...string) bool {
 	if !c.retries.Retryable(now, r, len(tried)-1, deadline) {
 		return false
 	}
+	if c.noneServes(now, tried) {
+		return false
+	}
 	return c.hasRoom(now, tried) || c.retries.Spend(now)
 }
 
+// noneServes reports whether owners that were not tried are left, but none that serves.
+func (c *Chooser) noneServes(now time.Time, tried []string) bool {
+	left := false
+	for _, o := range c.owners.All() {
+		if slices.Contains(tried, o.Name) {
+			continue
+		}
+		if o.serves(now) {
+			return false
+		}
+		left = true
+	}
+	return left
+}
+
 // hasRoom reports whether an owner that was not tried reported free slots lately.
 func (c *Chooser) hasRoom(now time.Time, tried []string) bool {
 	for _, o := range c.owners.All() {
--- a/balancer/chooser_test.go
+++ b/balancer/chooser_test.go
@@ -162,6 +162,31 @@
 	}
 }
 
+// Guards against retries that use up the deadline of a request at owners that cannot answer, as in a region that is cut off.
+func TestNoRetryToOwnersThatDoNotServe(t *testing.T) {
+	refusal := &responder.Refusal{Ran: responder.NotRun}
+	for _, x := range []struct {
+		name  string
+		other balancer.Owner
+		slots int
+		want  bool
+	}{
+		{name: "serving", other: balancer.Owner{Name: "b"}, slots: 3, want: true},
+		{name: "suspect", other: balancer.Owner{Name: "b", Suspect: true}, slots: 3},
+		{name: "without slots", other: balancer.Owner{Name: "b"}},
+	} {
+		c := balancer.NewChooser(balancer.ChooserConfig{})
+		c.Adopt([]balancer.Owner{{Name: "a"}, x.other})
+		c.Report(epoch, "b", balancer.Load{Slots: x.slots})
+		for range 100 {
+			c.Attempt()
+		}
+		if got := c.Retry(epoch, refusal, epoch.Add(time.Second), "a"); got != x.want {
+			t.Errorf("%s: retry %t, want %t", x.name, got, x.want)
+		}
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	c := balancer.NewChooser(balancer.ChooserConfig{Name: "entry", Region: "west", Seed: 1})
 	var os []balancer.Owner
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -14,6 +14,8 @@
 var (
 	// ErrDeadline means that the deadline of the request passed.
 	ErrDeadline = merry.Sentinel("deadline passed")
+	// ErrDialTimeout means that no connection was open after Config.DialTimeout, before the deadline of the request.
+	ErrDialTimeout = merry.Sentinel("connection was not opened in time")
 	// ErrUpgrade means that the request asked for CONNECT or an upgrade.
 	ErrUpgrade = merry.Sentinel("CONNECT and Upgrade are not forwarded")
 	// ErrUnsolicited means that the server sent bytes before the request.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"celeryhead.dev/celeryhead/responder"
 	"celeryhead.dev/celeryhead/timer"
 )
@@ -176,9 +178,18 @@
 	return p
 }
 
+// dial opens a connection. Its own timeout is told apart from that of ctx: the request may still go to another address.
 func (f *Forwarder) dial(ctx context.Context, a netip.AddrPort) (*link, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.config.DialTimeout)
+	d, cancel := context.WithTimeout(ctx, f.config.DialTimeout)
 	defer cancel()
+	l, err := f.connect(d, a)
+	if err != nil && d.Err() != nil && ctx.Err() == nil {
+		return nil, merry.Wrap(ErrDialTimeout)
+	}
+	return l, err
+}
+
+func (f *Forwarder) connect(ctx context.Context, a netip.AddrPort) (*link, error) {
 	c, err := f.config.Dial(ctx, a)
 	if err != nil {
 		return nil, err
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -152,6 +152,26 @@
 	})
 }
 
+// Guards against a request that is refused as past its deadline, and not sent elsewhere, because one address does not answer.
+func TestUnansweredDialLeavesTheRequestItsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dial := func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		f := forwarder.New(forwarder.Config{Dial: dial, Now: time.Now})
+		for left, want := range map[time.Duration]responder.Reason{
+			time.Minute:                      responder.TargetUnreachable,
+			forwarder.DefaultDialTimeout / 2: responder.DeadlineExceeded,
+		} {
+			_, x := exchange(t.Context(), f, get("/a"), left)
+			if x == nil || x.Reason != want || x.Ran != responder.NotRun {
+				t.Errorf("with %v left: %+v, want %s", left, x, want)
+			}
+		}
+	})
+}
+
 // Guards against answers that cross, requests sent twice, and refusals that say "not run" of a request that the server saw.
 func TestExchangesUnderFaults(t *testing.T) {
 	n := *seed
--- a/launcher/harness_test.go
+++ b/launcher/harness_test.go
@@ -164,7 +164,7 @@
 }
 
 // send sends one request to an instance; a truncated answer is an error.
-func (s *system) send(i *launcher.Instance, o order) sending {
+func (s *system) send(i *launcher.Instance, o order) (a sending) {
 	r, err := http.NewRequest(o.method, "http://"+i.Callers.String()+o.path, strings.NewReader(o.body))
 	if err != nil {
 		s.t.Error(err)
@@ -179,7 +179,8 @@
 		r.Header.Set("Idempotency-Key", o.key)
 	}
 	r.Header.Set("X-Request-Id", o.key)
-	a := sending{key: o.key, instance: i.Name, start: time.Now()}
+	a = sending{key: o.key, instance: i.Name, start: time.Now()}
+	// The result is named, so that the duration is set in what the caller gets.
 	defer func() { a.duration = time.Since(a.start) }()
 	p, err := s.client.Do(r)
 	if err != nil {
