Take over new certificate files without a restart, and end trust in a replaced authority

Cause: certificates were read once, at the start. Renewing one, or replacing the authority after a theft of a key (docs/security.md), needed a restart of every instance, and an open connection kept the trust of its handshake for good. Ruled out: a signal (instances would need an operator on each), VerifyConnection with InsecureSkipVerify for changing roots (a client's ConnectionState does not hold the IP address to verify); settings per dial and per handshake do.

--- a/certifier/authority.go
+++ b/certifier/authority.go
@@ -25,7 +25,11 @@
 	Operator Role = "operator"
 )
 
-const scheme = "celeryhead"
+const (
+	scheme = "celeryhead"
+	// certificateBlock is the type of a certificate in PEM.
+	certificateBlock = "CERTIFICATE"
+)
 
 // backdate allows for clocks of other machines that are behind.
 const backdate = 5 * time.Minute
@@ -137,7 +141,7 @@
 		return Pair{}, merry.Prepend(err, "encoding a key")
 	}
 	return Pair{
-		Certificate: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: b}),
+		Certificate: pem.EncodeToMemory(&pem.Block{Type: certificateBlock, Bytes: b}),
 		Key:         pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: s}),
 	}, nil
 }
--- a/cmd/celeryheadd/main.go
+++ b/cmd/celeryheadd/main.go
@@ -8,8 +8,10 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/integrii/flaggy"
 
+	"celeryhead.dev/celeryhead/certifier"
 	"celeryhead.dev/celeryhead/loader"
 	"celeryhead.dev/celeryhead/logger"
 	"celeryhead.dev/celeryhead/server"
@@ -23,7 +25,7 @@
 	flaggy.SetDescription("runs one entry instance of the traffic steering system")
 	flaggy.SetVersion(version)
 	flaggy.String(&settings, "s", "settings", "TOML file with the settings of this instance")
-	flaggy.String(&check, "", "check", "check a settings file and exit")
+	flaggy.String(&check, "", "check", "check a settings file and the certificates that it names, and exit")
 	flaggy.Parse()
 	if err := run(settings, check); err != nil {
 		fmt.Fprintln(os.Stderr, "celeryheadd:", err)
@@ -33,9 +35,13 @@
 
 func run(settings, check string) error {
 	if check != "" {
-		if _, err := loader.Load(check); err != nil {
+		s, err := loader.Load(check)
+		if err != nil {
 			return err
 		}
+		if _, err := certifier.NewRenewer(server.RenewerConfig(s)); err != nil {
+			return merry.Prepend(err, "tls")
+		}
 		fmt.Println(check + ": ok")
 		return nil
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -28,8 +28,9 @@
 
 // Config configures a Forwarder; zero fields take their defaults.
 type Config struct {
-	// TLS is nil for plain TCP; without a ServerName the IP address is checked.
-	TLS *tls.Config
+	// TLS returns the settings of a connection that is opened, which are not changed; it is nil for plain TCP. Without a
+	// ServerName the IP address is checked.
+	TLS func() *tls.Config
 	// Dial opens a TCP connection; the default is a net.Dialer.
 	Dial func(context.Context, netip.AddrPort) (net.Conn, error)
 	// MaxConnections limits the open connections to one address.
@@ -126,6 +127,15 @@
 	f.pool(address).Retire()
 }
 
+// RetireAll bars all connections that were opened up to now from being used again.
+func (f *Forwarder) RetireAll() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.pools {
+		p.Retire()
+	}
+}
+
 // Tick closes the connections that have been idle too long and returns the number of open ones.
 func (f *Forwarder) Tick() int {
 	f.mu.Lock()
@@ -197,7 +207,7 @@
 	if f.config.TLS == nil {
 		return newLink(c, c), nil
 	}
-	s := f.config.TLS
+	s := f.config.TLS()
 	if s.ServerName == "" {
 		s = s.Clone()
 		s.ServerName = a.Addr().String()
--- a/forwarder/outcome_test.go
+++ b/forwarder/outcome_test.go
@@ -303,7 +303,7 @@
 	}
 	h.StartTLS()
 	defer h.Close()
-	f := forwarder.New(forwarder.Config{TLS: client, IdleLimit: time.Hour})
+	f := forwarder.New(forwarder.Config{TLS: func() *tls.Config { return client }, IdleLimit: time.Hour})
 	defer f.Close()
 	to := netip.MustParseAddrPort(h.Listener.Addr().String())
 	front := httptest.NewServer(proxy(f, to))
--- a/launcher/deployment.go
+++ b/launcher/deployment.go
@@ -22,11 +22,9 @@
 )
 
 const (
-	certificateLife = 24 * time.Hour
-	operatorName    = "demo"
-	keyName         = "first"
-	startTimeout    = 30 * time.Second
-	pollInterval    = 50 * time.Millisecond
+	keyName      = "first"
+	startTimeout = 30 * time.Second
+	pollInterval = 50 * time.Millisecond
 )
 
 // client reaches the stand-ins; it opens a connection for each call, since a stand-in may let open ones go silent.
@@ -77,6 +75,8 @@
 	Configuration composer.Config
 	// Secrets holds a key of each account.
 	Secrets map[string]string
+	// Authority issued the certificates that are in use.
+	Authority *certifier.Authority
 	// Operator holds the paths of the operator's certificate files.
 	Operator Files
 }
@@ -190,36 +190,6 @@
 	return filepath.Join(d.Config.Dir, name)
 }
 
-func (d *Deployment) certify(context.Context) error {
-	now := time.Now()
-	a, err := certifier.NewAuthority("demo", now, certificateLife)
-	if err != nil {
-		return err
-	}
-	if err := os.WriteFile(d.path("authority.pem"), a.Pair().Certificate, 0o600); err != nil {
-		return err
-	}
-	for _, i := range d.Instances {
-		if _, err := d.issue(a, certifier.Peer, i.Name, now, i.Peers.Addr()); err != nil {
-			return err
-		}
-	}
-	d.Operator, err = d.issue(a, certifier.Operator, operatorName, now)
-	return err
-}
-
-func (d *Deployment) issue(a *certifier.Authority, r certifier.Role, name string, now time.Time, addrs ...netip.Addr) (Files, error) {
-	f := Files{Authority: d.path("authority.pem"), Certificate: d.path(name + ".pem"), Key: d.path(name + ".key")}
-	p, err := a.Issue(r, name, now, certificateLife, addrs...)
-	if err != nil {
-		return f, err
-	}
-	if err := os.WriteFile(f.Certificate, p.Certificate, 0o600); err != nil {
-		return f, err
-	}
-	return f, os.WriteFile(f.Key, p.Key, 0o600)
-}
-
 func (d *Deployment) startPlatform(ctx context.Context) error {
 	var err error
 	if d.Table, err = d.start("table", "standin", "table", "--listen", d.TableAddress.String()); err != nil {
--- a/logger/events.go
+++ b/logger/events.go
@@ -13,6 +13,9 @@
 	stopped            = register(1003, log.InfoLevel, "daemon stopped")
 	listenerFailed     = register(1004, log.ErrorLevel, "listener failed")
 	drainCut           = register(1005, log.ErrorLevel, "requests were still running at the end of the longest drain time")
+	certRenewed        = register(1006, log.InfoLevel, "certificates renewed")
+	certRejected       = register(1007, log.ErrorLevel, "certificate files are not usable; the former certificates stay in use")
+	certExpires        = register(1008, log.WarnLevel, "certificate expires soon")
 	headsAdopted       = register(2001, log.InfoLevel, "heads adopted")
 	configAdopted      = register(2002, log.InfoLevel, "configuration adopted")
 	configRejected     = register(2003, log.ErrorLevel, "configuration text does not match its digest or does not parse")
@@ -69,6 +72,21 @@
 	l.emit(drainCut, log.Fields{"in_flight": inFlight})
 }
 
+// CertificatesRenewed reports that new certificate files are in use, and how long until the first of them expires.
+func (l *Logger) CertificatesRenewed(left time.Duration) {
+	l.emit(certRenewed, log.Fields{"expires_seconds": seconds(left)})
+}
+
+// CertificatesRejected reports certificate files that are not taken over.
+func (l *Logger) CertificatesRejected(err error) {
+	l.emit(certRejected, log.Fields{"error": err.Error()})
+}
+
+// CertificateExpires reports how long until the first certificate expires.
+func (l *Logger) CertificateExpires(left time.Duration) {
+	l.emit(certExpires, log.Fields{"expires_seconds": seconds(left)})
+}
+
 // HeadsAdopted reports a newer heads row and where it came from.
 func (l *Logger) HeadsAdopted(version uint64, from string) {
 	l.emit(headsAdopted, log.Fields{"heads_version": version, "from": from})
--- a/meter/catalogue.go
+++ b/meter/catalogue.go
@@ -32,6 +32,7 @@
 	targetDrain    = "celeryhead_target_drain_seconds"
 	proofAge       = "celeryhead_proof_age_seconds"
 	configVersion  = "celeryhead_config_version"
+	certExpiry     = "celeryhead_certificate_expiry_seconds"
 	storeFailures  = "celeryhead_store_failures"
 	claimCommits   = "celeryhead_claim_transactions_total"
 	claimsLost     = "celeryhead_claims_dropped_total"
@@ -56,6 +57,7 @@
 		{targetDrain, Histogram, "seconds", "pool"},
 		{proofAge, Gauge, "seconds", "scope"},
 		{configVersion, Gauge, "version", ""},
+		{certExpiry, Gauge, "seconds", "certificate"},
 		{storeFailures, Gauge, "calls", ""},
 		{claimCommits, Counter, "transactions", ""},
 		{claimsLost, Counter, "claims", ""},
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -170,6 +170,8 @@
 	ClaimsLost    uint64
 	ClaimsRefused uint64
 	ShiftSteps    map[string]int
+	// CertificateExpiries holds the time left for each certificate in use.
+	CertificateExpiries map[string]time.Duration
 }
 
 // Write writes all metrics in the text format of Prometheus.
@@ -182,6 +184,9 @@
 	for n, d := range s.ProofAges {
 		m.gauge(d.Seconds(), proofAge, "scope", n)
 	}
+	for n, d := range s.CertificateExpiries {
+		m.gauge(d.Seconds(), certExpiry, "certificate", n)
+	}
 	for n, k := range s.ShiftSteps {
 		m.gauge(float64(k), shiftStep, "shift", n)
 	}
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -39,6 +39,8 @@
 			Pools:      map[string]meter.Pool{"pitch": {Slots: 3, Free: 1}},
 			ProofAges:  map[string]time.Duration{"fleet": time.Second},
 			ShiftSteps: map[string]int{"dawn": 2},
+
+			CertificateExpiries: map[string]time.Duration{"peer": time.Hour},
 		})
 
 		Convey("refusals within the rate are told from those over it", func() {
--- a/server/links.go
+++ b/server/links.go
@@ -19,7 +19,8 @@
 
 // links keeps a client of the peer service for each instance.
 type links struct {
-	tls *tls.Config
+	// tls returns the settings of a connection that is opened.
+	tls func() *tls.Config
 	// addresses are dialed in place of those that instances announce, by name.
 	addresses map[string]netip.AddrPort
 
@@ -36,7 +37,7 @@
 	timeouts int
 }
 
-func newLinks(t *tls.Config, addresses map[string]netip.AddrPort) *links {
+func newLinks(t func() *tls.Config, addresses map[string]netip.AddrPort) *links {
 	return &links{tls: t, addresses: addresses, peers: map[netip.AddrPort]*link{}}
 }
 
@@ -59,17 +60,35 @@
 	k := &link{}
 	// A transport with its own TLS settings does not use HTTP/2, so calls do not share one connection that may be silent.
 	k.transport = &http.Transport{
-		TLSClientConfig:     l.tls.Clone(),
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     10 * time.Second,
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		TLSHandshakeTimeout: time.Second,
+		DialTLSContext:      l.dial,
 	}
 	k.Peer = messenger.NewPeerProtobufClient("https://"+a.String(), &http.Client{Transport: k})
 	l.peers[a] = k
 	return k
 }
 
+// dialTimeout bounds opening a connection to a peer, TLS handshake included.
+const dialTimeout = time.Second
+
+// dial opens a connection with the certificates in use now.
+func (l *links) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	x, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	d := tls.Dialer{Config: l.tls()}
+	return d.DialContext(x, network, address)
+}
+
+// closeIdle closes the connections that no call uses.
+func (l *links) closeIdle() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range l.peers {
+		k.transport.CloseIdleConnections()
+	}
+}
+
 // RoundTrip counts timeouts in a row.
 func (k *link) RoundTrip(r *http.Request) (*http.Response, error) {
 	p, err := k.transport.RoundTrip(r)
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -39,6 +39,7 @@
 	for n, c := range map[string]attester.Scope{"fleet": attester.Fleet, "region": attester.Region, "fleet_owner": attester.FleetOwner} {
 		m.ProofAges[n] = s.control.ProofAge(c, now)
 	}
+	m.CertificateExpiries = s.expiries(time.Now())
 	for _, h := range v.Config.Shifts {
 		m.ShiftSteps[h.Name] = int(v.Heads.Shifts[h.Name].Step)
 	}
--- a/server/operators.go
+++ b/server/operators.go
@@ -15,7 +15,7 @@
 )
 
 func (s *Server) operatorsHandler() http.Handler {
-	return identified(messenger.NewOperatorServer(&operatorService{server: s}))
+	return s.trusted(identified(messenger.NewOperatorServer(&operatorService{server: s})))
 }
 
 // operatorService serves operators.
--- a/server/peers.go
+++ b/server/peers.go
@@ -17,7 +17,7 @@
 	r.PathPrefix(t.PathPrefix()).Handler(identified(t))
 	r.Path(forwardPath).HandlerFunc(s.fromPeer(s.own))
 	r.Path(enterPath).HandlerFunc(s.fromPeer(s.enterPassed))
-	return r
+	return s.trusted(r)
 }
 
 type identityKey struct{}
--- a/server/server.go
+++ b/server/server.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,7 +67,7 @@
 	tickets   *claimer.Tickets
 	operator  *operator.Operator
 
-	callersTLS, peersTLS, operatorsTLS *tls.Config
+	certificates *certifier.Renewer
 
 	inFlight atomic.Int64
 	leaving  atomic.Bool
@@ -87,16 +86,16 @@
 		Caller:        c.Settings.Listeners.Callers,
 		Peer:          c.Settings.Listeners.Peers,
 	}
-	t, err := s.loadTLS()
-	if err != nil {
-		return nil, err
+	var err error
+	if s.certificates, err = certifier.NewRenewer(RenewerConfig(c.Settings)); err != nil {
+		return nil, merry.Prepend(err, "tls")
 	}
 	if s.store, err = storer.New(storer.Config{Addresses: c.Settings.Platform.Store, Timeout: c.Settings.Platform.StoreTimeout}); err != nil {
 		return nil, err
 	}
-	s.links = newLinks(t, c.Settings.PeerAddresses)
+	s.links = newLinks(s.certificates.Client, c.Settings.PeerAddresses)
 	s.targets = forwarder.New(forwarder.Config{MaxConnections: maxTargetConnections})
-	s.peers = forwarder.New(forwarder.Config{TLS: t, MaxConnections: maxPeerConnections, MaxIdle: maxPeerConnections})
+	s.peers = forwarder.New(forwarder.Config{TLS: s.certificates.Client, MaxConnections: maxPeerConnections, MaxIdle: maxPeerConnections})
 	s.pools = newPools(s)
 	s.choosers = newChoosers(s)
 	s.buckets = limiter.NewOwner()
@@ -136,37 +135,6 @@
 	return s, nil
 }
 
-func (s *Server) loadTLS() (*tls.Config, error) {
-	n := s.settings.TLS
-	var c certifier.Config
-	for _, f := range []struct {
-		path string
-		to   *[]byte
-	}{{n.Authority, &c.Authority}, {n.Certificate, &c.Pair.Certificate}, {n.Key, &c.Pair.Key}} {
-		b, err := os.ReadFile(f.path)
-		if err != nil {
-			return nil, merry.Prepend(err, "tls")
-		}
-		*f.to = b
-	}
-	var err error
-	if s.peersTLS, err = certifier.ServerConfig(c, certifier.Peer); err != nil {
-		return nil, merry.Prepend(err, "tls")
-	}
-	if s.operatorsTLS, err = certifier.ServerConfig(c, certifier.Operator); err != nil {
-		return nil, merry.Prepend(err, "tls")
-	}
-	if n.CallersCertificate != "" {
-		p, err := tls.LoadX509KeyPair(n.CallersCertificate, n.CallersKey)
-		if err != nil {
-			return nil, merry.Prepend(err, "tls.callers_certificate")
-		}
-		s.callersTLS = &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{p}}
-	}
-	t, err := certifier.ClientConfig(c)
-	return t, merry.Prepend(err, "tls")
-}
-
 type listener struct {
 	name    string
 	address netip.AddrPort
@@ -178,9 +146,9 @@
 func (s *Server) listeners() []*listener {
 	l := s.settings.Listeners
 	return []*listener{
-		{name: "callers", address: l.Callers, tls: s.callersTLS, server: s.httpServer(s.callersHandler())},
-		{name: "peers", address: l.Peers, tls: s.peersTLS, server: s.httpServer(s.peersHandler())},
-		{name: "operators", address: l.Operators, tls: s.operatorsTLS, server: s.httpServer(s.operatorsHandler())},
+		{name: "callers", address: l.Callers, tls: s.certificates.Callers(), server: s.httpServer(s.callersHandler())},
+		{name: "peers", address: l.Peers, tls: s.certificates.Server(certifier.Peer), server: s.httpServer(s.peersHandler())},
+		{name: "operators", address: l.Operators, tls: s.certificates.Server(certifier.Operator), server: s.httpServer(s.operatorsHandler())},
 		{name: "metrics", address: l.Metrics, server: s.httpServer(s.metricsHandler())},
 	}
 }
@@ -216,7 +184,7 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var g sync.WaitGroup
-	for _, f := range []func(context.Context){s.control.Run, s.pools.run, s.runClaims, s.runSweeps, s.runProbes, s.runTicks} {
+	for _, f := range []func(context.Context){s.control.Run, s.pools.run, s.runClaims, s.runSweeps, s.runProbes, s.runTicks, s.runCertificates} {
 		g.Go(func() { f(work) })
 	}
 	s.log.Started(s.self.Caller, s.self.Peer, s.settings.Listeners.Operators, s.self.Incarnation)
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -25,7 +25,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p, err := a.Issue(certifier.Peer, "west-1", time.Now(), time.Hour)
+	listener := netip.MustParseAddrPort("127.0.0.1:2")
+	p, err := a.Issue(certifier.Peer, "west-1", time.Now(), time.Hour, listener.Addr())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -33,6 +34,7 @@
 	s := loader.Default()
 	s.Name, s.Region, s.FailureDomain = "west-1", "west", "west_a"
 	// Nothing listens or is called before Run.
+	s.Listeners.Peers = listener
 	s.Platform.Store = []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}
 	for path, b := range map[*string][]byte{&s.TLS.Authority: a.Pair().Certificate, &s.TLS.Certificate: p.Certificate, &s.TLS.Key: p.Key} {
 		f, err := os.CreateTemp(d, "*.pem")
