Let a request wait for a token for half of its time, the earliest end of a wait first

Cause: each request waited 400 ms for a token, whatever its deadline, in order of arrival. A renewal with 30 s was refused as fast as a look-up with 500 ms, and a look-up queued behind renewals. Change: the wait ends after half of the time until the deadline, at most 5 s; waiting requests are ordered by the end of their wait, which also removes the second way through the queue; in a full queue the one whose wait would end last is refused. Before (TestPromptRequestsComeFirst on the old code): "with a full queue refused [{3 ...}], want 2, whose wait ends last".

--- a/limiter/account.go
+++ b/limiter/account.go
@@ -22,18 +22,21 @@
 	unknownRoundTrip = 10 * time.Millisecond
 	// noOwnerRetry is the advice while no owner answers.
 	noOwnerRetry = time.Second
+	// waitShare is the part of the time until its deadline that a request may wait for a token, as a divisor.
+	waitShare = 2
+	// maxWait bounds the wait of requests with late deadlines.
+	maxWait = 5 * time.Second
 )
 
 // account is the state of one client account at an entry instance.
 type account struct {
 	// grants are ordered by lapse.
-	grants  []grant
-	sides   [2]side
+	grants []grant
+	sides  [2]side
+	// waiting is ordered by until.
 	waiting []waiter
-	// mixed is true if a waiting request may have to leave before an earlier one.
-	mixed  bool
-	demand demand
-	seen   time.Time
+	demand  demand
+	seen    time.Time
 }
 
 type grant struct {
@@ -153,10 +156,13 @@
 	return n
 }
 
+// wait puts a request behind those whose wait ends at the same time or earlier.
 func (a *account) wait(w waiter) {
-	n := len(a.waiting)
-	a.mixed = n > 0 && (a.mixed || w.until.Before(a.waiting[n-1].until))
-	a.waiting = append(a.waiting, w)
+	i := len(a.waiting)
+	for i > 0 && w.until.Before(a.waiting[i-1].until) {
+		i--
+	}
+	a.waiting = slices.Insert(a.waiting, i, w)
 }
 
 // serve gives tokens to waiting requests in their order and refuses those that can get none in time.
@@ -165,10 +171,6 @@
 		return
 	}
 	hopeless := a.emptyUntil(now)
-	if a.mixed {
-		a.waiting = slices.DeleteFunc(a.waiting, func(w waiter) bool { return a.settle(now, w, hopeless, act) })
-		return
-	}
 	// One that stays is followed by those that stay, so that an overloaded account costs no more than others.
 	n := 0
 	for n < len(a.waiting) && a.settle(now, a.waiting[n], hopeless, act) {
@@ -306,11 +308,6 @@
 		return t
 	}
 	t = a.waiting[0].until
-	if a.mixed {
-		for _, w := range a.waiting {
-			t = earlier(t, w.until)
-		}
-	}
 	for i := range a.sides {
 		s := &a.sides[i]
 		n := s.ready()
--- a/limiter/holder.go
+++ b/limiter/holder.go
@@ -8,18 +8,14 @@
 
 // HolderConfig configures a Holder.
 type HolderConfig struct {
-	// Wait is the longest time that a request waits for a token; the default is 400 ms.
-	Wait time.Duration
-	// MaxWaiting limits the waiting requests of an account; the default is 1024.
+	// MaxWaiting limits the waiting requests of an account; the default is 1024. Beyond it the one is refused whose wait
+	// would end last.
 	MaxWaiting int
 	// MaxAccounts limits the accounts in memory; the default is 4096.
 	MaxAccounts int
 }
 
 func (c HolderConfig) withDefaults() HolderConfig {
-	if c.Wait == 0 {
-		c.Wait = 400 * time.Millisecond
-	}
 	if c.MaxWaiting == 0 {
 		c.MaxWaiting = 1024
 	}
@@ -84,7 +80,14 @@
 	return &Holder{c: c.withDefaults(), accounts: indexer.New[string, account]()}
 }
 
-// Take takes a token for a request with a deadline, lets it wait for one, or refuses it.
+// waitUntil returns how long a request with a deadline waits for a token: one that may take long waits longer before it
+// is refused, and each keeps half of its time for what follows.
+func waitUntil(now, deadline time.Time) time.Time {
+	return now.Add(min(deadline.Sub(now)/waitShare, maxWait))
+}
+
+// Take takes a token for a request with a deadline, lets it wait for one, or refuses it. Of the requests that wait, those
+// whose wait ends first are served first.
 func (h *Holder) Take(now time.Time, name string, deadline time.Time) (ID, Actions) {
 	h.last++
 	a := h.account(now, name)
@@ -93,18 +96,14 @@
 	}
 	a.seen = now
 	a.demand.add(now, 1)
-	until := now.Add(h.c.Wait)
-	if deadline.Before(until) {
-		until = deadline
-	}
-	w := waiter{id: h.last, since: now, until: until}
-	if len(a.waiting) >= h.c.MaxWaiting {
-		act := h.advance(now, name, a)
-		act.Refused = append(act.Refused, a.refuse(now, w))
-		return w.id, act
-	}
+	w := waiter{id: h.last, since: now, until: waitUntil(now, deadline)}
 	a.wait(w)
-	return w.id, h.advance(now, name, a)
+	act := h.advance(now, name, a)
+	if n := len(a.waiting); n > h.c.MaxWaiting {
+		act.Refused = append(act.Refused, a.refuse(now, a.waiting[n-1]))
+		a.waiting = a.waiting[:n-1]
+	}
+	return w.id, act
 }
 
 // Cancel forgets a waiting request.
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -574,3 +574,30 @@
 func TestOwnersNeverAboveAllowance(t *testing.T) {
 	check(t, 10**runs, (*fleet).stepOwners)
 }
+
+// Guards against a prompt request that is refused, or waits, because requests that may wait long came before it.
+func TestPromptRequestsComeFirst(t *testing.T) {
+	now := epoch
+	h := limiter.NewHolder(limiter.HolderConfig{MaxWaiting: 2})
+	slow, a := h.Take(now, "kiln", now.Add(30*time.Second))
+	ask := a.Asks[0]
+	slower, _ := h.Take(now, "kiln", now.Add(40*time.Second))
+	prompt, a := h.Take(now, "kiln", now.Add(time.Second))
+	if len(a.Refused) != 1 || a.Refused[0].ID != slower {
+		t.Fatalf("with a full queue refused %v, want %d, whose wait ends last", a.Refused, slower)
+	}
+	now = now.Add(20 * time.Millisecond)
+	a = h.Granted(now, ask, limiter.Reply{Tokens: 1, Life: limiter.GrantLife})
+	if len(a.Taken) != 1 || a.Taken[0].ID != prompt {
+		t.Fatalf("the token went to %v, want %d", a.Taken, prompt)
+	}
+	for _, x := range []struct {
+		after   time.Duration
+		refused int
+	}{{after: 4900 * time.Millisecond}, {after: 5 * time.Second, refused: 1}} {
+		a = h.Advance(epoch.Add(x.after), "kiln")
+		if len(a.Refused) != x.refused || x.refused == 1 && a.Refused[0].ID != slow {
+			t.Errorf("after %v refused %v, want %d requests", x.after, a.Refused, x.refused)
+		}
+	}
+}
--- a/server/allowances.go
+++ b/server/allowances.go
@@ -151,8 +151,8 @@
 	return nil
 }
 
-// placeWait bounds the wait for a token of a shift; without one the request goes to its home region at once.
-const placeWait = 50 * time.Millisecond
+// placeTime bounds the wait for a token of a shift to its half; without one the request goes to its home region at once.
+const placeTime = 100 * time.Millisecond
 
 // place decides in which region a request of a moved block is served: beyond the cap of the shift it goes back to the home region.
 func (s *Server) place(ctx context.Context, c *call) {
@@ -166,7 +166,7 @@
 		c.avoid = h.To
 		return
 	}
-	if f := s.allowance.Take(ctx, controller.ShiftBucket(h.Name), s.clock().Add(placeWait)); f != nil {
+	if f := s.allowance.Take(ctx, controller.ShiftBucket(h.Name), s.clock().Add(placeTime)); f != nil {
 		c.region, c.avoid = h.From, h.To
 	}
 }
