Read and write heads rows that name their member lists by digest

Cause: the heads row holds every member of every assignment, 207 KB at 880 instances, is read twice a second and is fetched by all on each change (docs/CAPACITY.md 3.4 and 3.5). Design 2.11 names each list by digest. Ruled out: JSON lines for the list (about 110 B for a member, comma-separated values have 62 B); lists of scopes without members, which stay in the row. Before: TestReadFitsTheTarget with rows of the form before: '880 instances: a read takes 276346 bytes, the limit is 3000'. After: 1,962 B a read; a row of the old form is read and written as before. Nothing writes the new form yet. Conclusion: chunks of 1 KB on average cost the least for a change at 880 instances (BenchmarkMemberChange).

--- a/chunker/split.go
+++ b/chunker/split.go
@@ -22,6 +22,10 @@
 // larger ones more bytes for a change; docs/measurements.d/chunker.md compares them.
 var DefaultSizes = Sizes{Min: 1 << 10, Mean: 4 << 10, Max: 16 << 10}
 
+// MemberSizes are for member lists, where a change is mostly that of one line of about 65 bytes and a new list has a tenth
+// of the rows of a small configuration; docs/measurements.d/members.md compares sizes.
+var MemberSizes = Sizes{Min: 256, Mean: 1 << 10, Max: 4 << 10}
+
 // pageSizes are the sizes of the chunks of a list of names; multiples of nameSize.
 var pageSizes = Sizes{Min: 1 << 10, Mean: 2 << 10, Max: 8 << 10}
 
--- a/recorder/capacity_test.go
+++ b/recorder/capacity_test.go
@@ -3,9 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
+	"celeryhead.dev/celeryhead/chunker"
 	"celeryhead.dev/celeryhead/recorder"
 	"celeryhead.dev/celeryhead/storer"
 )
@@ -19,9 +22,10 @@
 		a.Members = append(a.Members, m)
 		h.Assignments[scope] = a
 	}
+	incarnations := rand.New(rand.NewPCG(1, 1)) //nolint:gosec // Not a secret.
 	for i := range n {
 		r := fmt.Sprint("region-", i%regions)
-		m := recorder.Member{Name: fmt.Sprintf("%s-instance-%03d", r, i), Incarnation: 1 << 60, Region: r, FailureDomain: fmt.Sprintf("%s_%d", r, i%4)}
+		m := recorder.Member{Name: fmt.Sprintf("%s-instance-%03d", r, i), Incarnation: incarnations.Uint64(), Region: r, FailureDomain: fmt.Sprintf("%s_%d", r, i%4)}
 		add(r, m)
 		add("", m)
 	}
@@ -29,53 +33,170 @@
 	return h
 }
 
+// byDigest returns h with the members of each scope named by the digest of their list, and the lists in chunks.
+func byDigest(tb testing.TB, h recorder.Heads, s chunker.Sizes) (recorder.Heads, map[string]*chunker.Tree) {
+	h = h.Clone()
+	l := map[string]*chunker.Tree{}
+	for n, a := range h.Assignments {
+		b, err := recorder.EncodeMembers(a.Members)
+		if err != nil {
+			tb.Fatal(err)
+		}
+		l[n] = chunker.New(b, s)
+		h.Assignments[n] = recorder.Assignment{Epoch: a.Epoch, Count: len(a.Members), Digest: recorder.Digest(l[n].Manifest.TextDigest)}
+	}
+	return h, l
+}
+
+type form struct {
+	name  string
+	heads recorder.Heads
+}
+
+// forms returns heads with n instances in both forms of the row.
+func forms(tb testing.TB, n, regions int) []form {
+	h := heads(n, regions)
+	d, _ := byDigest(tb, h, chunker.MemberSizes)
+	return []form{{"inline", h}, {"digest", d}}
+}
+
+// answer returns the row and the store's answer to a read of it.
+func answer(tb testing.TB, h recorder.Heads) (row, read []byte) {
+	v, err := h.Encode()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	w, err := json.Marshal(storer.Rows{Rows: []storer.Row{{Key: recorder.HeadsKey, Version: 100_000, Value: v}}})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return v, w
+}
+
+var fleets = []struct{ instances, regions int }{{7, 3}, {120, 5}, {880, 10}}
+
+// Guards against a heads row whose reading alone takes the 3 KB/s that a daemon may use for control, with one reader per
+// failure domain that reads once a second (design 1.7 and 2.7).
+func TestReadFitsTheTarget(t *testing.T) {
+	const limit = 3_000
+	for _, s := range fleets {
+		if _, read := answer(t, forms(t, s.instances, s.regions)[1].heads); len(read) > limit {
+			t.Errorf("%d instances: a read takes %d bytes, the limit is %d", s.instances, len(read), limit)
+		}
+	}
+}
+
 // BenchmarkHeads reports the size of the heads row and of the store's answer to a read of it, besides the time to
-// decode the answer and the row.
+// decode the answer and the row, in both forms.
 func BenchmarkHeads(b *testing.B) {
-	for _, s := range []struct{ instances, regions int }{{7, 3}, {20, 3}, {60, 5}, {120, 5}, {880, 10}} {
+	for _, s := range fleets {
+		for _, f := range forms(b, s.instances, s.regions) {
+			b.Run(fmt.Sprintf("%s/%d", f.name, s.instances), func(b *testing.B) {
+				v, w := answer(b, f.heads)
+				b.ReportAllocs()
+				for b.Loop() {
+					var r storer.Rows
+					if err := json.Unmarshal(w, &r); err != nil {
+						b.Fatal(err)
+					}
+					if _, err := recorder.DecodeHeads(r.Rows[0].Value); err != nil {
+						b.Fatal(err)
+					}
+				}
+				b.ReportMetric(float64(len(v)), "B/row")
+				b.ReportMetric(float64(len(w)), "B/read")
+			})
+		}
+	}
+}
+
+// BenchmarkReadUnchanged decodes the store's answer only, as an instance does when the row's version is known.
+func BenchmarkReadUnchanged(b *testing.B) {
+	for _, s := range fleets {
+		for _, f := range forms(b, s.instances, s.regions) {
+			b.Run(fmt.Sprintf("%s/%d", f.name, s.instances), func(b *testing.B) {
+				_, w := answer(b, f.heads)
+				b.ReportAllocs()
+				for b.Loop() {
+					var r storer.Rows
+					if err := json.Unmarshal(w, &r); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkMembers reads the list of the whole fleet, as an instance does when one of its members changed.
+func BenchmarkMembers(b *testing.B) {
+	for _, s := range fleets {
 		b.Run(fmt.Sprint(s.instances), func(b *testing.B) {
-			v, err := heads(s.instances, s.regions).Encode()
-			if err != nil {
-				b.Fatal(err)
-			}
-			w, err := json.Marshal(storer.Rows{Rows: []storer.Row{{Key: recorder.HeadsKey, Version: 100_000, Value: v}}})
-			if err != nil {
-				b.Fatal(err)
-			}
+			h, l := byDigest(b, heads(s.instances, s.regions), chunker.MemberSizes)
 			b.ReportAllocs()
 			for b.Loop() {
-				var r storer.Rows
-				if err := json.Unmarshal(w, &r); err != nil {
-					b.Fatal(err)
-				}
-				if _, err := recorder.DecodeHeads(r.Rows[0].Value); err != nil {
+				if _, err := h.Assignments[""].WithMembers(l[""].Text); err != nil {
 					b.Fatal(err)
 				}
 			}
-			b.ReportMetric(float64(len(v)), "B/row")
-			b.ReportMetric(float64(len(w)), "B/read")
+			b.ReportMetric(float64(len(l[""].Text)), "B/list")
 		})
 	}
 }
 
-// BenchmarkReadUnchanged decodes the store's answer only, as an instance does when the row's version is known.
-func BenchmarkReadUnchanged(b *testing.B) {
-	for _, s := range []struct{ instances, regions int }{{7, 3}, {120, 5}, {880, 10}} {
-		b.Run(fmt.Sprint(s.instances), func(b *testing.B) {
-			v, err := heads(s.instances, s.regions).Encode()
-			if err != nil {
-				b.Fatal(err)
+// BenchmarkMemberChange reports what a change of one member makes new in the lists of its region and of the fleet, for
+// sizes of chunks: the mean of 20 changes in bytes of manifests and chunks, and the rows of a new deployment.
+func BenchmarkMemberChange(b *testing.B) {
+	for _, s := range fleets {
+		for _, mean := range []int{512, 1 << 10, 2 << 10, 4 << 10, 8 << 10} {
+			b.Run(fmt.Sprintf("%d/%d", s.instances, mean), func(b *testing.B) {
+				sizes := chunker.Sizes{Min: max(64, mean/4), Mean: mean, Max: 4 * mean}
+				var bytes, rows int
+				for b.Loop() {
+					bytes, rows = changes(b, s.instances, s.regions, sizes)
+				}
+				b.ReportMetric(float64(bytes)/20, "B/change")
+				b.ReportMetric(float64(rows), "rows")
+			})
+		}
+	}
+}
+
+func changes(b *testing.B, instances, regions int, s chunker.Sizes) (bytes, rows int) {
+	old := heads(instances, regions)
+	_, before := byDigest(b, old, s)
+	for _, t := range before {
+		for range t.Chunks() {
+			rows++
+		}
+	}
+	for i := range 20 {
+		h := old.Clone()
+		m := old.Assignments[""].Members[i*instances/20]
+		for _, n := range []string{"", m.Region} {
+			a := h.Assignments[n]
+			a.Members = slices.Clone(a.Members)
+			k := slices.Index(a.Members, m)
+			if i%2 == 0 {
+				a.Members = slices.Delete(a.Members, k, k+1)
+			} else {
+				a.Members[k].Incarnation += uint64(i)
 			}
-			w, err := json.Marshal(storer.Rows{Rows: []storer.Row{{Key: recorder.HeadsKey, Version: 100_000, Value: v}}})
+			h.Assignments[n] = a
+		}
+		_, after := byDigest(b, h, s)
+		for _, n := range []string{"", m.Region} {
+			v, err := after[n].Manifest.Encode()
 			if err != nil {
 				b.Fatal(err)
 			}
-			for b.Loop() {
-				var r storer.Rows
-				if err := json.Unmarshal(w, &r); err != nil {
-					b.Fatal(err)
+			bytes += len(v)
+			for c, t := range after[n].Chunks() {
+				if _, ok := before[n].Chunk(c); !ok {
+					bytes += len(t)
 				}
 			}
-		})
+		}
 	}
+	return bytes, rows
 }
--- a/recorder/heads.go
+++ b/recorder/heads.go
@@ -26,9 +26,15 @@
 }
 
 // Assignment names the instances that own the targets or buckets of a scope.
+//
+// A row holds either Members, or Count and Digest of the member list, which has rows of its own.
 type Assignment struct {
-	Epoch   uint64   `json:"epoch"`
-	Members []Member `json:"members"`
+	Epoch uint64 `json:"epoch"`
+	// Members are in order of name; after DecodeHeads they are absent if Digest is set.
+	Members []Member `json:"members,omitempty"`
+	Count   int      `json:"count,omitzero"`
+	// Digest is that of EncodeMembers; it is zero if the row holds the members.
+	Digest Digest `json:"digest,omitzero"`
 }
 
 // Member is one incarnation of an instance.
@@ -86,7 +92,15 @@
 	if len(value) == 0 {
 		return h, nil
 	}
-	return h, decode(value, &h)
+	if err := decode(value, &h); err != nil {
+		return h, err
+	}
+	for n, a := range h.Assignments {
+		if a.ByDigest() != (a.Count > 0) || a.ByDigest() && len(a.Members) > 0 {
+			return h, merry.Appendf(ErrCorrupt, "assignment of %q", n)
+		}
+	}
+	return h, nil
 }
 
 // Audit is the content of an audit row.
--- a/recorder/keys.go
+++ b/recorder/keys.go
@@ -13,7 +13,12 @@
 	return fmt.Sprintf("manifest/%020d", version)
 }
 
-// ChunkKey returns the key of the row that holds the chunk with a SHA-256 digest; versions share their chunks.
+// MembersKey returns the key of the row that holds the manifest of the member list with a SHA-256 digest.
+func MembersKey(digest [32]byte) string {
+	return fmt.Sprintf("members/%x", digest)
+}
+
+// ChunkKey returns the key of the row that holds the chunk with a SHA-256 digest; versions and member lists share their chunks.
 func ChunkKey(digest [32]byte) string {
 	return fmt.Sprintf("chunk/%x", digest)
 }
