Share the writes of chunks between configurations and member lists

Cause: member lists are to be stored in chunks by the writer of assignments, as configurations are by operator; the bounds of a transaction hold for both. Ruled out: a second copy in controller. Before: operator.newChunks. After: collector.Writes, for several texts, whose shared chunks are written once; nothing else changes (operator's tests pass unchanged). Conclusion: no change of behaviour.

--- a/operator/commit.go
+++ b/operator/commit.go
@@ -10,6 +10,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"celeryhead.dev/celeryhead/chunker"
+	"celeryhead.dev/celeryhead/collector"
 	"celeryhead.dev/celeryhead/composer"
 	"celeryhead.dev/celeryhead/recorder"
 	"celeryhead.dev/celeryhead/storer"
@@ -107,7 +108,7 @@
 	if err != nil {
 		return made{}, true, err
 	}
-	chunks := newChunks(s.writtenOf(base), p.tree)
+	chunks := collector.Writes(s.writtenOf(base).Chunk, p.tree)
 	if err = o.writeAhead(ctx, p, chunks[:len(chunks)-1]); err != nil {
 		return made{}, false, err
 	}
