Write assignments with their member lists by digest, and fetch the lists in chunks

Ruled out: a second fetcher (collector gathers the lists, with sources of its own); lists one after the other, since a silent peer would cost 1 s for each of 11; a part of a row, which would serve with another's members; the old form until an operator says so, since heartbeats tell who reads lists. Change: a heads row is adopted with all its lists or not at all; lists and row are written in one transaction; while a peer does not say that it reads lists, rows are written in the old form, and the first instance by name that reads lists rewrites a row that such a peer could not read. What an instance wrote itself it need not fetch, so a lost reply leaves nothing to fetch.

--- a/collector/peer.go
+++ b/collector/peer.go
@@ -62,11 +62,11 @@
 	return r.Chunks, nil
 }
 
-// Answer returns the reply to a peer that fetches chunks of t; names that are malformed or too many are an error.
-func Answer(t *chunker.Tree, r *messenger.FetchChunksRequest) (*messenger.Chunks, error) {
+// Answer returns the reply to a peer that fetches chunks; names that are malformed or too many are an error.
+func Answer(get func(chunker.Name) ([]byte, bool), r *messenger.FetchChunksRequest) (*messenger.Chunks, error) {
 	l, err := chunker.DecodeNames(r.Names)
 	if err != nil || len(l) > BatchNames {
 		return nil, twirp.InvalidArgumentError("names", "must be digests, not too many")
 	}
-	return &messenger.Chunks{Chunks: Pick(l, t.Chunk)}, nil
+	return &messenger.Chunks{Chunks: Pick(l, get)}, nil
 }
--- a/controller/adopt.go
+++ b/controller/adopt.go
@@ -10,19 +10,27 @@
 
 	"celeryhead.dev/celeryhead/assigner"
 	"celeryhead.dev/celeryhead/chunker"
+	"celeryhead.dev/celeryhead/messenger"
 	"celeryhead.dev/celeryhead/recorder"
 	"celeryhead.dev/celeryhead/storer"
 )
 
-// source returns the configuration that a heads row names.
-type source func(ctx context.Context, h recorder.Heads) (*chunker.Tree, error)
+// origin says where a heads row came from, and which of the sources of what it names is asked first.
+type origin struct {
+	name string
+	// peer is nil if the row did not come from a peer.
+	peer messenger.Peer
+	// text is the configuration, or nil if it has to be fetched.
+	text []byte
+}
 
 func emptyHeads() recorder.Heads {
 	return recorder.Heads{Assignments: map[string]recorder.Assignment{}, Shifts: map[string]recorder.ShiftStep{}}
 }
 
-// adopt applies a heads row that is newer than the present one and ignores any other.
-func (c *Controller) adopt(ctx context.Context, r storer.Row, from string, fetch source) error {
+// adopt applies a heads row that is newer than the present one, with all that it names, and ignores any other. After an
+// error the present row stays in force.
+func (c *Controller) adopt(ctx context.Context, r storer.Row, o origin) error {
 	c.adopting.Lock()
 	defer c.adopting.Unlock()
 	old := c.view.Load()
@@ -36,7 +44,11 @@
 	if h.ConfigVersion < old.Heads.ConfigVersion {
 		return merry.Errorf("heads version %d names configuration %d, older than %d", r.Version, h.ConfigVersion, old.Heads.ConfigVersion)
 	}
-	t, err := c.tree(ctx, old, h, fetch)
+	h, lists, err := c.withMembers(ctx, old, r.Version, h, o)
+	if err != nil {
+		return err
+	}
+	t, err := c.tree(ctx, old, h, o)
 	if err != nil {
 		return err
 	}
@@ -45,21 +57,22 @@
 		c.config.Log.ConfigRejected(h.ConfigVersion, err)
 		return err
 	}
+	v.Lists = lists
 	c.apply(old, v)
-	c.config.Log.HeadsAdopted(r.Version, from)
+	c.config.Log.HeadsAdopted(r.Version, o.name)
 	if h.ConfigVersion != old.Heads.ConfigVersion {
 		c.collector.Forget()
-		c.config.Log.ConfigAdopted(h.ConfigVersion, from)
+		c.config.Log.ConfigAdopted(h.ConfigVersion, o.name)
 	}
 	c.kickTicks()
 	return nil
 }
 
-func (c *Controller) tree(ctx context.Context, old *View, h recorder.Heads, fetch source) (*chunker.Tree, error) {
+func (c *Controller) tree(ctx context.Context, old *View, h recorder.Heads, o origin) (*chunker.Tree, error) {
 	if h.ConfigVersion == old.Heads.ConfigVersion {
 		return old.Tree, nil
 	}
-	t, err := fetch(ctx, h)
+	t, err := c.fetchText(ctx, h, o)
 	if err != nil {
 		return nil, merry.Prependf(err, "fetching configuration %d", h.ConfigVersion)
 	}
--- a/controller/beats.go
+++ b/controller/beats.go
@@ -96,7 +96,10 @@
 // noteReport records versions, load and released work of a peer; c.mu is held.
 func (c *Controller) noteReport(b *messenger.Beat, now time.Time) {
 	f := instance(b.GetFrom())
-	c.reports[f.Name] = report{at: now, configVersion: b.ConfigVersion, headsVersion: b.HeadsVersion, rate: b.Rate, region: f.Region}
+	c.reports[f.Name] = report{
+		at: now, incarnation: f.Incarnation, configVersion: b.ConfigVersion, headsVersion: b.HeadsVersion, readsLists: b.ReadsLists,
+		rate: b.Rate, region: f.Region,
+	}
 	r := make(map[assigner.Resource]assigner.Residue, len(b.Residues))
 	for _, d := range b.Residues {
 		k := c.view.Load().TargetResource(d.Target)
@@ -158,6 +161,7 @@
 		Acts:            k.Acts,
 		ReleasedVersion: c.assigner.Released(now),
 		Unheard:         k.Unheard,
+		ReadsLists:      true,
 	}
 	b.From.State = s
 	c.addInherited(b, now)
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -99,8 +99,10 @@
 // report is what a peer said in its newest heartbeat.
 type report struct {
 	at            time.Time
+	incarnation   uint64
 	configVersion uint64
 	headsVersion  uint64
+	readsLists    bool
 	rate          float64
 	region        string
 }
--- a/controller/fetch.go
+++ b/controller/fetch.go
@@ -26,24 +26,36 @@
 	maxHolders = 2
 )
 
-// fromSources fetches configurations from the given sources, then from peers that reported the version, then from the store.
-func (c *Controller) fromSources(first ...collector.Source) source {
-	return func(ctx context.Context, h recorder.Heads) (*chunker.Tree, error) {
-		x, cancel := context.WithTimeout(ctx, fetchTimeout)
-		defer cancel()
-		s := slices.Concat(first, c.holders(h.ConfigVersion, first), []collector.Source{collector.FromStore(c.config.Store)})
-		return c.collector.Collect(x, collector.Text{Version: h.ConfigVersion, Digest: chunker.Name(h.ConfigDigest), Held: c.Chunk}, s...)
+// fetchText fetches the configuration from the origin, then from peers that reported the version, then from the store.
+func (c *Controller) fetchText(ctx context.Context, h recorder.Heads, o origin) (*chunker.Tree, error) {
+	if o.text != nil {
+		return chunker.New(o.text, chunker.DefaultSizes), nil
 	}
+	x, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	var s []collector.Source
+	for _, p := range c.holders(o, func(r report) bool { return r.configVersion == h.ConfigVersion }) {
+		s = append(s, collector.FromPeer(p.name, p.client))
+	}
+	s = append(s, collector.FromStore(c.config.Store))
+	return c.collector.Collect(x, collector.Text{Version: h.ConfigVersion, Digest: chunker.Name(h.ConfigDigest), Held: c.Chunk}, s...)
 }
 
-// holders returns peers that reported the version, those of the own region first; instances choose different ones.
-func (c *Controller) holders(version uint64, but []collector.Source) []collector.Source {
+// holder is a peer that is asked for what a heads row names.
+type holder struct {
+	name   string
+	client messenger.Peer
+}
+
+// holders returns the origin and peers whose report says that they hold it, those of the own region first; instances
+// choose different ones.
+func (c *Controller) holders(o origin, holds func(report) bool) []holder {
 	c.mu.Lock()
 	var l []tracker.Instance
 	for _, p := range c.tracker.Peers(c.config.Clock()) {
 		reached := p.State != tracker.Suspected && p.State != tracker.Gone
-		known := slices.ContainsFunc(but, func(s collector.Source) bool { return s.Name() == p.Name })
-		if reached && !known && c.reports[p.Name].configVersion == version {
+		known := o.peer != nil && o.name == p.Name
+		if reached && !known && holds(c.reports[p.Name]) {
 			l = append(l, p.Instance)
 		}
 	}
@@ -51,9 +63,12 @@
 	slices.SortFunc(l, func(a, b tracker.Instance) int {
 		return cmp.Or(cmp.Compare(c.distance(a), c.distance(b)), cmp.Compare(c.mix(a), c.mix(b)))
 	})
-	var out []collector.Source
+	var out []holder
+	if o.peer != nil {
+		out = append(out, holder{name: o.name, client: o.peer})
+	}
 	for _, i := range l[:min(len(l), maxHolders)] {
-		out = append(out, collector.FromPeer(i.Name, c.config.Dialer.Peer(i)))
+		out = append(out, holder{name: i.Name, client: c.config.Dialer.Peer(i)})
 	}
 	return out
 }
@@ -70,14 +85,14 @@
 	return xxhash.Sum64String(c.config.Self.Name + "\n" + i.Name)
 }
 
-// adoptFromPeer fetches the heads row, and the configuration if it is new, from a peer that has a newer version.
+// adoptFromPeer fetches the heads row, and what is new of that which it names, from a peer that has a newer version.
 func (c *Controller) adoptFromPeer(ctx context.Context, name string, p messenger.Peer) {
 	x, cancel := context.WithTimeout(ctx, headsTimeout)
 	defer cancel()
 	r, err := p.FetchHeads(x, &messenger.FetchHeadsRequest{})
 	if err == nil {
 		w := storer.Row{Key: recorder.HeadsKey, Version: r.Version, Value: r.Value}
-		err = c.adopt(ctx, w, name, c.fromSources(collector.FromPeer(name, p)))
+		err = c.adopt(ctx, w, origin{name: name, peer: p})
 	}
 	if err != nil {
 		c.config.Log.FetchFailed(name, err)
@@ -89,9 +104,9 @@
 	return c.collector
 }
 
-// Chunk returns a chunk of the configuration that this instance applies.
+// Chunk returns a chunk of the configuration or of a member list that this instance applies.
 func (c *Controller) Chunk(n chunker.Name) ([]byte, bool) {
-	return c.view.Load().Tree.Chunk(n)
+	return c.view.Load().Chunk(n)
 }
 
 // FetchManifest returns the manifest of the configuration that this instance applies, or nil if it is another version.
@@ -107,7 +122,7 @@
 	return &messenger.ManifestRow{Version: version, Value: b}, nil
 }
 
-// FetchChunks returns chunks of the configuration that this instance applies.
+// FetchChunks returns chunks of the configuration and of the member lists that this instance applies.
 func (c *Controller) FetchChunks(r *messenger.FetchChunksRequest) (*messenger.Chunks, error) {
-	return collector.Answer(c.view.Load().Tree, r)
+	return collector.Answer(c.view.Load().Chunk, r)
 }
--- a/controller/fetch_test.go
+++ b/controller/fetch_test.go
@@ -30,12 +30,14 @@
 
 var errInjected = errors.New("injected fault")
 
-// holder is a peer that applies a configuration; chunks is what it does when it is asked for the nth time.
+// holder is a peer that applies a configuration or a member list; chunks is what it does when it is asked for the nth time.
 type holder struct {
 	messenger.Peer
-	heads  *messenger.HeadsRow
-	tree   *chunker.Tree
-	chunks func(ctx context.Context, n int, l [][]byte) ([][]byte, error)
+	heads *messenger.HeadsRow
+	tree  *chunker.Tree
+	// members is the manifest that it gives of a member list, if not that of tree.
+	members []byte
+	chunks  func(ctx context.Context, n int, l [][]byte) ([][]byte, error)
 
 	mu    sync.Mutex
 	calls int
@@ -51,8 +53,16 @@
 	return &messenger.ManifestRow{Version: r.Version, Value: b}, err
 }
 
+func (h *holder) FetchMembers(context.Context, *messenger.FetchMembersRequest) (*messenger.MembersRow, error) {
+	if h.members != nil {
+		return &messenger.MembersRow{Value: h.members}, nil
+	}
+	b, err := h.tree.Manifest.Encode()
+	return &messenger.MembersRow{Value: b}, err
+}
+
 func (h *holder) FetchChunks(ctx context.Context, r *messenger.FetchChunksRequest) (*messenger.Chunks, error) {
-	a, err := collector.Answer(h.tree, r)
+	a, err := collector.Answer(h.tree.Chunk, r)
 	if err != nil {
 		return nil, err
 	}
@@ -265,6 +275,10 @@
 	return s.control.FetchManifest(r.Version)
 }
 
+func (s *service) FetchMembers(_ context.Context, r *messenger.FetchMembersRequest) (*messenger.MembersRow, error) {
+	return s.control.FetchMembers(r)
+}
+
 func (s *service) FetchChunks(_ context.Context, r *messenger.FetchChunksRequest) (*messenger.Chunks, error) {
 	return s.control.FetchChunks(r)
 }
@@ -297,6 +311,13 @@
 	return n, err
 }
 
+func countingTransport(p *atomic.Int64) *http.Transport {
+	return &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return counted{Conn: c, bytes: p}, err
+	}}
+}
+
 // BenchmarkFetch has an instance learn of a configuration from a peer over HTTP on the loopback interface and adopt it:
 // as a new instance, and after a change of one block. It reports the bytes on the connection, both ways.
 func BenchmarkFetch(b *testing.B) {
@@ -311,10 +332,7 @@
 				author, p := newController(b), &atomic.Int64{}
 				s := httptest.NewServer(messenger.NewPeerServer(&service{control: author}))
 				defer s.Close()
-				transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-					c, err := (&net.Dialer{}).DialContext(ctx, network, address)
-					return counted{Conn: c, bytes: p}, err
-				}}
+				transport := countingTransport(p)
 				defer transport.CloseIdleConnections()
 				r := newRig(b)
 				r.peers["i1"] = messenger.NewPeerProtobufClient(s.URL, &http.Client{Transport: transport})
--- a/controller/links_test.go
+++ b/controller/links_test.go
@@ -1,6 +1,7 @@
 package controller_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"google.golang.org/protobuf/proto"
 
 	"celeryhead.dev/celeryhead/controller"
 	"celeryhead.dev/celeryhead/emulator"
@@ -28,6 +30,11 @@
 	// cut is true while the first two do not reach each other, apart while the first half and the others do not.
 	cut, apart atomic.Bool
 	dead       atomic.Int64
+	// mute is true while nobody answers for member lists.
+	mute atomic.Bool
+	// earlier is a member that does not say that it reads member lists.
+	earlier atomic.Int64
+	store   *emulator.Memory
 }
 
 // end is the fleet as one member sees it.
@@ -72,7 +79,18 @@
 	if err := l.broken(); err != nil {
 		return nil, err
 	}
-	return l.fleet.members[l.to].Heartbeat(ctx, b)
+	a, err := l.fleet.members[l.to].Heartbeat(ctx, l.by(l.from, b))
+	return l.by(l.to, a), err
+}
+
+// by returns a heartbeat as the program of its sender writes it.
+func (l link) by(sender int, b *messenger.Beat) *messenger.Beat {
+	if b == nil || int64(sender) != l.fleet.earlier.Load() {
+		return b
+	}
+	b, _ = proto.Clone(b).(*messenger.Beat)
+	b.ReadsLists = false
+	return b
 }
 
 func (l link) FetchHeads(context.Context, *messenger.FetchHeadsRequest) (*messenger.HeadsRow, error) {
@@ -82,21 +100,39 @@
 	return l.fleet.members[l.to].FetchHeads(), nil
 }
 
+func (l link) FetchMembers(_ context.Context, r *messenger.FetchMembersRequest) (*messenger.MembersRow, error) {
+	if err := l.broken(); err != nil || l.fleet.mute.Load() {
+		return nil, cmp.Or[error](err, errCut)
+	}
+	m, err := l.fleet.members[l.to].FetchMembers(r)
+	if m == nil && err == nil {
+		err = errCut
+	}
+	return m, err
+}
+
+func (l link) FetchChunks(_ context.Context, r *messenger.FetchChunksRequest) (*messenger.Chunks, error) {
+	if err := l.broken(); err != nil {
+		return nil, err
+	}
+	return l.fleet.members[l.to].FetchChunks(r)
+}
+
 func identity(i int) tracker.Instance {
 	return tracker.Instance{Name: fmt.Sprint("a", i), Incarnation: 1, Region: "a", FailureDomain: fmt.Sprint("a_", i)}
 }
 
 func startFleet(ctx context.Context, t *testing.T, n int) *fleet {
-	f := &fleet{}
+	f := &fleet{store: emulator.NewMemory()}
 	f.dead.Store(-1)
-	store := emulator.NewMemory()
+	f.earlier.Store(-1)
 	l, err := logger.New(logger.Config{Level: "error", Format: "json", Writer: io.Discard})
 	if err != nil {
 		t.Fatal(err)
 	}
 	for i := range n {
 		c, err := controller.New(controller.Config{
-			Self: identity(i), Store: store, StoreTimeout: time.Second, List: end{f, i}, Dialer: end{f, i},
+			Self: identity(i), Store: f.store, StoreTimeout: time.Second, List: end{f, i}, Dialer: end{f, i},
 			Hooks: noHooks{}, Log: l, Clock: time.Now, Seed: uint64(i),
 			Timing: loader.Timing{
 				Freshness: 3 * time.Second, Heartbeat: 500 * time.Millisecond, Suspicion: 1500 * time.Millisecond,
--- a/controller/loops.go
+++ b/controller/loops.go
@@ -103,7 +103,7 @@
 	if len(rs) > 0 {
 		r = rs[0]
 	}
-	if err := c.adopt(ctx, r, "store", c.fromSources()); err != nil {
+	if err := c.adopt(ctx, r, origin{name: "store"}); err != nil {
 		c.config.Log.FetchFailed("store", err)
 	}
 	c.mu.Lock()
--- a/controller/propose.go
+++ b/controller/propose.go
@@ -10,7 +10,6 @@
 
 	"celeryhead.dev/celeryhead/assigner"
 	"celeryhead.dev/celeryhead/attester"
-	"celeryhead.dev/celeryhead/chunker"
 	"celeryhead.dev/celeryhead/messenger"
 	"celeryhead.dev/celeryhead/operator"
 	"celeryhead.dev/celeryhead/recorder"
@@ -32,6 +31,8 @@
 type proposalState struct {
 	schedule assigner.Schedule
 	held     map[string]steerer.Hold
+	// written holds the lists of the newest write that had new ones, since its reply may be lost.
+	written lists
 }
 
 // runProposals writes assignments that are due.
@@ -48,6 +49,7 @@
 	now := c.config.Clock()
 	p, ok := c.dueProposal(now)
 	if !ok {
+		c.rewrite(ctx)
 		return
 	}
 	v := c.view.Load()
@@ -65,7 +67,7 @@
 		}
 		h.Assignments[n] = recorder.Assignment{Epoch: a.Epoch, Members: s}
 	}
-	if err := c.commitHeads(ctx, p.Base, h); err != nil {
+	if err := c.commitHeads(ctx, v, h); err != nil {
 		c.config.Log.AssignmentFailed(scopes(p), err)
 		return
 	}
@@ -119,17 +121,31 @@
 	return s
 }
 
-// commitHeads writes a heads row if base is still the newest, and adopts it.
-func (c *Controller) commitHeads(ctx context.Context, base uint64, h recorder.Heads) error {
+// commitHeads writes a heads row and the member lists that v lacks if v is still the newest, and adopts the row.
+func (c *Controller) commitHeads(ctx context.Context, v *View, h recorder.Heads) error {
+	h, all, err := c.form(v, h)
+	if err != nil {
+		return err
+	}
 	b, err := h.Encode()
 	if err != nil {
 		return err
 	}
+	w, err := listWrites(v, all)
+	if err != nil {
+		return err
+	}
+	c.keepWritten(v, all)
 	x, cancel := context.WithTimeout(ctx, c.config.StoreTimeout)
 	defer cancel()
+	for _, ahead := range w[:len(w)-1] {
+		if _, err = c.config.Store.Commit(x, storer.Txn{Writes: ahead}); err != nil {
+			return err
+		}
+	}
 	r, err := c.config.Store.Commit(x, storer.Txn{
-		Checks: []storer.Check{{Key: recorder.HeadsKey, Version: base}},
-		Writes: []storer.Write{{Key: recorder.HeadsKey, Value: b}},
+		Checks: []storer.Check{{Key: recorder.HeadsKey, Version: v.Row.Version}},
+		Writes: append(w[len(w)-1], storer.Write{Key: recorder.HeadsKey, Value: b}),
 	})
 	if err != nil {
 		return err
@@ -137,15 +153,25 @@
 	if !r.Committed || len(r.Rows) == 0 {
 		return errCollision
 	}
-	return c.adopt(x, storer.Row{Key: recorder.HeadsKey, Version: r.Rows[0].Version, Value: b}, "own write", c.fromSources())
+	n := storer.ByKey(r.Rows)[recorder.HeadsKey].Version
+	return c.adopt(x, storer.Row{Key: recorder.HeadsKey, Version: n, Value: b}, origin{name: "own write"})
+}
+
+// keepWritten keeps the lists of a write until the next one that has new ones.
+func (c *Controller) keepWritten(v *View, all lists) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for d := range all {
+		if v.Lists[d] == nil {
+			c.proposal.written = all
+			return
+		}
+	}
 }
 
 // Publish adopts a committed change and waits until it is in force on every instance.
 func (c *Controller) Publish(ctx context.Context, m operator.Commit) ([]string, error) {
-	err := c.adopt(ctx, m.Heads, "operator", func(context.Context, recorder.Heads) (*chunker.Tree, error) {
-		return chunker.New(m.Text, chunker.DefaultSizes), nil
-	})
-	if err != nil {
+	if err := c.adopt(ctx, m.Heads, origin{name: "operator", text: m.Text}); err != nil {
 		return nil, err
 	}
 	start := c.config.Clock()
@@ -195,7 +221,7 @@
 			n.Shifts = map[string]recorder.ShiftStep{}
 		}
 		n.Shifts[s.Name] = recorder.ShiftStep{Step: p.Step + 1, Time: now}
-		if err := c.commitHeads(ctx, v.Row.Version, n); err == nil {
+		if err := c.commitHeads(ctx, v, n); err == nil {
 			c.config.Log.ShiftStepped(s.Name, int(p.Step)+1)
 		}
 		return
--- a/controller/view.go
+++ b/controller/view.go
@@ -18,8 +18,11 @@
 
 // View is the content of one heads version; it is immutable.
 type View struct {
-	Row   storer.Row
+	Row storer.Row
+	// Heads holds the members of all assignments, in whichever form the row has them.
 	Heads recorder.Heads
+	// Lists holds the member lists that Row names by digest.
+	Lists lists
 	// Text is the configuration in canonical TOML.
 	Text []byte
 	// Tree holds the chunks of Text; it is nil before the first configuration.
@@ -125,6 +128,14 @@
 	return strings.CutPrefix(r.Name, targetPrefix)
 }
 
+// Chunk returns a chunk of the configuration or of a member list.
+func (v *View) Chunk(n chunker.Name) ([]byte, bool) {
+	if b, ok := v.Tree.Chunk(n); ok {
+		return b, true
+	}
+	return v.Lists.chunk(n)
+}
+
 // TargetResource names the right to send work to a target.
 func (v *View) TargetResource(target string) assigner.Resource {
 	return assigner.Resource{Name: targetPrefix + target, Scope: v.TargetRegions[target]}
--- a/server/peers.go
+++ b/server/peers.go
@@ -79,7 +79,16 @@
 	return m, err
 }
 
-// FetchChunks returns chunks of the configuration that this instance applies.
+// FetchMembers returns the manifest of a member list.
+func (p *peerService) FetchMembers(_ context.Context, r *messenger.FetchMembersRequest) (*messenger.MembersRow, error) {
+	m, err := p.server.control.FetchMembers(r)
+	if err == nil && m == nil {
+		return nil, twirp.NotFoundError("this instance applies no such list")
+	}
+	return m, err
+}
+
+// FetchChunks returns chunks of the configuration and of the member lists that this instance applies.
 func (p *peerService) FetchChunks(_ context.Context, r *messenger.FetchChunksRequest) (*messenger.Chunks, error) {
 	return p.server.control.FetchChunks(r)
 }
