Read the heads row once a second in fleets of more than 500

Cause: design 2.7 has one read a second at 880 instances, the code reads each 500 ms: 1,760 of about 2,000 reads/s that the store takes. Ruled out: an interval in proportion to the fleet, which would reach freshness; the proof of a read lasts 3 s, so two reads may fail at one a second. Before: TestReadsOfManyInstances: '880 instances: each reads 19 times in 10 s, the limit is 11'. After: green, 880 reads/s in all (derived). Conclusion: one reader per failure domain (4.1) remains to be built.

--- a/controller/lists_test.go
+++ b/controller/lists_test.go
@@ -252,18 +252,18 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		f := startFleet(ctx, t, 1)
-		took := 0
+		var took atomic.Int64
 		f.store.Inject(emulator.MemoryFaults{BeforeRead: failLists, AfterCommit: func(_ storer.Txn, r storer.Result) error {
 			if r.Committed {
-				took++
+				took.Add(1)
 				return errInjected
 			}
 			return nil
 		}})
 		time.Sleep(20 * time.Second)
 		v := f.members[0].View()
-		if a := v.Heads.Assignments["a"]; took != 1 || a.Epoch != 1 || !a.ByDigest() || len(a.Members) != 1 || !f.members[0].Valid(attester.Fleet, time.Now()) {
-			t.Errorf("%d writes took effect; version %d with %+v", took, v.Row.Version, v.Heads)
+		if a := v.Heads.Assignments["a"]; took.Load() != 1 || a.Epoch != 1 || !a.ByDigest() || len(a.Members) != 1 || !f.members[0].Valid(attester.Fleet, time.Now()) {
+			t.Errorf("%d writes took effect; version %d with %+v", took.Load(), v.Row.Version, v.Heads)
 		}
 	})
 }
@@ -392,6 +392,31 @@
 	return l.bytes.Load() - before
 }
 
+// Guards against reads of the heads row that take more than half of the 2,000 reads a second of the store (design 2.7).
+func TestReadsOfManyInstances(t *testing.T) {
+	for _, s := range fleets {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			f := startFleet(ctx, t, 1)
+			row, trees := rowOf(t, 0, listed(s.instances, s.regions), false)
+			putLists(t, f.store, trees...)
+			if _, err := f.store.Commit(ctx, storer.Txn{Writes: []storer.Write{{Key: recorder.HeadsKey, Value: row.Value}}}); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(2 * time.Second)
+			var n atomic.Int64
+			f.store.Inject(emulator.MemoryFaults{BeforeRead: func([]string) error { n.Add(1); return nil }})
+			// A new instance changes no assignment for 13 s.
+			time.Sleep(10 * time.Second)
+			reads := int(n.Load())
+			if limit := 1_000 * 10 / s.instances; reads > limit || reads < 10 || !f.members[0].Valid(attester.Region, time.Now()) {
+				t.Errorf("%d instances: each reads %d times in 10 s, the limit is %d", s.instances, reads, limit)
+			}
+		})
+	}
+}
+
 var fleets = []struct{ instances, regions int }{{7, 3}, {120, 5}, {880, 10}}
 
 // Guards against assignments that take more than a tenth of the 3 KB/s of an instance, with 364 changes of one member and
--- a/controller/loops.go
+++ b/controller/loops.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"celeryhead.dev/celeryhead/assigner"
 	"celeryhead.dev/celeryhead/attester"
 	"celeryhead.dev/celeryhead/recorder"
 	"celeryhead.dev/celeryhead/storer"
@@ -18,6 +19,9 @@
 	ticksPerHeartbeat = 5
 	// readsPerListAge keeps a list reading fresh although two in a row fail.
 	readsPerListAge = 3
+	// readersPerHeartbeat bounds the instances that read the heads row in each heartbeat interval of 500 ms: 1,000 reads a
+	// second, half of what the store takes. More instances read in each second interval.
+	readersPerHeartbeat = 500
 )
 
 // outage remembers whether a service answers, so that changes are logged once.
@@ -81,7 +85,14 @@
 
 // runStore reads the heads row.
 func (c *Controller) runStore(ctx context.Context) {
-	timer.Poll(ctx, c.config.Timing.Heartbeat, c.readStore)
+	skipped := false
+	timer.Poll(ctx, c.config.Timing.Heartbeat, func(ctx context.Context) {
+		many := len(c.view.Load().Heads.Assignments[assigner.FleetScope].Members) > readersPerHeartbeat
+		if skipped = many && !skipped; skipped {
+			return
+		}
+		c.readStore(ctx)
+	})
 }
 
 func (c *Controller) readStore(ctx context.Context) {
