Measure member lists, also for a failure domain, and changes on rows by digest

Cause: docs/CAPACITY.md names the cost of a lost failure domain, and an operator's change must carry assignments of either form. Ruled out: nothing. Before: TestShiftProgress had rows of the old form alone. After: it has both forms; BenchmarkFetchMembers has the loss and return of a domain. Conclusion: no change of the program.

--- a/controller/lists_test.go
+++ b/controller/lists_test.go
@@ -341,6 +341,10 @@
 	return l
 }
 
+func without(l []recorder.Member, domain string) []recorder.Member {
+	return slices.DeleteFunc(l, func(m recorder.Member) bool { return m.FailureDomain == domain })
+}
+
 // learner is an instance that learns of rows from an author over HTTP on the loopback interface, and the bytes of
 // their connection both ways.
 type learner struct {
@@ -451,11 +455,12 @@
 }
 
 // BenchmarkFetchMembers has an instance learn from a peer of a row in either form: as a new instance, after a change of
-// one member, and after a change of something else. It reports the bytes on the connection, both ways.
+// one member, after the loss or return of a failure domain, and after a change of something else. It reports the bytes on
+// the connection, both ways.
 func BenchmarkFetchMembers(b *testing.B) {
 	for _, s := range fleets {
 		for _, form := range []string{"inline", "digest"} {
-			for _, kind := range []string{"new", "change", "same"} {
+			for _, kind := range []string{"new", "change", "domain", "same"} {
 				b.Run(fmt.Sprintf("%s/%s/%d", form, kind, s.instances), func(b *testing.B) {
 					l, members, bytes := newLearner(b), listed(s.instances, s.regions), int64(0)
 					l.publish(b, members, form == "inline")
@@ -468,6 +473,11 @@
 							l.renew(b)
 						case "change":
 							members = changed(members, i*37)
+						case "domain":
+							members = listed(s.instances, s.regions)
+							if i%2 == 0 {
+								members = without(members, "region-1_1")
+							}
 						}
 						l.publish(b, members, form == "inline")
 						b.StartTimer()
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -260,7 +260,8 @@
 	})
 }
 
-// Guards against a shift that moves more than its steps allow because its definition changed.
+// Guards against a shift that moves more than its steps allow because its definition changed, and against assignments
+// that a change of the configuration loses, in either form of the row.
 func TestShiftProgress(t *testing.T) {
 	shift := composer.Shift{Name: "s", From: "west", To: "east", Share: 1, Step: 0.1, StepInterval: time.Second, Cap: 1}
 	for _, v := range []struct {
@@ -285,7 +286,10 @@
 			h, row, err := o.Heads(t.Context())
 			So(err, ShouldBeNil)
 			h.Shifts = map[string]recorder.ShiftStep{"s": {Step: 3, Time: start}}
-			h.Assignments = map[string]recorder.Assignment{"west": {Epoch: 7, Members: []recorder.Member{{Name: "entry_1", Incarnation: 1 << 63}}}}
+			h.Assignments = map[string]recorder.Assignment{
+				"west": {Epoch: 7, Members: []recorder.Member{{Name: "entry_1", Incarnation: 1 << 63}}},
+				"east": {Epoch: 8, Count: 2, Digest: recorder.Digest{1}},
+			}
 			So(commitHeads(t.Context(), m, h, row.Version), ShouldBeTrue)
 			v.edit(&c.Shifts[0])
 			b := change("b", 1, 1)
--- a/recorder/capacity_test.go
+++ b/recorder/capacity_test.go
@@ -73,7 +73,7 @@
 	return v, w
 }
 
-var fleets = []struct{ instances, regions int }{{7, 3}, {120, 5}, {880, 10}}
+var fleets = []struct{ instances, regions int }{{7, 3}, {20, 3}, {60, 5}, {120, 5}, {880, 10}}
 
 // Guards against a heads row whose reading alone takes the 3 KB/s that a daemon may use for control, with one reader per
 // failure domain that reads once a second (design 1.7 and 2.7).
