Ask one peer at a time for a newer version, and count an answer as heard before the fetch

Cause: while peers report a heads version that nobody can give (lists or chunks lost, sources silent), each heartbeat started a fetch of up to 6 s that waited behind those before it, without a bound; and the answer to a heartbeat was recorded only after them, so that heard peers were suspected meanwhile. Ruled out: a queue with a bound (what waits there is older than the next heartbeat); singleflight by version (peers may report different ones). Change: one fetch from a peer at a time, others return and come back with the next heartbeat; the answer is recorded first, and the attester counts what it proves of a newer version only once that is adopted, as it does for store reads. Before: TestVersionThatNobodyCanGive, 60 s of fake time, did not end within 10 min (the go test timeout), with fetches queued on one lock. After: at most 5 goroutines, 8 ms.

--- a/controller/beats.go
+++ b/controller/beats.go
@@ -43,14 +43,15 @@
 	if err != nil {
 		return
 	}
-	c.receive(ctx, a, p, sent)
-}
-
-// receive records the answer to a heartbeat that was sent at sent.
-func (c *Controller) receive(ctx context.Context, a *messenger.Beat, p messenger.Peer, sent time.Time) {
+	c.receive(a, sent)
 	if a.HeadsVersion > c.view.Load().Row.Version {
 		c.adoptFromPeer(ctx, a.GetFrom().GetName(), p)
 	}
+}
+
+// receive records the answer to a heartbeat that was sent at sent. What it proves of a newer version counts once that
+// is adopted; that the peer was heard counts at once, since a fetch may take longer than the suspicion.
+func (c *Controller) receive(a *messenger.Beat, sent time.Time) {
 	now := c.config.Clock()
 	k := contact(a)
 	c.mu.Lock()
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -66,6 +66,8 @@
 	collector *collector.Collector
 	// adopting serializes adoptions, which may wait for a fetch.
 	adopting sync.Mutex
+	// fetching is held while a peer is asked for a newer version.
+	fetching sync.Mutex
 	kick     chan struct{}
 	started  time.Time
 
--- a/controller/fetch.go
+++ b/controller/fetch.go
@@ -85,8 +85,14 @@
 	return xxhash.Sum64String(c.config.Self.Name + "\n" + i.Name)
 }
 
-// adoptFromPeer fetches the heads row, and what is new of that which it names, from a peer that has a newer version.
+// adoptFromPeer fetches the heads row, and what is new of that which it names, from a peer that has a newer version. While
+// another peer is asked it does nothing: the next heartbeat comes back to it, and peers that wait behind a version which
+// nobody can give would grow in number.
 func (c *Controller) adoptFromPeer(ctx context.Context, name string, p messenger.Peer) {
+	if !c.fetching.TryLock() {
+		return
+	}
+	defer c.fetching.Unlock()
 	x, cancel := context.WithTimeout(ctx, headsTimeout)
 	defer cancel()
 	r, err := p.FetchHeads(x, &messenger.FetchHeadsRequest{})
--- a/controller/fetch_test.go
+++ b/controller/fetch_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -171,6 +172,37 @@
 	},
 }
 
+// Guards against work that piles up while peers report a version that nobody can give: each heartbeat started a fetch that
+// waited for those before it, and an answer counted as heard only after them.
+func TestVersionThatNobodyCanGive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tree := chunker.New(configuration(t, 100), chunker.DefaultSizes)
+		r := newRig(t)
+		r.store.Inject(emulator.MemoryFaults{BeforeRead: func([]string) error { return errInjected }})
+		peers := []string{"i1", "i2", "i3"}
+		for _, n := range peers {
+			hang := func(ctx context.Context, _ int, _ [][]byte) ([][]byte, error) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			r.peers[n] = &holder{heads: headsOf(t, tree), tree: tree, chunks: hang}
+		}
+		base, most := runtime.NumGoroutine(), 0
+		for range 120 {
+			for _, n := range peers {
+				r.hear(t, n, 2, 2)
+			}
+			time.Sleep(500 * time.Millisecond)
+			most = max(most, runtime.NumGoroutine()-base)
+		}
+		// One fetch at a time has a goroutine of its own, and one for each timeout.
+		if most > 5 {
+			t.Errorf("up to %d goroutines for %d peers", most, len(peers))
+		}
+		time.Sleep(10 * time.Second)
+	})
+}
+
 // Guards against a change that does not come into force within 7 s, or with another text, because the peer that told
 // of it dies, falls silent, lacks a chunk or gives a wrong one in the middle of the fetch.
 func TestFetchFromFaultyPeer(t *testing.T) {
