Share the table of blocks between the steps of a configuration

Change: Table.At and Table.With share the blocks; the owner adds up, at its first decision under a configuration, the weight of a shift's blocks by the step at which they move. Blocks of overlapping shifts are added up by their combination of steps. Ruled out: blocks sorted by hash for each shift (8 bytes or more for each block and shift, no answer for overlapping shifts); sums of the former step plus what moved (an instance that starts needs a whole pass). Sums are compensated, so a plain sum in another order cannot decide a step.

--- a/controller/capacity_test.go
+++ b/controller/capacity_test.go
@@ -1,6 +1,7 @@
 package controller_test
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"fmt"
@@ -8,6 +9,7 @@
 	"net/netip"
 	"runtime"
 	"runtime/metrics"
+	"slices"
 	"testing"
 	"time"
 
@@ -92,6 +94,7 @@
 				version := uint64(1)
 				adopt(b, c, text, 1, version)
 				kept := heapInUse() - before
+				heads := recorder.Heads{ConfigVersion: 1, ConfigDigest: sha256.Sum256(text)}
 				b.ReportAllocs()
 				for b.Loop() {
 					version++
@@ -99,7 +102,7 @@
 						adopt(b, c, text, version, version)
 						continue
 					}
-					adopt(b, c, text, 1, version)
+					adoptHeads(b, c, text, heads, version)
 				}
 				b.ReportMetric(kept/1e6, "MB-kept")
 				b.ReportMetric(float64(len(text))/float64(n), "B-text/block")
@@ -108,6 +111,39 @@
 	}
 }
 
+// Guards against a step of a shift whose cost grows with the number of blocks, which are the same after it.
+func TestStepSharesBlocks(t *testing.T) {
+	const runs = 20
+	allocated := map[int]uint64{}
+	for _, n := range []int{1_000, 16_000} {
+		text := configuration(t, n)
+		c := newController(t)
+		adopt(t, c, text, 1, 1)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for v := range uint64(runs) {
+			adopt(t, c, text, 1, v+2)
+		}
+		runtime.ReadMemStats(&after)
+		allocated[n] = (after.TotalAlloc - before.TotalAlloc) / runs
+	}
+	if allocated[16_000] > 2*allocated[1_000] {
+		t.Errorf("a heads version allocates %d B with 1,000 blocks and %d B with 16,000", allocated[1_000], allocated[16_000])
+	}
+}
+
+// Guards against a table of blocks that a new configuration takes over although a block changed.
+func TestChangedBlockIsSteered(t *testing.T) {
+	text := configuration(t, 100)
+	c := newController(t)
+	adopt(t, c, text, 1, 1)
+	i := bytes.LastIndex(text, []byte("west"))
+	adopt(t, c, slices.Concat(text[:i], []byte("east"), text[i+len("west"):]), 2, 2)
+	if got := c.View().Steering.Find(netip.MustParseAddr("100.0.0.99")).Region; got != "east" {
+		t.Errorf("the changed block is in %q", got)
+	}
+}
+
 // heapInUse collects twice, since the pools of libraries keep their contents for one collection.
 func heapInUse() float64 {
 	var m runtime.MemStats
@@ -134,7 +170,11 @@
 }
 
 func adopt(b testing.TB, c *controller.Controller, text []byte, config, version uint64) {
-	h := recorder.Heads{ConfigVersion: config, ConfigDigest: sha256.Sum256(text)}
+	b.Helper()
+	adoptHeads(b, c, text, recorder.Heads{ConfigVersion: config, ConfigDigest: sha256.Sum256(text)}, version)
+}
+
+func adoptHeads(b testing.TB, c *controller.Controller, text []byte, h recorder.Heads, version uint64) {
 	v, err := h.Encode()
 	if err != nil {
 		b.Fatal(err)
@@ -142,7 +182,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	// The change is adopted before Publish waits for the peers, which the cancelled context ends.
-	_, _ = c.Publish(ctx, operator.Commit{Heads: storer.Row{Key: recorder.HeadsKey, Version: version, Value: v}, ConfigVersion: config, Text: text})
+	_, _ = c.Publish(ctx, operator.Commit{Heads: storer.Row{Key: recorder.HeadsKey, Version: version, Value: v}, ConfigVersion: h.ConfigVersion, Text: text})
 	if c.View().Row.Version != version {
 		b.Fatalf("version %d was not adopted", version)
 	}
--- a/controller/view.go
+++ b/controller/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -42,6 +43,7 @@
 	switch {
 	case old != nil && old.Heads.ConfigVersion == h.ConfigVersion:
 		v.copyConfig(old)
+		v.Steering = old.Steering.At(steps(h))
 	case h.ConfigVersion == 0:
 		v.setConfig(composer.Config{})
 	default:
@@ -52,10 +54,22 @@
 		v.Text, v.Tree = t.Text, t
 		v.setConfig(c)
 	}
-	v.Steering = steerer.New(steerer.Config{Configuration: v.Config, Steps: steps(h)})
+	if v.Steering == nil {
+		v.Steering = steering(old, v)
+	}
 	return v, nil
 }
 
+// steering returns the table of a new configuration, which shares the blocks of the old one if they are the same.
+func steering(old, v *View) *steerer.Table {
+	c := steerer.Config{Configuration: v.Config, Steps: steps(v.Heads)}
+	if old != nil && slices.Equal(old.Config.Blocks, v.Config.Blocks) {
+		v.Config.Blocks = old.Config.Blocks
+		return old.Steering.With(c)
+	}
+	return steerer.New(c)
+}
+
 func parseConfig(text []byte) (composer.Config, error) {
 	c, err := composer.Parse(text)
 	if err != nil {
--- a/steerer/blocks.go
+++ b/steerer/blocks.go
@@ -14,6 +14,8 @@
 type blocks struct {
 	lengths []length
 	regions []string
+	// weights holds the weight of all blocks of each region, in the order of regions.
+	weights []sum
 }
 
 type length struct {
@@ -38,22 +40,20 @@
 
 func newBlocks(bs []composer.Block) *blocks {
 	r := &blocks{}
+	lengths := r.allot(bs)
 	regions := map[string]uint16{}
-	lengths := map[lengthKey]int{}
 	for _, b := range bs {
 		p := b.Prefix.Masked()
-		if _, ok := regions[b.Region]; !ok {
-			regions[b.Region] = uint16(len(r.regions)) //nolint:gosec // A configuration has fewer than 65,536 regions.
-			r.regions = append(r.regions, b.Region)
-		}
-		k := lengthKey{p.Bits(), p.Addr().Is4()}
-		i, ok := lengths[k]
+		g, ok := regions[b.Region]
 		if !ok {
-			i = len(r.lengths)
-			lengths[k] = i
-			r.lengths = append(r.lengths, length{bits: k.bits, v4: k.v4})
+			g = uint16(len(r.regions)) //nolint:gosec // A configuration has fewer than 65,536 regions.
+			regions[b.Region] = g
+			r.regions = append(r.regions, b.Region)
+			r.weights = append(r.weights, sum{})
 		}
-		r.lengths[i].entries = append(r.lengths[i].entries, block{address: p.Addr().As16(), weight: b.Weight, region: regions[b.Region]})
+		r.weights[g].add(b.Weight)
+		l := &r.lengths[lengths[keyOf(p)]]
+		l.entries = append(l.entries, block{address: p.Addr().As16(), weight: b.Weight, region: g})
 	}
 	for _, l := range r.lengths {
 		slices.SortFunc(l.entries, func(a, b block) int { return slices.Compare(a.address[:], b.address[:]) })
@@ -62,11 +62,29 @@
 	return r
 }
 
+// allot makes room for the blocks of each prefix length and returns the index of each length.
+func (b *blocks) allot(bs []composer.Block) map[lengthKey]int {
+	counts := map[lengthKey]int{}
+	for _, v := range bs {
+		counts[keyOf(v.Prefix)]++
+	}
+	at := make(map[lengthKey]int, len(counts))
+	for k, n := range counts {
+		at[k] = len(b.lengths)
+		b.lengths = append(b.lengths, length{bits: k.bits, v4: k.v4, entries: make([]block, 0, n)})
+	}
+	return at
+}
+
 type lengthKey struct {
 	bits int
 	v4   bool
 }
 
+func keyOf(p netip.Prefix) lengthKey {
+	return lengthKey{p.Bits(), p.Addr().Is4()}
+}
+
 // find returns the block of an address; an address outside all blocks is its own block of 24 or 48 bits.
 func (b *blocks) find(a netip.Addr) Block {
 	a = a.Unmap()
@@ -101,15 +119,28 @@
 	return netip.PrefixFrom(a, n).Masked()
 }
 
-// each calls f for every configured block.
-func (b *blocks) each(f func(Block)) {
+// weight returns the weight of all blocks of a region.
+func (b *blocks) weight(region string) sum {
+	i := slices.Index(b.regions, region)
+	if i < 0 {
+		return sum{}
+	}
+	return b.weights[i]
+}
+
+// in calls f for every configured block of a region.
+func (b *blocks) in(region string, f func(Block)) {
+	g := slices.Index(b.regions, region)
 	for _, l := range b.lengths {
 		for _, e := range l.entries {
+			if int(e.region) != g {
+				continue
+			}
 			a := netip.AddrFrom16(e.address)
 			if l.v4 {
 				a = a.Unmap()
 			}
-			f(Block{Prefix: netip.PrefixFrom(a, l.bits), Region: b.regions[e.region], Weight: e.weight})
+			f(Block{Prefix: netip.PrefixFrom(a, l.bits), Region: region, Weight: e.weight})
 		}
 	}
 }
--- a/steerer/capacity_test.go
+++ b/steerer/capacity_test.go
@@ -65,20 +65,41 @@
 	}
 }
 
-// BenchmarkNext measures the decision on a step that is due, which an owner of a shift takes ten times a second.
+// BenchmarkNext measures the decision on a step that is due, which an owner of a shift takes once a second: the first one
+// of a configuration, and those on the table of a step, with a number of shifts that leave the same region.
 func BenchmarkNext(b *testing.B) {
 	for _, n := range []int{1_000, 16_000, 160_000} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
+		for _, shifts := range []int{1, 2, 4} {
 			_, c := fleet(7, 10, n)
-			t := steerer.New(steerer.Config{Configuration: c})
+			for i := range shifts - 1 {
+				s := c.Shifts[0]
+				s.Name = fmt.Sprint("dusk-", i)
+				c.Shifts = append(c.Shifts, s)
+			}
 			now := start.Add(time.Hour)
 			loads := map[string]steerer.Load{c.Shifts[0].To: {At: now, Expected: 1, Instances: 1}}
-			for b.Loop() {
+			decide := func(b *testing.B, t *steerer.Table) {
 				if h := t.Next(c.Shifts[0].Name, steerer.Progress{Steps: 1}, loads, now); h != steerer.Advance {
 					b.Fatal(h)
 				}
 			}
-		})
+			b.Run(fmt.Sprintf("first/%d/%d", n, shifts), func(b *testing.B) {
+				for b.Loop() {
+					b.StopTimer()
+					t := steerer.New(steerer.Config{Configuration: c})
+					b.StartTimer()
+					decide(b, t)
+				}
+			})
+			b.Run(fmt.Sprintf("step/%d/%d", n, shifts), func(b *testing.B) {
+				t := steerer.New(steerer.Config{Configuration: c})
+				decide(b, t)
+				b.ReportAllocs()
+				for b.Loop() {
+					decide(b, t.At(map[string]int{c.Shifts[0].Name: 1, "dusk-0": 1}))
+				}
+			})
+		}
 	}
 }
 
--- a/steerer/shift.go
+++ b/steerer/shift.go
@@ -95,32 +95,51 @@
 	case l.Expected == 0 || l.Instances < l.Expected:
 		return PartialReport
 	}
-	if max(l.Rate, t.Planned()[s.To])+added > t.capacity[s.To] {
+	if max(l.Rate, t.planned(s.To))+added > t.capacity[s.To] {
 		return OverCapacity
 	}
 	return Advance
 }
 
-// MovedWeight returns the expected rate in requests per second that a shift has moved after a number of steps.
+// MovedWeight returns the expected rate in requests per second that a shift of the configuration has moved after a
+// number of steps, as if it were the only shift; it is 0 for a shift of another configuration.
 func (t *Table) MovedWeight(s composer.Shift, steps int) float64 {
-	w := 0.0
-	t.blocks.each(func(b Block) {
-		if b.Region == s.From && moved(b, &s, steps) {
-			w += b.Weight
-		}
-	})
-	return w
+	if t.shift(s.Name) == nil {
+		return 0
+	}
+	w := t.departures[s.From]().alone(s.Name, steps)
+	return w.value()
 }
 
 // Planned returns the expected rate of each region with the shifts at their present steps.
 func (t *Table) Planned() map[string]float64 {
 	m := map[string]float64{}
-	t.blocks.each(func(b Block) {
-		r := b.Region
-		if s := t.Shift(b); s != nil {
-			r = s.To
-		}
-		m[r] += b.Weight
-	})
+	for _, r := range t.blocks.regions {
+		m[r] = t.planned(r)
+	}
+	for _, s := range t.shifts {
+		m[s.To] = t.planned(s.To)
+	}
 	return m
 }
+
+// planned returns the expected rate of a region: its own blocks, less those that shifts move away, and those that they move here.
+func (t *Table) planned(region string) float64 {
+	w := t.blocks.weight(region)
+	next := map[string]int{}
+	for _, s := range t.shifts {
+		i := next[s.From]
+		next[s.From]++
+		if s.From != region && s.To != region {
+			continue
+		}
+		m := t.leaving[s.From]()[i]
+		if s.From == region {
+			w.subtract(m)
+		}
+		if s.To == region {
+			w.join(m)
+		}
+	}
+	return w.value()
+}
--- a/steerer/table.go
+++ b/steerer/table.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"celeryhead.dev/celeryhead/composer"
@@ -27,33 +28,67 @@
 
 // Table answers look-ups for one configuration version and one set of steps.
 type Table struct {
+	*layout
+	steps map[string]int
+	// leaving holds, for each region that shifts leave, the weight that each of them has moved at these steps.
+	leaving map[string]func() []sum
+}
+
+// layout is what the tables of all steps of one configuration share.
+type layout struct {
 	blocks     *blocks
 	regions    []string
 	capacity   map[string]float64
 	shifts     []composer.Shift
-	steps      map[string]int
 	drains     map[composer.DrainKind]map[string]bool
 	timeToLive time.Duration
+	// departures is computed by region when a decision first needs it, which only the owner of a shift takes.
+	departures map[string]func() *departures
 }
 
 // New returns the table of a checked configuration.
 func New(c Config) *Table {
-	t := &Table{
-		blocks:     newBlocks(c.Configuration.Blocks),
+	return newTable(newBlocks(c.Configuration.Blocks), c)
+}
+
+func newTable(b *blocks, c Config) *Table {
+	l := &layout{
+		blocks:     b,
 		capacity:   composer.Capacity(c.Configuration),
 		shifts:     c.Configuration.Shifts,
-		steps:      c.Steps,
 		drains:     map[composer.DrainKind]map[string]bool{},
 		timeToLive: c.Configuration.Lookup.TimeToLive,
+		departures: map[string]func() *departures{},
 	}
 	for _, r := range c.Configuration.Regions {
-		t.regions = append(t.regions, r.Name)
+		l.regions = append(l.regions, r.Name)
 	}
 	for _, d := range c.Configuration.Drains {
-		if t.drains[d.Kind] == nil {
-			t.drains[d.Kind] = map[string]bool{}
+		if l.drains[d.Kind] == nil {
+			l.drains[d.Kind] = map[string]bool{}
 		}
-		t.drains[d.Kind][d.Of] = true
+		l.drains[d.Kind][d.Of] = true
+	}
+	for _, s := range l.shifts {
+		l.departures[s.From] = sync.OnceValue(func() *departures { return newDepartures(l.blocks, s.From, l.shifts) })
+	}
+	return l.at(c.Steps)
+}
+
+// At returns the table of the same configuration at other steps; its cost does not depend on the number of blocks.
+func (t *Table) At(steps map[string]int) *Table {
+	return t.at(steps)
+}
+
+// With returns the table of another checked configuration that has the same blocks as that of t, which both share.
+func (t *Table) With(c Config) *Table {
+	return newTable(t.blocks, c)
+}
+
+func (l *layout) at(steps map[string]int) *Table {
+	t := &Table{layout: l, steps: steps, leaving: make(map[string]func() []sum, len(l.departures))}
+	for r, d := range l.departures {
+		t.leaving[r] = sync.OnceValue(func() []sum { return d().moved(steps) })
 	}
 	return t
 }
