Bound the accounts with histograms of their own

Change: at most limits.account_histograms accounts (100 by default) have histograms of their own; the answered requests of the others are counted in one shared histogram (celeryhead_other_accounts_request_seconds) and in celeryhead_account_latencies_shared_total. An account without requests for 10 min loses its histograms, which is checked when a request ends; its counters stay. The operators' status shows for an account that shares the latency of all that do. Ruled out: fewer significant digits or windows, which would blur the latency of every account to spare the few of a large deployment; the place of a quiet account for a busy one before 10 min, which would lose histograms back and forth. Touched outside: server.New passes the setting on (one line). Seen failing with injected faults: no bound, places not given back, histograms kept in the page, dropped too early, the shared latency shown for idle accounts (TestHistogramsAreBounded).

--- a/loader/load.go
+++ b/loader/load.go
@@ -60,9 +60,10 @@
 }
 
 type fileLimits struct {
-	HeaderBytes *int   `toml:"header_bytes"`
-	BodyBytes   *int64 `toml:"body_bytes"`
-	Queue       *int   `toml:"queue"`
+	HeaderBytes       *int   `toml:"header_bytes"`
+	BodyBytes         *int64 `toml:"body_bytes"`
+	Queue             *int   `toml:"queue"`
+	AccountHistograms *int   `toml:"account_histograms"`
 }
 
 type fileLog struct {
@@ -252,6 +253,9 @@
 	if f.Queue != nil {
 		l.Queue = *f.Queue
 	}
+	if f.AccountHistograms != nil {
+		l.AccountHistograms = *f.AccountHistograms
+	}
 	if l.HeaderBytes < 1024 {
 		c.problem("limits.header_bytes", "must be at least 1024")
 	}
@@ -261,6 +265,9 @@
 	if l.Queue < 1 {
 		c.problem("limits.queue", "must be at least 1")
 	}
+	if l.AccountHistograms < 0 {
+		c.problem("limits.account_histograms", "must not be negative")
+	}
 }
 
 func (c *checker) log(f fileLog, l *Log) {
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -55,6 +55,7 @@
 		{`[platform]`, "[timing]\nfreshness = \"900ms\"\n[platform]", "timing.freshness: must be at least two heartbeats"},
 		{`[platform]`, "[timing]\nheartbeat = \"soon\"\n[platform]", "timing.heartbeat: must be a positive duration"},
 		{`[platform]`, "[limits]\nqueue = 0\n[platform]", "limits.queue"},
+		{`[platform]`, "[limits]\naccount_histograms = -1\n[platform]", "limits.account_histograms: must not be negative"},
 		{`[platform]`, "[log]\nlevel = \"loud\"\n[platform]", "log.level"},
 		{`[platform]`, "[peer_addresses]\nastana-1 = \"astana:1\"\n[platform]", "peer_addresses.astana-1: must be an IP address"},
 	}
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -64,6 +64,8 @@
 	BodyBytes int64
 	// Queue is the number of requests that may wait for each pool.
 	Queue int
+	// AccountHistograms is the number of accounts whose latency is counted on its own; the others share a histogram.
+	AccountHistograms int
 }
 
 // Log configures the log.
@@ -84,7 +86,7 @@
 			ListAge:    3 * time.Second,
 			DrainLimit: time.Minute,
 		},
-		Limits: Limits{HeaderBytes: 64 << 10, BodyBytes: 64 << 20, Queue: 256},
+		Limits: Limits{HeaderBytes: 64 << 10, BodyBytes: 64 << 20, Queue: 256, AccountHistograms: 100},
 		Log:    Log{Level: "info", Format: "json"},
 	}
 }
--- a/meter/capacity_test.go
+++ b/meter/capacity_test.go
@@ -17,7 +17,7 @@
 			var x, y runtime.MemStats
 			runtime.GC()
 			runtime.ReadMemStats(&x)
-			m := meter.New()
+			m := meter.New(meter.Config{AccountHistograms: 100})
 			for i := range n {
 				for d := range 20 {
 					m.Observe(meter.Request{Route: "map", Account: fmt.Sprint("account-", i), Duration: time.Duration(d*d+1) * time.Millisecond, Admitted: true}, now)
--- a/meter/catalogue.go
+++ b/meter/catalogue.go
@@ -24,6 +24,8 @@
 	refusals       = "celeryhead_refusals_total"
 	accounts       = "celeryhead_account_requests_total"
 	accountSeconds = "celeryhead_account_request_seconds"
+	otherSeconds   = "celeryhead_other_accounts_request_seconds"
+	shared         = "celeryhead_account_latencies_shared_total"
 	lookups        = "celeryhead_lookups_total"
 	slots          = "celeryhead_slots"
 	freeSlots      = "celeryhead_slots_free"
@@ -48,6 +50,8 @@
 		{refusals, Counter, "requests", "reason, ran"},
 		{accounts, Counter, "requests", "account, result"},
 		{accountSeconds, Histogram, "seconds", "account"},
+		{otherSeconds, Histogram, "seconds", ""},
+		{shared, Counter, "requests", ""},
 		{lookups, Counter, "look-ups", ""},
 		{slots, Gauge, "slots", "pool"},
 		{freeSlots, Gauge, "slots", "pool"},
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -32,25 +32,67 @@
 	largestLatency    = int64(time.Minute / time.Microsecond)
 	significantDigits = 2
 	worstQuantile     = 99
+	// idleLife is how long an account without requests keeps its histograms.
+	idleLife = 10 * time.Minute
 )
 
+// Config configures a meter.
+type Config struct {
+	// AccountHistograms bounds the accounts with histograms of their own; the others share one.
+	AccountHistograms int
+}
+
 // Meter holds the metrics of one instance; it is safe for concurrent use.
 type Meter struct {
-	set *metrics.Set
+	config Config
+	set    *metrics.Set
 
 	mu       sync.Mutex
 	accounts map[string]*account
 	rotated  time.Time
+	// own is the number of accounts that have histograms of their own.
+	own int
+	// others holds the latencies of accounts without histograms of their own; it is nil while there was none.
+	others *latency
 }
 
 type account struct {
 	admitted, overRate, withinRate uint64
-	latency                        *hdrhistogram.WindowedHistogram
+	// seen is the end of the last request.
+	seen time.Time
+	// latency is nil while the account has no histograms of its own.
+	latency *latency
+	// shared is the end of the last request whose latency the account shares with others.
+	shared time.Time
+}
+
+// latency holds the latencies of one account, or of all that share.
+type latency struct {
+	all    *metrics.Histogram
+	recent *hdrhistogram.WindowedHistogram
+}
+
+func (m *Meter) newLatency(name string) *latency {
+	return &latency{
+		all:    m.set.GetOrCreateHistogram(name),
+		recent: hdrhistogram.NewWindowed(windows, 1, largestLatency, significantDigits),
+	}
+}
+
+func (l *latency) observe(d time.Duration) {
+	l.all.Update(d.Seconds())
+	// Longer latencies than the largest are beyond every deadline.
+	_ = l.recent.Current.RecordValue(min(d.Microseconds(), largestLatency))
+}
+
+// worst returns the latency of the last minute that 1 % of the requests exceed.
+func (l *latency) worst() time.Duration {
+	return time.Duration(l.recent.Merge().ValueAtQuantile(worstQuantile)) * time.Microsecond
 }
 
 // New returns a meter without figures.
-func New() *Meter {
-	return &Meter{set: metrics.NewSet(), accounts: map[string]*account{}}
+func New(c Config) *Meter {
+	return &Meter{config: c, set: metrics.NewSet(), accounts: map[string]*account{}}
 }
 
 // Request is the end of a request as its caller saw it.
@@ -84,8 +126,7 @@
 	switch {
 	case r.Refusal == nil:
 		a.admitted++
-		// Longer latencies than the largest are beyond every deadline.
-		_ = a.latency.Current.RecordValue(min(r.Duration.Microseconds(), largestLatency))
+		m.latency(r.Account, a, now).observe(r.Duration)
 	case r.Refusal.Reason == responder.RateExceeded:
 		result = resultOverRate
 		a.overRate++
@@ -97,32 +138,63 @@
 	}
 	m.mu.Unlock()
 	m.set.GetOrCreateCounter(name(accounts, "account", r.Account, "result", result)).Inc()
-	if r.Refusal == nil {
-		m.set.GetOrCreateHistogram(name(accountSeconds, "account", r.Account)).Update(r.Duration.Seconds())
-	}
 }
 
 // account returns the figures of an account; m.mu is held.
 func (m *Meter) account(n string, now time.Time) *account {
 	if now.Sub(m.rotated) > windowLength {
-		m.rotated = now
-		for _, a := range m.accounts {
-			a.latency.Rotate()
-		}
+		m.rotate(now)
 	}
 	a, ok := m.accounts[n]
 	if !ok {
-		a = &account{latency: hdrhistogram.NewWindowed(windows, 1, largestLatency, significantDigits)}
+		a = &account{}
 		m.accounts[n] = a
 	}
+	a.seen = now
 	return a
 }
 
+// rotate begins a window and drops the histograms of accounts that were idle; m.mu is held.
+func (m *Meter) rotate(now time.Time) {
+	m.rotated = now
+	if m.others != nil {
+		m.others.recent.Rotate()
+	}
+	for n, a := range m.accounts {
+		switch {
+		case a.latency == nil:
+		case now.Sub(a.seen) > idleLife:
+			m.set.UnregisterMetric(name(accountSeconds, "account", n))
+			a.latency = nil
+			m.own--
+		default:
+			a.latency.recent.Rotate()
+		}
+	}
+}
+
+// latency returns the histograms that count an answered request of an account; m.mu is held.
+func (m *Meter) latency(n string, a *account, now time.Time) *latency {
+	if a.latency == nil && m.own < m.config.AccountHistograms {
+		a.latency = m.newLatency(name(accountSeconds, "account", n))
+		m.own++
+	}
+	if a.latency != nil {
+		return a.latency
+	}
+	if m.others == nil {
+		m.others = m.newLatency(otherSeconds)
+	}
+	m.set.GetOrCreateCounter(shared).Inc()
+	a.shared = now
+	return m.others
+}
+
 // Account is the service that one client account got from this instance.
 type Account struct {
 	Name                           string
 	Admitted, OverRate, WithinRate uint64
-	// P99 is of the last minute.
+	// P99 is of the last minute; accounts without histograms of their own have that of all of them.
 	P99 time.Duration
 }
 
@@ -130,10 +202,20 @@
 func (m *Meter) Accounts() []Account {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	var others time.Duration
+	if m.others != nil {
+		others = m.others.worst()
+	}
 	r := make([]Account, 0, len(m.accounts))
 	for n, a := range m.accounts {
-		p := time.Duration(a.latency.Merge().ValueAtQuantile(worstQuantile)) * time.Microsecond
-		r = append(r, Account{Name: n, Admitted: a.admitted, OverRate: a.overRate, WithinRate: a.withinRate, P99: p})
+		k := Account{Name: n, Admitted: a.admitted, OverRate: a.overRate, WithinRate: a.withinRate}
+		switch {
+		case a.latency != nil:
+			k.P99 = a.latency.worst()
+		case m.rotated.Sub(a.shared) < windows*windowLength:
+			k.P99 = others
+		}
+		r = append(r, k)
 	}
 	sort.Slice(r, func(i, j int) bool { return r[i].Name < r[j].Name })
 	return r
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -18,7 +18,7 @@
 
 func TestMeter(t *testing.T) {
 	Convey("Given a meter that saw one request of each kind", t, func() {
-		m := meter.New()
+		m := meter.New(meter.Config{AccountHistograms: 1})
 		observe := func(reason responder.Reason, admitted bool) {
 			r := meter.Request{Route: "map", Account: "koshe", Duration: 20 * time.Millisecond, Admitted: admitted}
 			if reason != "" {
@@ -31,6 +31,7 @@
 		observe(responder.NoSlot, true)
 		observe(responder.NoOwner, false)
 		observe(responder.KeyInvalid, false)
+		m.Observe(meter.Request{Route: "map", Account: "shared", Duration: 40 * time.Millisecond, Admitted: true}, now)
 		m.Lookup()
 		m.Retry()
 		m.TargetDrained("pitch", time.Second)
@@ -43,7 +44,7 @@
 
 		Convey("refusals within the rate are told from those over it", func() {
 			a := m.Accounts()
-			So(a, ShouldHaveLength, 1)
+			So(a, ShouldHaveLength, 2)
 			So(a[0].Admitted, ShouldEqual, 1)
 			So(a[0].OverRate, ShouldEqual, 1)
 			So(a[0].WithinRate, ShouldEqual, 2)
@@ -84,8 +85,64 @@
 	})
 }
 
+// Guards against histograms that pile up with the accounts, and against counters that are lost with them.
+func TestHistogramsAreBounded(t *testing.T) {
+	const bound = 3
+	own := regexp.MustCompile(`(?m)^celeryhead_account_request_seconds_count\{account="([a-z0-9-]+)"\} (\d+)$`)
+	count := regexp.MustCompile(`(?m)^celeryhead_other_accounts_request_seconds_count (\d+)$`)
+	sharing := regexp.MustCompile(`(?m)^celeryhead_account_latencies_shared_total (\d+)$`)
+	m := meter.New(meter.Config{AccountHistograms: bound})
+	ask := func(account string, at, d time.Duration) {
+		m.Observe(meter.Request{Route: "map", Account: account, Duration: d, Admitted: true}, now.Add(at))
+	}
+	page := func() string {
+		var b bytes.Buffer
+		m.Write(&b, meter.State{})
+		return b.String()
+	}
+	names := func() []string {
+		var r []string
+		for _, k := range own.FindAllStringSubmatch(page(), -1) {
+			r = append(r, k[1])
+		}
+		return r
+	}
+	p99 := func() map[string]time.Duration {
+		r := map[string]time.Duration{}
+		for _, a := range m.Accounts() {
+			r[a.Name] = a.P99.Round(10 * time.Millisecond)
+		}
+		return r
+	}
+	Convey("Given 5 accounts that send requests in turn", t, func() {
+		for i, n := range []string{"a", "b", "c", "d", "e"} {
+			ask(n, 0, time.Duration(i+1)*100*time.Millisecond)
+		}
+		So(names(), ShouldResemble, []string{"a", "b", "c"})
+		So(count.FindStringSubmatch(page())[1], ShouldEqual, "2")
+		So(sharing.FindStringSubmatch(page())[1], ShouldEqual, "2")
+		So(p99(), ShouldResemble, map[string]time.Duration{
+			"a": 100 * time.Millisecond, "b": 200 * time.Millisecond, "c": 300 * time.Millisecond, "d": 500 * time.Millisecond, "e": 500 * time.Millisecond,
+		})
+		Convey("accounts keep their histograms for 10 min, and the place of an idle one goes to the next that asks", func() {
+			ask("a", 9*time.Minute, time.Second)
+			ask("b", 10*time.Minute, time.Second)
+			So(names(), ShouldResemble, []string{"a", "b", "c"})
+			ask("a", 10*time.Minute+11*time.Second, time.Second)
+			So(names(), ShouldResemble, []string{"a", "b"})
+			ask("e", 10*time.Minute+12*time.Second, time.Second)
+			ask("d", 10*time.Minute+12*time.Second, time.Second)
+			So(names(), ShouldResemble, []string{"a", "b", "e"})
+			So(p99()["c"], ShouldEqual, 0)
+			ask("c", 10*time.Minute+13*time.Second, time.Second)
+			So(m.Accounts()[2].Admitted, ShouldEqual, 2)
+			So(page(), ShouldContainSubstring, `celeryhead_account_requests_total{account="c",result="answered"} 2`)
+		})
+	})
+}
+
 func BenchmarkObserve(b *testing.B) {
-	m := meter.New()
+	m := meter.New(meter.Config{AccountHistograms: 1})
 	b.ReportAllocs()
 	for b.Loop() {
 		m.Observe(meter.Request{Route: "map", Account: "koshe", Duration: time.Millisecond}, now)
--- a/server/server.go
+++ b/server/server.go
@@ -100,7 +100,7 @@
 	s.pools = newPools(s)
 	s.choosers = newChoosers(s)
 	s.buckets = limiter.NewOwner()
-	s.meter = meter.New()
+	s.meter = meter.New(meter.Config{AccountHistograms: c.Settings.Limits.AccountHistograms})
 	s.strikes.breaker = breaker.New(breaker.Config{})
 	s.allowance = limiter.NewAllowance(limiter.AllowanceConfig{Asker: asker{server: s}})
 	s.claims = claimer.New(claimer.Config{Store: s.store})
