Compare and encode configurations without copies of the blocks in common

Cause: the author of a change of one block among 160,000 allocated 660 MB: 175 MB in Diff, which made an entity of each block of both configurations, 97 MB in Encode, which made a second form of the whole configuration and doubled its buffer, and copies of blocks that were in order. Change: Diff leaves out the blocks that both have in common, Encode encodes 1,024 blocks at a time into a buffer of about the right size, and what only reads a configuration in canonical order shares blocks that are in order. Ruled out: Canonical itself without a copy, since its callers may change the result.

--- a/composer/blocks_test.go
+++ b/composer/blocks_test.go
@@ -1,6 +1,8 @@
 package composer_test
 
 import (
+	"math/rand/v2"
+	"net/netip"
 	"reflect"
 	"runtime"
 	"strings"
@@ -71,6 +73,40 @@
 	return err == nil
 }
 
+// Guards against a text or a list of changes that differs because blocks are encoded in parts and those in common left out.
+func TestEncodeAndDiffBlocksAsWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := drawConfig(t), drawConfig(t)
+		got, err := composer.Encode(a)
+		want, wantErr := composer.EncodeWhole(a)
+		if err != nil || wantErr != nil || string(got) != string(want) {
+			t.Fatalf("%v, %v:\n%s\nwant:\n%s", err, wantErr, got, want)
+		}
+		if got, want := composer.Diff(a, b), composer.DiffWhole(a, b); !reflect.DeepEqual(got, want) {
+			t.Fatalf("%v\nwant:\n%v", got, want)
+		}
+	})
+}
+
+// drawConfig draws a configuration that may lack any of its parts, some with more blocks than are encoded at once.
+func drawConfig(t *rapid.T) composer.Config {
+	c := sample()
+	parts := reflect.ValueOf(&c).Elem()
+	for i := 1; i < parts.NumField(); i++ {
+		if rapid.IntRange(0, 3).Draw(t, "empty") == 0 {
+			parts.Field(i).SetZero()
+		}
+	}
+	n := rapid.SampledFrom([]int{0, 1, 2, 5, 1022, 1024, 2100}).Draw(t, "blocks")
+	odd := rapid.IntRange(1, 9).Draw(t, "odd")
+	for i := range n {
+		a := netip.AddrFrom4([4]byte{100, byte(i >> 16), byte(i >> 8), byte(i)})
+		c.Blocks = append(c.Blocks, composer.Block{Prefix: netip.PrefixFrom(a, 24+i%9).Masked(), Region: "west", Weight: float64(i % odd)})
+	}
+	rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)).Shuffle(len(c.Blocks), reflect.Swapper(c.Blocks))
+	return c
+}
+
 // blockMemory is what a block may take in bytes while it is read: 64 MB for 160,000 blocks, of which old and new
 // configuration with their texts and tables take 400 (docs/CAPACITY.md 3.6) if nothing is left for anything else.
 const blockMemory = 400
--- a/composer/diff.go
+++ b/composer/diff.go
@@ -54,6 +54,30 @@
 
 // Diff returns the changes from a to b, ordered by entity kind and name. Of key digests it shows the first 4 bytes.
 func Diff(a, b Config) []Change {
+	a, b = a.ordered(), b.ordered()
+	a.Blocks, b.Blocks = differing(a.Blocks, b.Blocks)
+	return diff(a, b)
+}
+
+// differing leaves out the blocks that a and b have in common; both are in canonical order.
+func differing(a, b []Block) (older, newer []Block) {
+	for len(a) > 0 && len(b) > 0 {
+		switch order := compareBlocks(a[0], b[0]); {
+		case order < 0:
+			older, a = append(older, a[0]), a[1:]
+		case order > 0:
+			newer, b = append(newer, b[0]), b[1:]
+		default:
+			if a[0] != b[0] {
+				older, newer = append(older, a[0]), append(newer, b[0])
+			}
+			a, b = a[1:], b[1:]
+		}
+	}
+	return append(older, a...), append(newer, b...)
+}
+
+func diff(a, b Config) []Change {
 	older, newer := entities(a), entities(b)
 	var out []Change
 	i, j := 0, 0
@@ -140,7 +164,7 @@
 }
 
 func entities(c Config) []entity {
-	c = c.Canonical()
+	c = c.ordered()
 	w := &walker{}
 	w.put("lookup", "settings", text("time_to_live", c.Lookup.TimeToLive))
 	for _, v := range c.Regions {
--- a/composer/encode.go
+++ b/composer/encode.go
@@ -13,16 +13,23 @@
 	"github.com/pelletier/go-toml/v2"
 )
 
-type configText struct {
+// headText, blocksText and tailText are the parts of a text in their order.
+type headText struct {
 	Lookup   lookupText    `toml:"lookup"`
 	Regions  []regionText  `toml:"regions,omitempty"`
 	Links    []linkText    `toml:"links,omitempty"`
 	Pools    []poolText    `toml:"pools,omitempty"`
 	Routes   []routeText   `toml:"routes,omitempty"`
 	Accounts []accountText `toml:"accounts,omitempty"`
-	Blocks   []blockText   `toml:"blocks,omitempty"`
-	Shifts   []shiftText   `toml:"shifts,omitempty"`
-	Drains   []drainText   `toml:"drains,omitempty"`
+}
+
+type blocksText struct {
+	Blocks []blockText `toml:"blocks,omitempty"`
+}
+
+type tailText struct {
+	Shifts []shiftText `toml:"shifts,omitempty"`
+	Drains []drainText `toml:"drains,omitempty"`
 }
 
 type lookupText struct {
@@ -102,27 +109,64 @@
 	Of   string `toml:"of"`
 }
 
+// encodedBlocks is the number of blocks that are encoded at once, so that their intermediate forms take little memory.
+const encodedBlocks = 1024
+
+// blockSize is the usual size of a block in a text, in bytes.
+const blockSize = 72
+
 // Encode returns the canonical TOML of c, which Parse reads back.
 func Encode(c Config) ([]byte, error) {
-	c = c.Canonical()
-	t := configText{
+	c = c.ordered()
+	var b bytes.Buffer
+	b.Grow(len(c.Blocks) * blockSize)
+	if err := appendPart(&b, headTextOf(c)); err != nil {
+		return nil, err
+	}
+	for s := range slices.Chunk(c.Blocks, encodedBlocks) {
+		if err := appendPart(&b, blocksText{Blocks: each(s, blockTextOf)}); err != nil {
+			return nil, err
+		}
+	}
+	if err := appendPart(&b, tailTextOf(c)); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+// appendPart writes a part of a text after an empty line, as the encoder does between tables.
+func appendPart(b *bytes.Buffer, part any) error {
+	n := b.Len()
+	if n > 0 {
+		b.WriteByte('\n')
+	}
+	if err := toml.NewEncoder(b).Encode(part); err != nil {
+		return merry.Prepend(err, "encode configuration")
+	}
+	if b.Len() == n+1 {
+		b.Truncate(n)
+	}
+	return nil
+}
+
+func headTextOf(c Config) headText {
+	return headText{
 		Lookup:   lookupText{TimeToLive: c.Lookup.TimeToLive.String()},
 		Regions:  each(c.Regions, func(v Region) regionText { return regionText(v) }),
 		Links:    each(c.Links, func(v Link) linkText { return linkText(v) }),
 		Pools:    each(c.Pools, poolTextOf),
 		Routes:   each(c.Routes, routeTextOf),
 		Accounts: each(c.Accounts, accountTextOf),
-		Blocks:   each(c.Blocks, blockTextOf),
-		Shifts:   each(c.Shifts, shiftTextOf),
+	}
+}
+
+func tailTextOf(c Config) tailText {
+	return tailText{
+		Shifts: each(c.Shifts, shiftTextOf),
 		Drains: each(c.Drains, func(v Drain) drainText {
 			return drainText{Name: v.Name, Kind: string(v.Kind), Of: v.Of}
 		}),
 	}
-	var b bytes.Buffer
-	if err := toml.NewEncoder(&b).Encode(t); err != nil {
-		return nil, merry.Prepend(err, "encode configuration")
-	}
-	return b.Bytes(), nil
 }
 
 // Print checks c and writes its canonical TOML to w; its error is Problems or an error of w.
@@ -219,6 +263,13 @@
 
 // Canonical returns a copy in the order of Encode: by name, links by their regions, blocks by prefix.
 func (c Config) Canonical() Config {
+	o := c.ordered()
+	o.Blocks = copied(o.Blocks)
+	return o
+}
+
+// ordered returns c in the order of Canonical for reading only: it shares blocks that are in order already.
+func (c Config) ordered() Config {
 	c.Regions = sorted(c.Regions, func(v Region) string { return v.Name })
 	for i := range c.Regions {
 		c.Regions[i].FailureDomains = sorted(c.Regions[i].FailureDomains, itself)
@@ -236,8 +287,10 @@
 	for i := range c.Accounts {
 		c.Accounts[i].Keys = sorted(c.Accounts[i].Keys, func(v Key) string { return v.Name })
 	}
-	c.Blocks = copied(c.Blocks)
-	slices.SortStableFunc(c.Blocks, compareBlocks)
+	if !slices.IsSortedFunc(c.Blocks, compareBlocks) {
+		c.Blocks = copied(c.Blocks)
+		slices.SortStableFunc(c.Blocks, compareBlocks)
+	}
 	c.Shifts = sorted(c.Shifts, func(v Shift) string { return v.Name })
 	for i := range c.Shifts {
 		c.Shifts[i].Start = c.Shifts[i].Start.UTC()
--- a/composer/warnings.go
+++ b/composer/warnings.go
@@ -18,7 +18,7 @@
 }
 
 func forecast(c Config) []string {
-	c = c.Canonical()
+	c = c.ordered()
 	home := make(map[string]float64)
 	for _, v := range c.Blocks {
 		home[v.Region] += v.Weight
