--- a/composer/blocks.go
+++ b/composer/blocks.go
@@ -12,9 +12,9 @@
 
 const blocksField = "blocks"
 
-// blockRun reads the tables of blocks, which make up nearly all of a large text, one by one into structs: in the generic
-// table of Parse a block takes six times the memory. It takes only well-formed blocks in one run; any
-// other text is left to the generic table, which names its faults.
+// blockRun reads the tables of blocks, which make up nearly all of a large text, one by one into structs: through a generic
+// table, a block takes 15 times the memory. It takes only well-formed blocks in one run; any other text is left to the
+// generic table, which names its faults.
 type blockRun struct {
 	text   []byte
 	parser unstable.Parser
