Look a shift up by its name before its moved weight is read

Cause: MovedWeight took the region from its argument, so a shift of another configuration under a known name would have found no sums of its region; found by review, not run, and no caller does so. Ruled out: another signature, which tests use. Before: the region of the argument. After: the shift of the table counts. The contract of the package and the design name the shared tables.

--- a/steerer/shift.go
+++ b/steerer/shift.go
@@ -104,10 +104,11 @@
 // MovedWeight returns the expected rate in requests per second that a shift of the configuration has moved after a
 // number of steps, as if it were the only shift; it is 0 for a shift of another configuration.
 func (t *Table) MovedWeight(s composer.Shift, steps int) float64 {
-	if t.shift(s.Name) == nil {
+	k := t.shift(s.Name)
+	if k == nil {
 		return 0
 	}
-	w := t.departures[s.From]().alone(s.Name, steps)
+	w := t.departures[k.From]().alone(k.Name, steps)
 	return w.value()
 }
 
