--- a/controller/capacity_test.go
+++ b/controller/capacity_test.go
@@ -1,6 +1,7 @@
 package controller_test
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"fmt"
@@ -8,6 +9,7 @@
 	"net/netip"
 	"runtime"
 	"runtime/metrics"
+	"slices"
 	"testing"
 	"time"
 
@@ -92,14 +94,16 @@
 				version := uint64(1)
 				adopt(b, c, text, 1, version)
 				kept := heapInUse() - before
+				heads := recorder.Heads{ConfigVersion: 1, ConfigDigest: sha256.Sum256(text)}
+				texts := [][]byte{text, changed(text)}
 				b.ReportAllocs()
 				for b.Loop() {
 					version++
 					if k == "configuration" {
-						adopt(b, c, text, version, version)
+						adopt(b, c, texts[version%2], version, version)
 						continue
 					}
-					adopt(b, c, text, 1, version)
+					adoptHeads(b, c, text, heads, version)
 				}
 				b.ReportMetric(kept/1e6, "MB-kept")
 				b.ReportMetric(float64(len(text))/float64(n), "B-text/block")
@@ -108,6 +112,38 @@
 	}
 }
 
+// Guards against a step of a shift whose cost grows with the number of blocks, which are the same after it.
+func TestStepSharesBlocks(t *testing.T) {
+	const runs = 20
+	allocated := map[int]uint64{}
+	for _, n := range []int{1_000, 16_000} {
+		text := configuration(t, n)
+		c := newController(t)
+		adopt(t, c, text, 1, 1)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for v := range uint64(runs) {
+			adopt(t, c, text, 1, v+2)
+		}
+		runtime.ReadMemStats(&after)
+		allocated[n] = (after.TotalAlloc - before.TotalAlloc) / runs
+	}
+	if allocated[16_000] > 2*allocated[1_000] {
+		t.Errorf("a heads version allocates %d B with 1,000 blocks and %d B with 16,000", allocated[1_000], allocated[16_000])
+	}
+}
+
+// Guards against a table of blocks that a new configuration takes over although a block changed.
+func TestChangedBlockIsSteered(t *testing.T) {
+	text := configuration(t, 100)
+	c := newController(t)
+	adopt(t, c, text, 1, 1)
+	adopt(t, c, changed(text), 2, 2)
+	if got := c.View().Steering.Find(netip.MustParseAddr("100.0.0.99")).Region; got != "east" {
+		t.Errorf("the changed block is in %q", got)
+	}
+}
+
 // heapInUse collects twice, since the pools of libraries keep their contents for one collection.
 func heapInUse() float64 {
 	var m runtime.MemStats
@@ -133,8 +169,18 @@
 	return t
 }
 
+// changed returns a text in which the last block has another region.
+func changed(text []byte) []byte {
+	i := bytes.LastIndex(text, []byte("west"))
+	return slices.Concat(text[:i], []byte("east"), text[i+len("west"):])
+}
+
 func adopt(b testing.TB, c *controller.Controller, text []byte, config, version uint64) {
-	h := recorder.Heads{ConfigVersion: config, ConfigDigest: sha256.Sum256(text)}
+	b.Helper()
+	adoptHeads(b, c, text, recorder.Heads{ConfigVersion: config, ConfigDigest: sha256.Sum256(text)}, version)
+}
+
+func adoptHeads(b testing.TB, c *controller.Controller, text []byte, h recorder.Heads, version uint64) {
 	v, err := h.Encode()
 	if err != nil {
 		b.Fatal(err)
@@ -142,26 +188,27 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	// The change is adopted before Publish waits for the peers, which the cancelled context ends.
-	_, _ = c.Publish(ctx, operator.Commit{Heads: storer.Row{Key: recorder.HeadsKey, Version: version, Value: v}, ConfigVersion: config, Text: text})
+	_, _ = c.Publish(ctx, operator.Commit{Heads: storer.Row{Key: recorder.HeadsKey, Version: version, Value: v}, ConfigVersion: h.ConfigVersion, Text: text})
 	if c.View().Row.Version != version {
 		b.Fatalf("version %d was not adopted", version)
 	}
 }
 
-// BenchmarkAdoptPeak reports by how much the heap grows at most while a configuration replaces one of the same size,
-// beyond what the first one and its text keep.
+// BenchmarkAdoptPeak reports by how much the heap grows at most while a configuration replaces one that differs in one block,
+// beyond what the first one and both texts keep.
 func BenchmarkAdoptPeak(b *testing.B) {
 	for _, n := range []int{1_000, 16_000, 160_000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			text := configuration(b, n)
 			c := newController(b)
 			version := uint64(1)
-			adopt(b, c, text, version, version)
+			texts := [][]byte{text, changed(text)}
+			adopt(b, c, texts[1], version, version)
 			most := 0.0
 			for b.Loop() {
 				before := heapInUse()
 				version++
-				most = max(most, peak(func() { adopt(b, c, text, version, version) })-before)
+				most = max(most, peak(func() { adopt(b, c, texts[version%2], version, version) })-before)
 			}
 			b.ReportMetric(most/1e6, "MB-peak")
 		})
--- a/controller/lists_test.go
+++ b/controller/lists_test.go
@@ -387,7 +387,7 @@
 }
 
 // changed returns the members with another incarnation of the kth.
-func changed(l []recorder.Member, k int) []recorder.Member {
+func changedMember(l []recorder.Member, k int) []recorder.Member {
 	l = slices.Clone(l)
 	l[k%len(l)].Incarnation++
 	return l
@@ -520,7 +520,7 @@
 		}
 		var change int64
 		for i := range changesThatAreSeen {
-			members = changed(members, i*s.instances/changesThatAreSeen)
+			members = changedMember(members, i*s.instances/changesThatAreSeen)
 			l.publish(t, members, false)
 			change += l.learn(t)
 		}
@@ -550,7 +550,7 @@
 						case "new":
 							l.renew(b)
 						case "change":
-							members = changed(members, i*37)
+							members = changedMember(members, i*37)
 						case "domain":
 							members = listed(s.instances, s.regions)
 							if i%2 == 0 {
