Write claims through claim owners in fleets of more than 7 members

Cause: each instance starts up to 40 claim transactions a second, so that 8 instances at full rate exceed the store.

With more than 7 members of the fleet assignment, the first 7 in rendezvous order of `claims` are claim owners. Other instances send inserts, outcomes and abandoned claims to the owner of the range by Peer.Claim, at most 256 rows and 1 MiB a message. The owner adds each write with the version that the sender gave to its own transactions and answers what the store said; the sender judges the row as if it had sent the transaction itself. What is not answered within 1 s, or is refused, the sender reads and then writes itself, at most one read and one transaction a second. Each write that was sent counts as uncertain, also a refused one, so that a given up insert is abandoned. The owner keeps at most 8,192 writes and 16 MiB of others, for 0.75 s.

Conclusion: the row decides who may run, whoever writes it; a claim owner costs time, never correctness.

--- a/claimer/claims.go
+++ b/claimer/claims.go
@@ -54,12 +54,16 @@
 	queue queue
 	// lookups holds the inserts whose keys came to this instance before: a resend would fail
 	// the transaction of others, so its row is read first, for which the store has more room.
-	lookups  queue
+	lookups queue
+	// outboxes hold what waits for the claim owners of their names.
+	outboxes map[string]*outbox
 	recent   *recent
 	serial   uint64
 	counters Counters
 	// pending and bytes count the operations that are not decided, and the bodies of their rows.
 	pending, bytes int
+	// accepted and acceptedBytes count the operations of other instances and the bytes of their values.
+	accepted, acceptedBytes int
 	// closed refuses inserts, stopped everything.
 	closed, stopped bool
 }
@@ -68,12 +72,13 @@
 func New(c Config) *Claims {
 	c = c.withDefaults()
 	return &Claims{
-		config:  c,
-		id:      newID(),
-		wake:    make(chan struct{}, 1),
-		queue:   queue{interval: c.Interval, rows: c.Rows, bytes: c.Bytes, maxFlight: c.InFlight},
-		lookups: queue{interval: c.Interval, rows: lookupRows, bytes: c.Bytes, maxFlight: c.InFlight},
-		recent:  newRecent(),
+		config:   c,
+		id:       newID(),
+		wake:     make(chan struct{}, 1),
+		queue:    queue{interval: c.Interval, rows: c.Rows, bytes: c.Bytes, maxFlight: c.InFlight},
+		lookups:  queue{interval: c.Interval, rows: lookupRows, bytes: c.Bytes, maxFlight: c.InFlight},
+		outboxes: make(map[string]*outbox),
+		recent:   newRecent(),
 	}
 }
 
--- a/claimer/claims_test.go
+++ b/claimer/claims_test.go
@@ -21,14 +21,20 @@
 	instance int
 	key      int
 	length   time.Duration
+	// owners are the claim owners that the instance sees from now on, as bits.
+	owners int
 }
 
 // schedule is one run of the property test.
 type schedule struct {
 	seed      uint64
 	instances int
-	faulty    float64
-	events    []event
+	// owners are the claim owners that all instances see first, as bits.
+	owners int
+	// timeout is the time for which the instances wait for a claim owner.
+	timeout time.Duration
+	faulty  float64
+	events  []event
 }
 
 const (
@@ -42,7 +48,9 @@
 		instances: rapid.IntRange(1, 4).Draw(t, "instances"),
 		faulty:    rapid.SampledFrom([]float64{0, 0.2, 0.6}).Draw(t, "faulty"),
 	}
-	kinds := []string{"send", "send", "send", "send", "send", "burst", "pause", "outage", "kill"}
+	s.owners = rapid.IntRange(0, 1<<s.instances-1).Draw(t, "owners")
+	s.timeout = rapid.SampledFrom([]time.Duration{300 * time.Millisecond, time.Second}).Draw(t, "timeout")
+	kinds := []string{"send", "send", "send", "send", "send", "burst", "pause", "outage", "kill", "assign"}
 	for range rapid.IntRange(2, 60).Draw(t, "events") {
 		s.events = append(s.events, event{
 			at:       time.Duration(rapid.IntRange(0, 60_000).Draw(t, "at")) * time.Millisecond,
@@ -50,6 +58,7 @@
 			instance: rapid.IntRange(0, s.instances-1).Draw(t, "instance"),
 			key:      rapid.IntRange(0, scheduleKeys-1).Draw(t, "key"),
 			length:   time.Duration(rapid.IntRange(1, 15_000).Draw(t, "length")) * time.Millisecond,
+			owners:   rapid.IntRange(0, 1<<s.instances-1).Draw(t, "owners"),
 		})
 	}
 	return s
@@ -58,6 +67,7 @@
 // site is an instance of the schedule.
 type site struct {
 	link   *link
+	wire   *wire
 	claims *claimer.Claims
 	stop   context.CancelFunc
 }
@@ -84,6 +94,14 @@
 	l.runs[key] = append(l.runs[key], answer)
 }
 
+// checkRow requires that the row of a claim is the claim's own when its request runs.
+func (l *ledger) checkRow(w *world, key int, c *claimer.Claim) {
+	row, id := claimer.Holder(c)
+	if s, holder := claimer.Row(w.value(row)); s != "claimed" || holder != id {
+		l.fail("key %d runs for claim %s, but its row is %s by %s", key, id, s, holder)
+	}
+}
+
 func (l *ledger) last(key int) (string, int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -96,13 +114,15 @@
 
 // Guards against a key that runs twice, a stored answer that is not the answer of the run, and keys
 // that stay blocked although nothing ran, under resends, lost replies, outages, pauses, kills and
-// commits that are applied late.
+// commits that are applied late; with claim owners also under messages and answers that are lost, late, doubled or out
+// of order, owners that are paused or killed at any point, and instances that see different owners.
 func TestAtMostOnce(t *testing.T) {
 	seen := map[claimer.Verdict]int{}
+	var sum claimer.Counters
 	rapid.Check(t, func(r *rapid.T) {
 		s := drawSchedule(r)
 		var l *ledger
-		synctest.Test(t, func(*testing.T) { l = play(s, seen) })
+		synctest.Test(t, func(*testing.T) { l = play(s, seen, &sum) })
 		for k, runs := range l.runs {
 			if len(runs) > 1 {
 				r.Fatalf("key %d ran %d times: %v", k, len(runs), runs)
@@ -113,6 +133,10 @@
 		}
 	})
 	t.Log(seen)
+	t.Logf("%+v", sum)
+	if sum.Sent == 0 || sum.Fallbacks == 0 || sum.OwnerRefusals == 0 || sum.Accepted == 0 || sum.Refused == 0 {
+		t.Error("some way through claim owners was not taken")
+	}
 	for _, v := range []claimer.Verdict{claimer.Run, claimer.Stored, claimer.InProgress, claimer.OutcomeUnknown, claimer.Unavailable} {
 		if seen[v] == 0 {
 			t.Errorf("no schedule led to the verdict %s", v)
@@ -120,24 +144,24 @@
 	}
 }
 
-func play(s schedule, seen map[claimer.Verdict]int) *ledger {
+func play(s schedule, seen map[claimer.Verdict]int, sum *claimer.Counters) *ledger {
 	w := newWorld(s.seed, 40*time.Millisecond)
 	w.faulty = s.faulty
 	l := &ledger{runs: map[int][]string{}, dropped: map[int]bool{}, seen: seen}
 	var sites []*site
 	var runs, sends sync.WaitGroup
 	add := func() *site {
-		e := newSite(w, uint64(len(sites)), &runs)
+		e := newSite(w, len(sites), s.timeout, func(name string) *site { return sites[name[0]-'a'] }, &runs)
 		sites = append(sites, e)
 		return e
 	}
 	for range s.instances {
-		add()
+		add().wire.assign(chosen(s.owners, s.instances))
 	}
 	for i, e := range s.events {
 		sends.Go(func() {
 			time.Sleep(e.at)
-			perform(w, l, sites[e.instance], i, e, s.seed)
+			perform(w, l, sites[e.instance], i, e, s)
 		})
 	}
 	sends.Wait()
@@ -151,30 +175,39 @@
 	}
 	runs.Wait()
 	w.late.Wait()
+	for _, e := range sites {
+		n := e.claims.Counters()
+		sum.Sent, sum.Fallbacks, sum.OwnerRefusals = sum.Sent+n.Sent, sum.Fallbacks+n.Fallbacks, sum.OwnerRefusals+n.OwnerRefusals
+		sum.Accepted, sum.Refused = sum.Accepted+n.Accepted, sum.Refused+n.Refused
+	}
+	l.faults = append(l.faults, w.faults()...)
 	return l
 }
 
-func newSite(w *world, index uint64, group *sync.WaitGroup) *site {
-	k := &link{world: w, index: index}
-	e := &site{link: k, claims: claimer.New(claimer.Config{Store: k, Clock: time.Now})}
+func newSite(w *world, index int, timeout time.Duration, find func(string) *site, group *sync.WaitGroup) *site {
+	k := &link{world: w, index: uint64(index)}
+	e := &site{link: k, wire: &wire{link: k, find: find}}
+	e.claims = claimer.New(claimer.Config{Store: k, Clock: time.Now, Self: siteName(index), Fleet: e.wire, OwnerTimeout: timeout})
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop = cancel
 	group.Go(func() { _ = e.claims.Run(ctx) })
 	return e
 }
 
-func perform(w *world, l *ledger, e *site, number int, v event, seed uint64) {
+func perform(w *world, l *ledger, e *site, number int, v event, s schedule) {
 	switch v.kind {
 	case "send":
-		request(l, e, number, v, rand.New(rand.NewPCG(seed, uint64(number))))
+		request(l, e, number, v, rand.New(rand.NewPCG(s.seed, uint64(number))))
 	case "burst":
 		var group sync.WaitGroup
 		for i := range 4 {
-			group.Go(func() { request(l, e, 1000*(i+1)+number, v, rand.New(rand.NewPCG(seed, uint64(number)))) })
+			group.Go(func() { request(l, e, 1000*(i+1)+number, v, rand.New(rand.NewPCG(s.seed, uint64(number)))) })
 		}
 		group.Wait()
 	case "pause":
 		e.link.pause(v.length)
+	case "assign":
+		e.wire.assign(chosen(v.owners, s.instances))
 	case "outage":
 		w.setOutage(v.length)
 	case "kill":
@@ -211,6 +244,7 @@
 		return
 	}
 	answer := fmt.Sprintf("answer of %d", number)
+	l.checkRow(e.link.world, v.key, d.Claim)
 	l.run(v.key, answer)
 	if r.IntN(5) == 0 {
 		l.mu.Lock()
--- a/claimer/config.go
+++ b/claimer/config.go
@@ -15,6 +15,9 @@
 	defaultBeginTimeout = 2 * time.Second
 	defaultPending      = 4096
 	defaultPendingBytes = 8 << 20
+	defaultOwnerTimeout = time.Second
+	defaultAccepted     = 8192
+	defaultAcceptBytes  = 16 << 20
 )
 
 // Config configures Claims; only Store is required.
@@ -35,6 +38,15 @@
 	// PendingBytes outcomes are stored without their bodies.
 	Pending      int
 	PendingBytes int
+	// Self is the name of this instance, and Fleet tells who the claim owners are; without a Fleet every instance
+	// writes its own claims.
+	Self  string
+	Fleet Fleet
+	// OwnerTimeout bounds the wait for a claim owner; an owner keeps what it accepted for three quarters of it. 1 s if zero.
+	OwnerTimeout time.Duration
+	// Accepted and AcceptedBytes bound what waits here for other instances; 8,192 operations and 16 MiB if zero.
+	Accepted      int
+	AcceptedBytes int
 }
 
 func (c Config) withDefaults() Config {
@@ -48,6 +60,12 @@
 	c.BeginTimeout = valueOr(c.BeginTimeout, defaultBeginTimeout)
 	c.Pending = valueOr(c.Pending, defaultPending)
 	c.PendingBytes = valueOr(c.PendingBytes, defaultPendingBytes)
+	if c.Fleet == nil {
+		c.Fleet = alone{}
+	}
+	c.OwnerTimeout = valueOr(c.OwnerTimeout, defaultOwnerTimeout)
+	c.Accepted = valueOr(c.Accepted, defaultAccepted)
+	c.AcceptedBytes = valueOr(c.AcceptedBytes, defaultAcceptBytes)
 	return c
 }
 
@@ -61,7 +79,12 @@
 	Unavailable uint64
 	// Dropped counts the outcomes and abandoned claims that the store never took.
 	Dropped uint64
-	// Pending is the number of operations that wait or are in flight.
+	// Sent counts the operations sent to claim owners, OwnerRefusals those that these refused, and Fallbacks those
+	// that this instance wrote itself because an owner refused or did not answer.
+	Sent, OwnerRefusals, Fallbacks uint64
+	// Accepted and Refused count the operations that came from other instances.
+	Accepted, Refused uint64
+	// Pending is the number of operations of this instance that wait or are in flight.
 	Pending int
 }
 
--- a/claimer/export_test.go
+++ b/claimer/export_test.go
@@ -1,5 +1,19 @@
 package claimer
 
+// Row decodes the state and the claim id of a claim row.
+func Row(b []byte) (state, id string) {
+	r, err := decodeRow(b)
+	if err != nil {
+		return err.Error(), ""
+	}
+	return string(r.State), r.ClaimID
+}
+
+// Holder returns the key of the row of a claim, and the claim id.
+func Holder(c *Claim) (key, id string) {
+	return c.key, c.row.ClaimID
+}
+
 // DecodeOutcome decodes the value of a claim row; known is false unless the row holds an outcome.
 func DecodeOutcome(b []byte) (o Outcome, partial, known bool, err error) {
 	r, err := decodeRow(b)
--- a/claimer/lookup.go
+++ b/claimer/lookup.go
@@ -9,7 +9,8 @@
 // lookupRows bounds one read; each row may hold an answer of 64 KiB.
 const lookupRows = 64
 
-// lookUp reads the rows of keys that came before, and passes on the inserts that may succeed.
+// lookUp reads the rows of keys that came before, or that an owner may have written, and passes on the operations whose
+// checks would hold.
 func (c *Claims) lookUp(ctx context.Context, list []*operation) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
@@ -27,7 +28,7 @@
 	for _, o := range list {
 		o.inFlight = false
 		// After a failed read the transaction itself finds the row.
-		if err == nil && !c.resolve(o, current[o.key], now) {
+		if err == nil && current[o.key].Version != o.version && !c.resolve(o, current[o.key], now) {
 			continue
 		}
 		if o.givenUp {
--- a/claimer/loop.go
+++ b/claimer/loop.go
@@ -47,29 +47,42 @@
 	}
 }
 
-// start begins the transactions and reads that are due, and returns the time until the next one.
+// start begins the messages, transactions and reads that are due, and returns the time until the next one.
 func (c *Claims) start(ctx context.Context, group *errgroup.Group) (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	write, writes := c.startQueue(&c.queue, func(list []*operation) {
+	owners, _ := c.role()
+	var w waits
+	c.startOutboxes(ctx, group, owners, &w)
+	w.add(c.startQueue(&c.queue, func(list []*operation) {
 		c.counters.Transactions++
 		t := c.transaction(list)
 		group.Go(func() error {
 			c.commit(ctx, list, t)
 			return nil
 		})
-	})
-	read, reads := c.startQueue(&c.lookups, func(list []*operation) {
+	}))
+	w.add(c.startQueue(&c.lookups, func(list []*operation) {
 		c.counters.Lookups++
 		group.Go(func() error {
 			c.lookUp(ctx, list)
 			return nil
 		})
-	})
-	if writes && reads {
-		return min(write, read), true
+	}))
+	return w.first, w.any
+}
+
+// waits finds the shortest of some waits.
+type waits struct {
+	first time.Duration
+	any   bool
+}
+
+// add counts a wait if ok.
+func (w *waits) add(d time.Duration, ok bool) {
+	if ok && (!w.any || d < w.first) {
+		w.first, w.any = d, true
 	}
-	return max(write, read), writes || reads
 }
 
 // startQueue begins the sends of one queue that are due; c.mu is held.
@@ -110,10 +123,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
-	for _, o := range append(c.queue.inserts, c.lookups.inserts...) {
+	var list []*operation
+	for q := range c.queues() {
+		list = append(list, q.inserts...)
+		q.inserts = nil
+	}
+	for _, o := range list {
 		c.withdraw(o)
 	}
-	c.queue.inserts, c.lookups.inserts = nil, nil
 }
 
 // stop drops what the store has not taken when Run ends.
@@ -121,7 +138,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopped = true
-	for _, q := range []*queue{&c.queue, &c.lookups} {
+	for q := range c.queues() {
 		for _, o := range q.clear() {
 			c.drop(o)
 		}
--- a/claimer/operation.go
+++ b/claimer/operation.go
@@ -38,6 +38,9 @@
 	// decided says that result, which has room for one, was sent.
 	decided bool
 	result  chan result
+	// from and place say what to answer if the operation came from another instance; result is nil then.
+	from  *delivery
+	place int
 }
 
 // result is the end of an operation.
--- /dev/null
+++ b/claimer/owners_test.go
@@ -0,0 +1,276 @@
+package claimer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"celeryhead.dev/celeryhead/assigner"
+	"celeryhead.dev/celeryhead/claimer"
+	"celeryhead.dev/celeryhead/messenger"
+	"celeryhead.dev/celeryhead/storer"
+)
+
+func instances(n int) []assigner.Member {
+	var r []assigner.Member
+	for i := range n {
+		r = append(r, assigner.Member{Name: fmt.Sprintf("instance-%03d", i), Incarnation: uint64(i)})
+	}
+	return r
+}
+
+// Guards against claim owners in a fleet that needs none, and against instances with the same members that choose different ones.
+func TestOwners(t *testing.T) {
+	for _, c := range []struct{ members, want int }{{0, 0}, {1, 0}, {7, 0}, {8, 7}, {120, 7}, {880, 7}} {
+		ms := instances(c.members)
+		owners := claimer.Owners(ms)
+		if len(owners) != c.want {
+			t.Fatalf("%d claim owners of %d members, want %d", len(owners), c.members, c.want)
+		}
+		if c.want == 0 {
+			continue
+		}
+		if first, _ := assigner.Owner("claims", ms); owners[0] != first.Name {
+			t.Errorf("first claim owner %s, want %s", owners[0], first.Name)
+		}
+		slices.Reverse(ms)
+		if got := claimer.Owners(ms); !slices.Equal(got, owners) {
+			t.Errorf("claim owners %v after a change of order, want %v", got, owners)
+		}
+		if len(ms) <= claimer.MaxOwners+1 {
+			continue
+		}
+		rest := slices.DeleteFunc(ms, func(m assigner.Member) bool { return m.Name == owners[3] })
+		if got := claimer.Owners(rest); !slices.Equal(got[:6], slices.Delete(slices.Clone(owners), 3, 4)) {
+			t.Errorf("claim owners %v after one of %v left", got, owners)
+		}
+	}
+}
+
+// fixed is a fleet with claim owners that do not change and, without answer, never answer.
+type fixed struct {
+	owners []string
+	answer func(context.Context, *messenger.ClaimRequest) (*messenger.ClaimReply, error)
+}
+
+func (f fixed) ClaimOwners() []string { return f.owners }
+
+func (f fixed) Claim(ctx context.Context, _ string, m *messenger.ClaimRequest) (*messenger.ClaimReply, error) {
+	if f.answer != nil {
+		return f.answer(ctx, m)
+	}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func write(key int, size int) *messenger.ClaimWrite {
+	v := claimer.EncodeOutcome(claim(key), claimer.Outcome{Status: 200, Body: make([]byte, size)})
+	d := make([]byte, 32)
+	d[0] = byte(key)
+	return &messenger.ClaimWrite{KeyDigest: d, Version: 1, Value: v}
+}
+
+func writes(n, size int) *messenger.ClaimRequest {
+	m := &messenger.ClaimRequest{}
+	for i := range n {
+		m.Writes = append(m.Writes, write(i, size))
+	}
+	return m
+}
+
+// Guards against messages that are larger than the limits or write other rows than claims.
+func TestInvalidMessages(t *testing.T) {
+	short, other := writes(1, 0), writes(1, 0)
+	short.Writes[0].KeyDigest = short.Writes[0].KeyDigest[1:]
+	other.Writes[0].Value = []byte(`{"state":"done"}`)
+	for name, m := range map[string]*messenger.ClaimRequest{
+		"no write":      {},
+		"too many":      writes(257, 0),
+		"too large":     writes(16, claimer.MaxBodyBytes),
+		"short digest":  short,
+		"other content": other,
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, 0, func(t *testing.T, _ *world, start func(claimer.Config) *claimer.Claims) {
+				if _, err := start(claimer.Config{}).Accept(t.Context(), m); !errors.Is(err, claimer.ErrMessage) {
+					t.Errorf("error %v, want %v", err, claimer.ErrMessage)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a claim owner whose memory grows while the store does not answer, that does not take claims again
+// afterwards, or that takes them without being one.
+func TestOwnerIsFull(t *testing.T) {
+	bubble(t, 40*time.Millisecond, func(t *testing.T, w *world, start func(claimer.Config) *claimer.Claims) {
+		w.setOutage(3 * time.Second)
+		f := fixed{owners: []string{"owner"}}
+		c := start(claimer.Config{Self: "owner", Fleet: f, Accepted: 300, AcceptedBytes: 1_000_000})
+		accept := func(c *claimer.Claims, m *messenger.ClaimRequest, refused bool) {
+			t.Helper()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			p, err := c.Accept(ctx, m)
+			if err == nil && p.Refused != refused || err != nil && refused {
+				t.Errorf("answer %v, error %v, want refused %t", p, err, refused)
+			}
+		}
+		var group sync.WaitGroup
+		group.Go(func() { accept(c, writes(200, 0), false) })
+		synctest.Wait()
+		accept(c, writes(101, 0), true)
+		accept(c, writes(11, claimer.MaxBodyBytes), true)
+		accept(start(claimer.Config{Self: "other", Fleet: f}), writes(1, 0), true)
+		group.Wait()
+		time.Sleep(5 * time.Second)
+		accept(c, writes(200, 0), false)
+		accept(c, writes(200, 0), false)
+		if n := c.Counters(); n.Accepted != 600 || n.Refused != 112 {
+			t.Errorf("counters %+v", n)
+		}
+	})
+}
+
+// Guards against more than one transaction a second by an instance whose claim owners do not answer or refuse, and against claims that it does not make.
+func TestFallback(t *testing.T) {
+	refuse := func(context.Context, *messenger.ClaimRequest) (*messenger.ClaimReply, error) {
+		return &messenger.ClaimReply{Refused: true}, nil
+	}
+	confuse := func(_ context.Context, m *messenger.ClaimRequest) (*messenger.ClaimReply, error) {
+		return &messenger.ClaimReply{Results: make([]*messenger.ClaimResult, len(m.Writes)+1)}, nil
+	}
+	for name, f := range map[string]fixed{"silent": {}, "refusing": {answer: refuse}, "confused": {answer: confuse}} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, 40*time.Millisecond, func(t *testing.T, w *world, start func(claimer.Config) *claimer.Claims) {
+				var mu sync.Mutex
+				var starts []time.Time
+				f.owners = []string{"owner"}
+				c := start(claimer.Config{Self: "other", Fleet: f, Store: &hooked{Store: &link{world: w}, before: func(storer.Txn) {
+					mu.Lock()
+					defer mu.Unlock()
+					starts = append(starts, time.Now())
+				}}})
+				var group sync.WaitGroup
+				for i := range 100 {
+					time.Sleep(50 * time.Millisecond)
+					group.Go(func() {
+						d := begin(t, c, claim(i), claimer.Run)
+						if i%2 == 0 {
+							_ = c.Abandon(t.Context(), d.Claim)
+						}
+					})
+				}
+				group.Wait()
+				for i := range starts[1:] {
+					if d := starts[i+1].Sub(starts[i]); d < time.Second {
+						t.Errorf("transactions %v apart, want at most one a second", d)
+					}
+				}
+				if len(starts) > 8 {
+					t.Errorf("%d transactions in 6 s", len(starts))
+				}
+			})
+		})
+	}
+}
+
+// Guards against claims that wait for a silent owner again and again, and against owners that stay unused once they answer.
+func TestSilentOwner(t *testing.T) {
+	bubble(t, 40*time.Millisecond, func(t *testing.T, w *world, start func(claimer.Config) *claimer.Claims) {
+		f := fixed{owners: []string{"a", "b"}}
+		m := &router{fixed: f, at: map[string]*claimer.Claims{}, silent: "a"}
+		for _, n := range f.owners {
+			m.at[n] = start(claimer.Config{Self: n, Fleet: f})
+		}
+		c := start(claimer.Config{Self: "c", Fleet: m})
+		slow := 0
+		run := func(from, to int) {
+			for i := from; i < to; i++ {
+				at := time.Now()
+				d := begin(t, c, claim(i), claimer.Run)
+				slow += one(time.Since(at) > 500*time.Millisecond)
+				_ = c.Finish(t.Context(), d.Claim, claimer.Outcome{Status: 201})
+			}
+		}
+		run(0, 40)
+		// One claim finds out; outcomes ask again.
+		if slow > 1 {
+			t.Errorf("%d claims waited for a silent owner", slow)
+		}
+		m.silent = ""
+		time.Sleep(2 * time.Second)
+		before := m.at["a"].Counters().Accepted
+		run(40, 120)
+		if n := m.at["a"].Counters().Accepted - before; n < 40 {
+			t.Errorf("%d writes for an owner that answers again", n)
+		}
+	})
+}
+
+// router carries messages to owners of which one may be silent.
+type router struct {
+	fixed
+	at     map[string]*claimer.Claims
+	silent string
+}
+
+func (r *router) Claim(ctx context.Context, owner string, m *messenger.ClaimRequest) (*messenger.ClaimReply, error) {
+	if owner == r.silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return r.at[owner].Accept(ctx, m)
+}
+
+// Guards against expired claims that no claim owner sweeps, and against claim owners that sweep the same ones.
+func TestSweepIsDivided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 0)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		deleted := map[string]int{}
+		k := &hooked{Store: &link{world: w}, before: func(x storer.Txn) {
+			for _, r := range x.Writes {
+				deleted[r.Key] += one(r.Delete)
+			}
+		}}
+		c := claimer.New(claimer.Config{Store: k, Clock: time.Now})
+		go func() { _ = c.Run(ctx) }()
+		const claims = 300
+		for i := range claims {
+			begin(t, c, claim(i), claimer.Run)
+			time.Sleep(30 * time.Millisecond)
+		}
+		time.Sleep(claimer.Retention + 2*time.Hour)
+		owners := []string{"a", "b", "c", "d", "e", "f", "g"}
+		left := 2 * claims
+		for _, n := range append([]string{"other"}, owners...) {
+			s := claimer.NewSweeper(claimer.SweeperConfig{Store: k, Clock: time.Now, Self: n, Owners: func() []string { return owners }})
+			for more := true; more; {
+				var err error
+				if more, err = s.Sweep(ctx); err != nil {
+					t.Fatal(err)
+				}
+			}
+			swept := left - w.count("")
+			left -= swept
+			if n == "other" && swept > 0 || n != "other" && (swept < claims/14 || swept > claims) {
+				t.Errorf("%s swept %d of %d rows", n, swept, 2*claims)
+			}
+		}
+		if left > 0 {
+			t.Errorf("%d rows left", left)
+		}
+		for r, n := range deleted {
+			if n > 1 {
+				t.Errorf("row %s deleted %d times", r, n)
+			}
+		}
+	})
+}
--- a/claimer/pending.go
+++ b/claimer/pending.go
@@ -1,6 +1,13 @@
 package claimer
 
-import "github.com/ansel1/merry/v2"
+import (
+	"iter"
+
+	"github.com/ansel1/merry/v2"
+
+	"celeryhead.dev/celeryhead/messenger"
+	"celeryhead.dev/celeryhead/storer"
+)
 
 // enqueue reports whether o was admitted.
 func (c *Claims) enqueue(o *operation) bool {
@@ -21,15 +28,25 @@
 	}
 	c.pending++
 	c.bytes += len(o.row.Body)
-	q := &c.queue
-	if o.kind == insert && c.recent.add(o.key) {
-		q = &c.lookups
-	}
-	q.add(o)
+	c.queueFor(o).add(o)
 	c.signal()
 	return true
 }
 
+// queues yields all queues in which an operation may wait; c.mu is held.
+func (c *Claims) queues() iter.Seq[*queue] {
+	return func(yield func(*queue) bool) {
+		if !yield(&c.queue) || !yield(&c.lookups) {
+			return
+		}
+		for _, b := range c.outboxes {
+			if !yield(&b.queue) {
+				return
+			}
+		}
+	}
+}
+
 // giveUp ends the wait for an insert; if it may have taken effect, its row is marked as abandoned.
 func (c *Claims) giveUp(o *operation) Decision {
 	c.mu.Lock()
@@ -39,8 +56,9 @@
 	}
 	o.givenUp = true
 	if !o.inFlight {
-		c.queue.remove(o)
-		c.lookups.remove(o)
+		for q := range c.queues() {
+			q.remove(o)
+		}
 		c.withdraw(o)
 	}
 	return Decision{Verdict: Unavailable}
@@ -48,6 +66,10 @@
 
 // withdraw replaces an insert that nobody waits for by the abandoning of its row; c.mu is held.
 func (c *Claims) withdraw(o *operation) {
+	if o.from != nil {
+		c.reply(o, messenger.ClaimResult_UNKNOWN, storer.Row{})
+		return
+	}
 	c.decide(o, result{decision: Decision{Verdict: Unavailable}})
 	if !o.uncertain {
 		return
@@ -59,6 +81,10 @@
 
 // drop ends an operation without effect; c.mu is held.
 func (c *Claims) drop(o *operation) {
+	if o.from != nil {
+		c.reply(o, messenger.ClaimResult_UNKNOWN, storer.Row{})
+		return
+	}
 	c.countDrop(o)
 	c.decide(o, result{decision: Decision{Verdict: Unavailable}, err: merry.Wrap(ErrLost)})
 }
--- a/claimer/queue.go
+++ b/claimer/queue.go
@@ -27,6 +27,21 @@
 // maxBackoff bounds the pause between transactions while the store fails.
 const maxBackoff = 400 * time.Millisecond
 
+// setInterval replaces the interval; a shorter one also shortens the wait that has begun.
+func (q *queue) setInterval(d time.Duration, now time.Time) {
+	if d < q.interval && q.failures == 0 {
+		q.notBefore = earlier(q.notBefore, now.Add(d))
+	}
+	q.interval = d
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 func (q *queue) add(o *operation) {
 	if o.kind == insert {
 		q.inserts = append(q.inserts, o)
--- a/claimer/sweep.go
+++ b/claimer/sweep.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -120,9 +121,12 @@
 	Store storer.Store
 	// Clock is timer.Now if nil.
 	Clock timer.Clock
+	// Self is the name of this instance. Owners returns the claim owners, which divide the sweep; if it is nil or there are none, this instance sweeps all.
+	Self   string
+	Owners func() []string
 }
 
-// Sweeper deletes expired claims; one instance needs to run it, and several do no harm.
+// Sweeper deletes expired claims; several for the same rows do no harm.
 type Sweeper struct {
 	config SweeperConfig
 }
@@ -132,6 +136,9 @@
 	if c.Clock == nil {
 		c.Clock = timer.Now
 	}
+	if c.Owners == nil {
+		c.Owners = func() []string { return nil }
+	}
 	return &Sweeper{config: c}
 }
 
@@ -149,10 +156,10 @@
 	}
 }
 
-// Sweep deletes one listing of due rows and reports whether there was anything to do.
+// Sweep deletes one listing of this instance's due rows and reports whether there was anything to do.
 func (s *Sweeper) Sweep(ctx context.Context) (more bool, err error) {
 	now := s.config.Clock()
-	rows, err := s.config.Store.List(ctx, expiryPrefix, "", sweepRows)
+	rows, err := s.list(ctx, now)
 	if err != nil {
 		return false, err
 	}
@@ -173,6 +180,48 @@
 	return len(steps) > 0, nil
 }
 
+// list returns the first due rows that this instance sweeps, with at most one read each 100 ms.
+func (s *Sweeper) list(ctx context.Context, now time.Time) ([]storer.Row, error) {
+	owners := s.config.Owners()
+	if len(owners) > 0 && !slices.Contains(owners, s.config.Self) {
+		return nil, nil
+	}
+	after := ""
+	for {
+		rows, err := s.config.Store.List(ctx, expiryPrefix, after, sweepRows)
+		if err != nil {
+			return nil, err
+		}
+		own := s.own(rows, owners)
+		if len(own) > 0 || len(rows) < sweepRows || !due(rows[len(rows)-1].Key, now) {
+			return own, nil
+		}
+		after = rows[len(rows)-1].Key
+		if err := timer.Sleep(ctx, sweepInterval); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// own returns the rows whose first claim is in this instance's range; an unreadable row is in the range of digest byte 0.
+func (s *Sweeper) own(rows []storer.Row, owners []string) []storer.Row {
+	if len(owners) == 0 {
+		return rows
+	}
+	var r []storer.Row
+	for _, w := range rows {
+		var x expiryRow
+		first := ""
+		if err := json.Unmarshal(w.Value, &x); err == nil && len(x.Keys) > 0 {
+			first = x.Keys[0]
+		}
+		if owners[rangeOf(first)%len(owners)] == s.config.Self {
+			r = append(r, w)
+		}
+	}
+	return r
+}
+
 func (s *Sweeper) step(ctx context.Context, step Step, now time.Time) (committed bool, err error) {
 	var claims []storer.Row
 	if len(step.Keys) > 0 {
--- a/claimer/transaction.go
+++ b/claimer/transaction.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"celeryhead.dev/celeryhead/messenger"
 	"celeryhead.dev/celeryhead/storer"
 )
 
@@ -140,6 +141,10 @@
 
 // resolve reports whether the operation has to be repeated; c.mu is held.
 func (c *Claims) resolve(o *operation, r storer.Row, now time.Time) bool {
+	if o.from != nil {
+		c.reply(o, messenger.ClaimResult_CONFLICT, r)
+		return false
+	}
 	f, d := judge(o, r, now)
 	switch f {
 	case effective:
@@ -156,6 +161,10 @@
 
 // effective ends an operation whose effect is in the store; c.mu is held.
 func (c *Claims) effective(o *operation, version uint64) {
+	if o.from != nil {
+		c.reply(o, messenger.ClaimResult_WRITTEN, storer.Row{Version: version})
+		return
+	}
 	if o.kind != insert {
 		c.decide(o, result{})
 		return
--- a/claimer/world_test.go
+++ b/claimer/world_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
+	"celeryhead.dev/celeryhead/claimer"
 	"celeryhead.dev/celeryhead/emulator"
 	"celeryhead.dev/celeryhead/storer"
 )
@@ -23,6 +26,9 @@
 
 	table *emulator.Memory
 
+	applying sync.Mutex
+	wrong    []string
+
 	mu          sync.Mutex
 	outageUntil time.Time
 	late        sync.WaitGroup
@@ -33,11 +39,57 @@
 }
 
 func (w *world) apply(t storer.Txn) storer.Result {
+	w.applying.Lock()
+	defer w.applying.Unlock()
+	before := map[string][]byte{}
+	for _, x := range t.Writes {
+		before[x.Key] = w.value(x.Key)
+	}
 	// Without faults of its own the table always answers.
 	r, _ := w.table.Commit(context.Background(), t)
+	if !r.Committed {
+		return r
+	}
+	for _, x := range t.Writes {
+		if strings.HasPrefix(x.Key, "claim/") && !x.Delete && !lawful(before[x.Key], x.Value) {
+			w.wrong = append(w.wrong, fmt.Sprintf("row %.12s: %s replaced by %s", x.Key, before[x.Key], x.Value))
+		}
+	}
 	return r
 }
 
+// lawful reports whether a claim row may replace another: only its own claim may end a claim, and an outcome stays.
+func lawful(before, after []byte) bool {
+	s, id := claimer.Row(after)
+	if before == nil {
+		return s != "done"
+	}
+	old, oldID := claimer.Row(before)
+	switch old {
+	case "abandoned":
+		return s != "done"
+	case "claimed":
+		return s != "claimed" && id == oldID
+	default:
+		return false
+	}
+}
+
+func (w *world) value(key string) []byte {
+	rows, _ := w.table.Read(context.Background(), key)
+	if len(rows) == 0 {
+		return nil
+	}
+	return rows[0].Value
+}
+
+// faults returns the unlawful changes of claim rows.
+func (w *world) faults() []string {
+	w.applying.Lock()
+	defer w.applying.Unlock()
+	return w.wrong
+}
+
 func (w *world) down() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/server/export_test.go
+++ b/server/export_test.go
@@ -52,6 +52,9 @@
 // CallersHandler returns the handler of the callers' listener.
 func (s *Server) CallersHandler() http.Handler { return s.callersHandler() }
 
+// PeersHandler returns the handler of the peers' listener.
+func (s *Server) PeersHandler() http.Handler { return s.peersHandler() }
+
 // SetLeaving begins a shutdown as far as callers see it.
 func (s *Server) SetLeaving() { s.leaving.Store(true) }
 
--- a/server/once.go
+++ b/server/once.go
@@ -6,10 +6,16 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
+	"celeryhead.dev/celeryhead/assigner"
 	"celeryhead.dev/celeryhead/claimer"
+	"celeryhead.dev/celeryhead/controller"
 	"celeryhead.dev/celeryhead/forwarder"
+	"celeryhead.dev/celeryhead/messenger"
 	"celeryhead.dev/celeryhead/responder"
 )
 
@@ -146,6 +152,44 @@
 	})
 }
 
+// claimFleet tells the claims of an instance who the claim owners are and carries messages to them.
+type claimFleet struct {
+	server *Server
+	// last holds the owners of the view that was seen last.
+	last atomic.Pointer[claimOwners]
+}
+
+type claimOwners struct {
+	view  *controller.View
+	names []string
+}
+
+// ClaimOwners returns the claim owners of the adopted fleet assignment.
+func (f *claimFleet) ClaimOwners() []string {
+	v := f.server.control.View()
+	if l := f.last.Load(); l != nil && l.view == v {
+		return l.names
+	}
+	var ms []assigner.Member
+	for _, m := range v.Heads.Assignments[assigner.FleetScope].Members {
+		ms = append(ms, assigner.Member(m))
+	}
+	l := &claimOwners{view: v, names: claimer.Owners(ms)}
+	f.last.Store(l)
+	return l.names
+}
+
+var errClaimOwnerUnknown = merry.Sentinel("address of the claim owner is not known")
+
+// Claim sends claims to a claim owner.
+func (f *claimFleet) Claim(ctx context.Context, owner string, m *messenger.ClaimRequest) (*messenger.ClaimReply, error) {
+	i, ok := f.server.control.Instance(owner)
+	if !ok {
+		return nil, errClaimOwnerUnknown
+	}
+	return f.server.links.Peer(i).Claim(ctx, m)
+}
+
 // replay sends the stored answer of an earlier sending.
 func replay(w http.ResponseWriter, o *claimer.Outcome) {
 	h := w.Header()
--- a/server/peers.go
+++ b/server/peers.go
@@ -2,24 +2,30 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"github.com/gorilla/mux"
 	"github.com/twitchtv/twirp"
 
 	"celeryhead.dev/celeryhead/certifier"
+	"celeryhead.dev/celeryhead/claimer"
 	"celeryhead.dev/celeryhead/messenger"
 )
 
 func (s *Server) peersHandler() http.Handler {
 	r := mux.NewRouter().SkipClean(true)
 	t := messenger.NewPeerServer(&peerService{server: s})
+	r.Path(t.PathPrefix() + "Claim").Handler(http.MaxBytesHandler(identified(t), maxClaimMessage))
 	r.PathPrefix(t.PathPrefix()).Handler(identified(t))
 	r.Path(forwardPath).HandlerFunc(s.fromPeer(s.own))
 	r.Path(enterPath).HandlerFunc(s.fromPeer(s.enterPassed))
 	return r
 }
 
+// maxClaimMessage bounds a message to a claim owner in bytes: 1 MiB of rows, and their digests and versions.
+const maxClaimMessage = 2 << 20
+
 type identityKey struct{}
 
 // identified passes the name in the client's certificate on to the services.
@@ -83,3 +89,15 @@
 func (p *peerService) FetchChunks(_ context.Context, r *messenger.FetchChunksRequest) (*messenger.Chunks, error) {
 	return p.server.control.FetchChunks(r)
 }
+
+// Claim adds the claims of another instance to the transactions of this one.
+func (p *peerService) Claim(ctx context.Context, r *messenger.ClaimRequest) (*messenger.ClaimReply, error) {
+	if identity(ctx) == "" {
+		return nil, twirp.PermissionDenied.Error("the certificate names no instance")
+	}
+	a, err := p.server.claims.Accept(ctx, r)
+	if errors.Is(err, claimer.ErrMessage) {
+		return nil, twirp.InvalidArgument.Error(err.Error())
+	}
+	return a, err
+}
--- a/server/server.go
+++ b/server/server.go
@@ -65,6 +65,7 @@
 	started   rate
 	allowance *limiter.Allowance
 	claims    *claimer.Claims
+	fleet     *claimFleet
 	tickets   *claimer.Tickets
 	operator  *operator.Operator
 
@@ -103,7 +104,8 @@
 	s.meter = meter.New()
 	s.strikes.breaker = breaker.New(breaker.Config{})
 	s.allowance = limiter.NewAllowance(limiter.AllowanceConfig{Asker: asker{server: s}})
-	s.claims = claimer.New(claimer.Config{Store: s.store})
+	s.fleet = &claimFleet{server: s}
+	s.claims = claimer.New(claimer.Config{Store: s.store, Self: s.self.Name, Fleet: s.fleet})
 	s.tickets, err = claimer.NewTickets(claimer.TicketConfig{
 		Location: claimer.Location{Instance: s.self.Name, Incarnation: s.self.Incarnation},
 		Life:     ticketLife,
@@ -256,7 +258,7 @@
 
 // runSweeps deletes expired claims.
 func (s *Server) runSweeps(ctx context.Context) {
-	w := claimer.NewSweeper(claimer.SweeperConfig{Store: s.store})
+	w := claimer.NewSweeper(claimer.SweeperConfig{Store: s.store, Self: s.self.Name, Owners: s.fleet.ClaimOwners})
 	// Run returns only the end of ctx.
 	_ = w.Run(ctx)
 }
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -1,9 +1,13 @@
 package server_test
 
 import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"net/url"
 	"os"
 	"path/filepath"
 	"testing"
@@ -131,3 +135,31 @@
 		t.Errorf("status %d, header %v, body %q", w.Code, w.Header(), w.Body)
 	}
 }
+
+// Guards against claims that are written for a sender without the certificate of an instance, and against a message of any size.
+func TestClaimNeedsCertificate(t *testing.T) {
+	s := newServer(t)
+	const path = "/twirp/celeryhead.messenger.Peer/Claim"
+	send := func(state *tls.ConnectionState, size int) int {
+		r := httptest.NewRequest(http.MethodPost, path, bytes.NewReader(make([]byte, size)))
+		r.Header.Set("Content-Type", "application/protobuf")
+		r.TLS = state
+		w := httptest.NewRecorder()
+		s.PeersHandler().ServeHTTP(w, r)
+		return w.Code
+	}
+	if c := send(nil, 0); c != http.StatusForbidden {
+		t.Errorf("status %d without a certificate, want 403", c)
+	}
+	peer := func(name string) *tls.ConnectionState {
+		return &tls.ConnectionState{PeerCertificates: []*x509.Certificate{{URIs: []*url.URL{{Scheme: "celeryhead", Host: "peer", Path: name}}}}}
+	}
+	if c := send(peer(""), 0); c != http.StatusForbidden {
+		t.Errorf("status %d for a certificate without a name, want 403", c)
+	}
+	for _, size := range []int{0, 3 << 20} {
+		if c := send(peer("/west-2"), size); c != http.StatusBadRequest {
+			t.Errorf("status %d for a message of %d bytes, want 400", c, size)
+		}
+	}
+}
