Count claims sent to claim owners, refusals and fallbacks

Cause: operators cannot see whether claim owners work; a claim that an instance writes itself takes up to a second longer.

After: five counters, at the sender (sent, fallbacks, refusals by an owner) and at the owner (accepted, declined). Ruled out: labels with the owner's name, whose number grows with replaced instances.

Conclusion: celeryhead_claim_fallbacks_total that keeps rising points at an unreachable or full claim owner.

--- a/meter/catalogue.go
+++ b/meter/catalogue.go
@@ -36,6 +36,11 @@
 	claimCommits   = "celeryhead_claim_transactions_total"
 	claimsLost     = "celeryhead_claims_dropped_total"
 	claimsRefused  = "celeryhead_claims_unavailable_total"
+	claimsSent     = "celeryhead_claims_sent_total"
+	claimFallbacks = "celeryhead_claim_fallbacks_total"
+	claimRefusals  = "celeryhead_claim_owner_refusals_total"
+	claimsAccepted = "celeryhead_claims_accepted_total"
+	claimsDeclined = "celeryhead_claims_declined_total"
 	retries        = "celeryhead_retries_total"
 	shiftStep      = "celeryhead_shift_step"
 )
@@ -60,6 +65,11 @@
 		{claimCommits, Counter, "transactions", ""},
 		{claimsLost, Counter, "claims", ""},
 		{claimsRefused, Counter, "requests", ""},
+		{claimsSent, Counter, "writes", ""},
+		{claimFallbacks, Counter, "writes", ""},
+		{claimRefusals, Counter, "writes", ""},
+		{claimsAccepted, Counter, "writes", ""},
+		{claimsDeclined, Counter, "writes", ""},
 		{retries, Counter, "sendings", ""},
 		{shiftStep, Gauge, "steps", "shift"},
 	}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -159,6 +159,14 @@
 	Slots, Free, Queued int
 }
 
+// ClaimOwners counts the writes of claims between instances and claim owners.
+type ClaimOwners struct {
+	// Sent counts writes sent to owners, Refusals those that these refused, and Fallbacks those that the instance made itself.
+	Sent, Refusals, Fallbacks uint64
+	// Accepted and Refused count writes that came from other instances.
+	Accepted, Refused uint64
+}
+
 // State is read when the metrics are served.
 type State struct {
 	Pools         map[string]Pool
@@ -169,6 +177,7 @@
 	ClaimCommits  uint64
 	ClaimsLost    uint64
 	ClaimsRefused uint64
+	ClaimOwners   ClaimOwners
 	ShiftSteps    map[string]int
 }
 
@@ -191,6 +200,11 @@
 	m.set.GetOrCreateCounter(claimCommits).Set(s.ClaimCommits)
 	m.set.GetOrCreateCounter(claimsLost).Set(s.ClaimsLost)
 	m.set.GetOrCreateCounter(claimsRefused).Set(s.ClaimsRefused)
+	m.set.GetOrCreateCounter(claimsSent).Set(s.ClaimOwners.Sent)
+	m.set.GetOrCreateCounter(claimFallbacks).Set(s.ClaimOwners.Fallbacks)
+	m.set.GetOrCreateCounter(claimRefusals).Set(s.ClaimOwners.Refusals)
+	m.set.GetOrCreateCounter(claimsAccepted).Set(s.ClaimOwners.Accepted)
+	m.set.GetOrCreateCounter(claimsDeclined).Set(s.ClaimOwners.Refused)
 	m.set.WritePrometheus(w)
 	metrics.WriteProcessMetrics(w)
 }
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -30,7 +30,10 @@
 		ClaimCommits:  k.Transactions,
 		ClaimsLost:    k.Dropped,
 		ClaimsRefused: k.Unavailable,
-		ShiftSteps:    map[string]int{},
+		ClaimOwners: meter.ClaimOwners{
+			Sent: k.Sent, Fallbacks: k.Fallbacks, Refusals: k.OwnerRefusals, Accepted: k.Accepted, Refused: k.Refused,
+		},
+		ShiftSteps: map[string]int{},
 	}
 	for _, o := range s.pools.all() {
 		l := o.Load()
