--- a/claimer/doc.go
+++ b/claimer/doc.go
@@ -7,6 +7,21 @@
 // the effect and enforced by the target. Claims of concurrent requests share
 // transactions; a claim that another holds does not fail the others.
 //
+// # Claim owners
+//
+// In a fleet of more than 7 members the transactions of all instances would exceed what
+// the store takes. There Owners chooses 7 claim owners, which write the claims of the
+// others. For the sender an owner is a way to the store and no more: the message carries
+// the row and the version that it replaces, the owner adds the write to one of its
+// transactions or refuses it, and answers what the store said, which the sender judges
+// itself. A message whose answer is missing is a transaction with an unknown effect, and
+// is handled like one: the sender reads the row and writes it itself, with the same claim
+// id. A message that arrives late or twice, also one that was refused, meets a version
+// that has passed, or writes the row of a claim that its sender abandons. An owner keeps
+// what it accepted for three quarters of a second; owners that are full refuse, and the
+// sender writes at most one transaction a second. While the owner of a range is silent,
+// the next ones in order get its claims.
+//
 // # Unknown effects
 //
 // An insert whose reply was lost is repeated with the same claim id. If the row
--- a/claimer/owners_test.go
+++ b/claimer/owners_test.go
@@ -130,8 +130,9 @@
 		group.Wait()
 		time.Sleep(5 * time.Second)
 		accept(c, writes(200, 0), false)
-		accept(c, writes(200, 0), false)
-		if n := c.Counters(); n.Accepted != 600 || n.Refused != 112 {
+		accept(c, writes(10, claimer.MaxBodyBytes), false)
+		accept(c, writes(10, claimer.MaxBodyBytes), false)
+		if n := c.Counters(); n.Accepted != 420 || n.Refused != 112 {
 			t.Errorf("counters %+v", n)
 		}
 	})
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -10,13 +10,17 @@
 	"net/url"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"celeryhead.dev/celeryhead/certifier"
 	"celeryhead.dev/celeryhead/claimer"
 	"celeryhead.dev/celeryhead/loader"
 	"celeryhead.dev/celeryhead/logger"
+	"celeryhead.dev/celeryhead/messenger"
 	"celeryhead.dev/celeryhead/responder"
 	"celeryhead.dev/celeryhead/server"
 	"celeryhead.dev/celeryhead/timer"
@@ -140,26 +144,30 @@
 func TestClaimNeedsCertificate(t *testing.T) {
 	s := newServer(t)
 	const path = "/twirp/celeryhead.messenger.Peer/Claim"
-	send := func(state *tls.ConnectionState, size int) int {
-		r := httptest.NewRequest(http.MethodPost, path, bytes.NewReader(make([]byte, size)))
+	send := func(state *tls.ConnectionState, size int) (int, string) {
+		b, err := proto.Marshal(&messenger.ClaimRequest{Writes: []*messenger.ClaimWrite{{Value: make([]byte, size)}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := httptest.NewRequest(http.MethodPost, path, bytes.NewReader(b))
 		r.Header.Set("Content-Type", "application/protobuf")
 		r.TLS = state
 		w := httptest.NewRecorder()
 		s.PeersHandler().ServeHTTP(w, r)
-		return w.Code
+		return w.Code, w.Body.String()
 	}
-	if c := send(nil, 0); c != http.StatusForbidden {
+	if c, _ := send(nil, 0); c != http.StatusForbidden {
 		t.Errorf("status %d without a certificate, want 403", c)
 	}
 	peer := func(name string) *tls.ConnectionState {
 		return &tls.ConnectionState{PeerCertificates: []*x509.Certificate{{URIs: []*url.URL{{Scheme: "celeryhead", Host: "peer", Path: name}}}}}
 	}
-	if c := send(peer(""), 0); c != http.StatusForbidden {
+	if c, _ := send(peer(""), 0); c != http.StatusForbidden {
 		t.Errorf("status %d for a certificate without a name, want 403", c)
 	}
-	for _, size := range []int{0, 3 << 20} {
-		if c := send(peer("/west-2"), size); c != http.StatusBadRequest {
-			t.Errorf("status %d for a message of %d bytes, want 400", c, size)
+	for size, want := range map[int]string{0: "invalid_argument", 3 << 20: "malformed"} {
+		if c, b := send(peer("/west-2"), size); c != http.StatusBadRequest || !strings.Contains(b, want) {
+			t.Errorf("status %d, %s for a write of %d bytes, want 400, %s", c, b, size, want)
 		}
 	}
 }
