Add a benchmark of the choice of claim owners

Cause: the choice is made at each new heads version while claims wait for it, and its cost had no benchmark.

The trials of TestFleets keep their owners without a type of their own.

--- a/claimer/fleet_test.go
+++ b/claimer/fleet_test.go
@@ -115,16 +115,15 @@
 	start time.Time
 	names []string
 	at    map[string]*claimer.Claims
+	// before and after are the owners until the death of the first one is known, and from then on.
+	before, after []string
 }
 
 func (m *members) ClaimOwners() []string {
-	if !m.trial.owners {
-		return nil
-	}
 	if m.trial.dead && time.Since(m.start) >= replacedAt {
-		return claimer.Owners(fleetMembers(m.names[1:]))
+		return m.after
 	}
-	return claimer.Owners(fleetMembers(m.names))
+	return m.before
 }
 
 func fleetMembers(names []string) []assigner.Member {
@@ -153,19 +152,6 @@
 	return p, err
 }
 
-// cached keeps the owners, which change once in a trial.
-type cached struct {
-	*members
-	before, after []string
-}
-
-func (c *cached) ClaimOwners() []string {
-	if c.trial.dead && time.Since(c.start) >= replacedAt {
-		return c.after
-	}
-	return c.before
-}
-
 // fleetNames returns names of which the first is a claim owner.
 func fleetNames(n int) []string {
 	var names []string
@@ -186,12 +172,11 @@
 	bubble(t, f.rtt, func(t *testing.T, w *world, start func(claimer.Config) *claimer.Claims) {
 		store := &busy{world: w, starts: map[int64]int{}}
 		m := &members{trial: f, start: time.Now(), names: fleetNames(f.instances), at: map[string]*claimer.Claims{}}
-		k := &cached{members: m, before: m.ClaimOwners()}
 		if f.owners {
-			k.after = claimer.Owners(fleetMembers(m.names[1:]))
+			m.before, m.after = claimer.Owners(fleetMembers(m.names)), claimer.Owners(fleetMembers(m.names[1:]))
 		}
 		for _, n := range m.names {
-			m.at[n] = start(claimer.Config{Store: store, Self: n, Fleet: k})
+			m.at[n] = start(claimer.Config{Store: store, Self: n, Fleet: m})
 		}
 		var group sync.WaitGroup
 		for i, n := range m.names {
--- a/claimer/owners_test.go
+++ b/claimer/owners_test.go
@@ -52,6 +52,18 @@
 	}
 }
 
+func BenchmarkOwners(b *testing.B) {
+	for _, n := range []int{8, 120, 880} {
+		ms := instances(n)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				claimer.Owners(ms)
+			}
+		})
+	}
+}
+
 // fixed is a fleet with claim owners that do not change and, without answer, never answer.
 type fixed struct {
 	owners []string
