--- a/server/certificates.go
+++ b/server/certificates.go
@@ -71,6 +71,10 @@
 // trusted refuses requests on connections whose certificate would not be accepted any more, and ends these connections.
 func (s *Server) trusted(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.TLS == nil || len(r.TLS.PeerCertificates) == 0 {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
 		if s.certificates.Trusts(r.TLS, time.Now()) {
 			h.ServeHTTP(w, r)
 			return
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -1,18 +1,26 @@
 package server_test
 
 import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"celeryhead.dev/celeryhead/certifier"
 	"celeryhead.dev/celeryhead/claimer"
 	"celeryhead.dev/celeryhead/loader"
 	"celeryhead.dev/celeryhead/logger"
+	"celeryhead.dev/celeryhead/messenger"
 	"celeryhead.dev/celeryhead/responder"
 	"celeryhead.dev/celeryhead/server"
 	"celeryhead.dev/celeryhead/timer"
@@ -20,6 +28,13 @@
 
 // newServer returns a server that was never run: it has no proof, no configuration and no peers.
 func newServer(t *testing.T) *server.Server {
+	t.Helper()
+	s, _ := newCertified(t)
+	return s
+}
+
+// newCertified also returns the authority of the server's peers.
+func newCertified(t *testing.T) (*server.Server, *certifier.Authority) {
 	t.Helper()
 	a, err := certifier.NewAuthority("test", time.Now(), time.Hour)
 	if err != nil {
@@ -53,7 +68,26 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return r
+	return r, a
+}
+
+// connection returns the state of a connection of a peer, whose certificate the authority signed.
+func connection(t *testing.T, a *certifier.Authority) *tls.ConnectionState {
+	t.Helper()
+	p, err := a.Issue(certifier.Peer, "west-2", time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var chain []*x509.Certificate
+	for _, text := range [][]byte{p.Certificate, a.Pair().Certificate} {
+		b, _ := pem.Decode(text)
+		c, err := x509.ParseCertificate(b.Bytes)
+		if err != nil {
+			t.Fatal(err)
+		}
+		chain = append(chain, c)
+	}
+	return &tls.ConnectionState{PeerCertificates: chain[:1], VerifiedChains: [][]*x509.Certificate{chain}}
 }
 
 // Guards P5 and P12: without a proof of freshness an instance must neither run nor admit anything, and must say so.
@@ -133,3 +167,34 @@
 		t.Errorf("status %d, header %v, body %q", w.Code, w.Header(), w.Body)
 	}
 }
+
+// Guards against claims that are written for a sender without the certificate of an instance, and against a message of any size.
+func TestClaimNeedsCertificate(t *testing.T) {
+	s, a := newCertified(t)
+	const path = "/twirp/celeryhead.messenger.Peer/Claim"
+	send := func(state *tls.ConnectionState, size int) (int, string) {
+		b, err := proto.Marshal(&messenger.ClaimRequest{Writes: []*messenger.ClaimWrite{{Value: make([]byte, size)}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := httptest.NewRequest(http.MethodPost, path, bytes.NewReader(b))
+		r.Header.Set("Content-Type", "application/protobuf")
+		r.TLS = state
+		w := httptest.NewRecorder()
+		s.PeersHandler().ServeHTTP(w, r)
+		return w.Code, w.Body.String()
+	}
+	if c, _ := send(nil, 0); c != http.StatusForbidden {
+		t.Errorf("status %d without a certificate, want 403", c)
+	}
+	nameless := connection(t, a)
+	nameless.PeerCertificates[0].URIs[0].Path = ""
+	if c, _ := send(nameless, 0); c != http.StatusForbidden {
+		t.Errorf("status %d for a certificate without a name, want 403", c)
+	}
+	for size, want := range map[int]string{0: "invalid_argument", 3 << 20: "malformed"} {
+		if c, b := send(connection(t, a), size); c != http.StatusBadRequest || !strings.Contains(b, want) {
+			t.Errorf("status %d, %s for a write of %d bytes, want 400, %s", c, b, size, want)
+		}
+	}
+}
