Try other targets after a refused connection, and wait while a region has no owner

Remote work waits in no queue and leaves the reserve free, 2 of 3 slots of a cold owner, and the entry's reports run dry between heartbeats, since a choice counts against them and its end does not. The caller was told no_slot, although the change of owners was the cause. The owner did not try its other targets, and the entry's retry needed a budget, which few requests earn, or reported room, which runs dry. Change: the work moves to the owner's other targets with a free slot, each once (Pool.Move); a retry of a request that reached no target spends no budget, as two such failures eject the target; no_slot and target_unreachable wait within the deadline, as no_owner does, while no owner of the entry's own region serves. Ruled out by measurement: load in each answer, giving the counted slot back, subtracting the reserve in the choice (docs/measurements.d/balancer.md). The simulation reported loads with answers, which the daemon does not; it now does as the daemon. Conclusion: what a change of owners or a dead target causes is no longer told to callers as load while others have room.

--- a/balancer/chooser.go
+++ b/balancer/chooser.go
@@ -95,7 +95,7 @@
 	c.links.Put(region, b)
 }
 
-// Report records the load that an owner sent along with an answer or a heartbeat.
+// Report records the load that an owner sent along with a heartbeat.
 func (c *Chooser) Report(now time.Time, name string, l Load) {
 	if o := c.owners.Get(name); o != nil {
 		o.slots, o.free, o.reported = l.Slots, float64(l.Free-l.Queued), now
@@ -218,8 +218,10 @@
 }
 
 // Retry reports whether a request that the owners tried have refused may be sent to another one. A retry to a slot that
-// an owner reports as free spends no budget, because it takes nothing from other requests. While owners that were not
-// tried are all suspect or without slots there is no retry: a try that cannot be answered would use up the deadline.
+// an owner reports as free spends no budget, because it takes nothing from other requests. A retry of a request that
+// reached no target spends none either: load is not the cause, and two such failures eject the target. While owners that
+// were not tried are all suspect or without slots there is no retry: a try that cannot be answered would use up the
+// deadline.
 func (c *Chooser) Retry(now time.Time, r *responder.Refusal, deadline time.Time, tried ...string) bool {
 	if !c.retries.Retryable(now, r, len(tried)-1, deadline) {
 		return false
@@ -227,7 +229,7 @@
 	if c.noneServes(now, tried) {
 		return false
 	}
-	return c.hasRoom(now, tried) || c.retries.Spend(now)
+	return r.Reason == responder.TargetUnreachable || c.hasRoom(now, tried) || c.retries.Spend(now)
 }
 
 // noneServes reports whether owners that were not tried are left, but none that serves.
@@ -245,6 +247,33 @@
 	return left
 }
 
+// Waits reports whether a request that was refused waits for an owner, because targets change their owners and load is not
+// the cause. While no owner of the region serves, its requests depend on the slots that other regions grant, which wait in
+// no queue and may be few: a reserve of a cold owner's slots can be all but one of them.
+func (c *Chooser) Waits(now time.Time, r *responder.Refusal) bool {
+	if !notRun(r) {
+		return false
+	}
+	switch r.Reason {
+	case responder.NoOwner:
+		return true
+	case responder.NoSlot, responder.TargetUnreachable:
+		return c.unowned(now)
+	default:
+		return false
+	}
+}
+
+// unowned reports whether no owner of the chooser's region serves.
+func (c *Chooser) unowned(now time.Time) bool {
+	for _, o := range c.owners.All() {
+		if o.Region == c.c.Region && o.serves(now) {
+			return false
+		}
+	}
+	return true
+}
+
 // hasRoom reports whether an owner that was not tried reported free slots lately.
 func (c *Chooser) hasRoom(now time.Time, tried []string) bool {
 	for _, o := range c.owners.All() {
--- a/balancer/chooser_test.go
+++ b/balancer/chooser_test.go
@@ -187,6 +187,56 @@
 	}
 }
 
+// Guards against callers who are told that a target refused the connection while other owners have room: their reports run
+// dry between heartbeats, and a few requests earn no budget.
+func TestRetryOfUnreachedSpendsNoBudget(t *testing.T) {
+	for reason, want := range map[responder.Reason]bool{responder.TargetUnreachable: true, responder.NoSlot: false} {
+		c := balancer.NewChooser(balancer.ChooserConfig{})
+		c.Adopt([]balancer.Owner{{Name: "a"}, {Name: "b"}})
+		c.Report(epoch, "b", balancer.Load{Slots: 3})
+		refusal := &responder.Refusal{Reason: reason, Ran: responder.NotRun}
+		for range 3 {
+			c.Attempt()
+			if got := c.Retry(epoch, refusal, epoch.Add(time.Second), "a"); got != want {
+				t.Errorf("%s: retry %t, want %t", reason, got, want)
+			}
+		}
+	}
+}
+
+// Guards against requests of a region whose targets have no acting owner yet, which are refused as if load were the cause.
+func TestWaitsWhileRegionIsUnowned(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		reason responder.Reason
+		ran    responder.Ran
+		own    balancer.Owner
+		slots  int
+		want   bool
+	}{
+		{name: "no owner", reason: responder.NoSlot, ran: responder.NotRun, want: true},
+		{name: "no owner, target unreachable", reason: responder.TargetUnreachable, ran: responder.NotRun, want: true},
+		{name: "no owner, shed", reason: responder.TargetShed, ran: responder.NotRun},
+		{name: "no owner, may have run", reason: responder.NoSlot, ran: responder.Unknown},
+		{name: "owner", reason: responder.NoSlot, ran: responder.NotRun, own: balancer.Owner{Name: "w", Region: "west"}, slots: 3},
+		{name: "owner that waits", reason: responder.NoSlot, ran: responder.NotRun, own: balancer.Owner{Name: "w", Region: "west"}, want: true},
+		{name: "suspect owner", reason: responder.NoSlot, ran: responder.NotRun, own: balancer.Owner{Name: "w", Region: "west", Suspect: true}, slots: 3, want: true},
+		{name: "owner that waits, as its answer", reason: responder.NoOwner, ran: responder.NotRun, own: balancer.Owner{Name: "w", Region: "west"}, slots: 3, want: true},
+	} {
+		c := balancer.NewChooser(balancer.ChooserConfig{Region: "west"})
+		os := []balancer.Owner{{Name: "e", Region: "east"}}
+		if x.own.Name != "" {
+			os = append(os, x.own)
+		}
+		c.Adopt(os)
+		c.Report(epoch, "e", balancer.Load{Slots: 3, Free: 3})
+		c.Report(epoch, "w", balancer.Load{Slots: x.slots})
+		if got := c.Waits(epoch, &responder.Refusal{Reason: x.reason, Ran: x.ran}); got != x.want {
+			t.Errorf("%s: waits %t, want %t", x.name, got, x.want)
+		}
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	c := balancer.NewChooser(balancer.ChooserConfig{Name: "entry", Region: "west", Seed: 1})
 	var os []balancer.Owner
--- a/balancer/dispatcher.go
+++ b/balancer/dispatcher.go
@@ -44,6 +44,16 @@
 	l.d.finish(l.id, o)
 }
 
+// Move reports whether the work goes on at another target, which Target names then, because it did not reach this one;
+// otherwise the lease has been released with ConnectFailure.
+func (l *Lease) Move() bool {
+	t, ok := l.d.move(l.id)
+	if ok {
+		l.Target = t
+	}
+	return ok
+}
+
 // Run lets time take effect until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) {
 	timer.Every(ctx, tickInterval, func(context.Context) { d.do(d.pool.Tick) })
@@ -152,6 +162,15 @@
 	d.do(func(now time.Time) Actions { return d.pool.Finish(now, id, o) })
 }
 
+func (d *Dispatcher) move(id ID) (target string, moved bool) {
+	d.do(func(now time.Time) Actions {
+		var a Actions
+		target, moved, a = d.pool.Move(now, id)
+		return a
+	})
+	return target, moved
+}
+
 // cancel reports whether the work was still queued.
 func (d *Dispatcher) cancel(id ID) bool {
 	d.mu.Lock()
--- a/balancer/measure_test.go
+++ b/balancer/measure_test.go
@@ -15,6 +15,9 @@
 // seed is added to the seeds of the generators.
 var seed = flag.Uint64("seed", 0, "seed of the measurements")
 
+// configuredReserve is the reserve of the deployments in package exemplifier.
+const configuredReserve = 0.34
+
 var policies = []struct {
 	name string
 	run  func(*simulation) result
@@ -45,10 +48,14 @@
 
 // measure runs a policy on pools of 16 and 12 targets and adds the results up.
 func measure(i int, s setting) result {
+	return measureFrom(i, s, *seed)
+}
+
+func measureFrom(i int, s setting, seed uint64) result {
 	var sum result
 	for n, targets := range []int{16, 12} {
 		s.targets = targets
-		r := policies[i].run(newSimulation(s, *seed+uint64(n+1)))
+		r := policies[i].run(newSimulation(s, seed+uint64(n+1)))
 		if n == 0 {
 			sum = r
 			continue
@@ -62,7 +69,7 @@
 	r.latency.Merge(o.latency)
 	r.all.Merge(o.all)
 	r.sent, r.served, r.refused = r.sent+o.sent, r.served+o.served, r.refused+o.refused
-	r.overshoots, r.wasted = r.overshoots+o.overshoots, r.wasted+o.wasted
+	r.overshoots, r.wasted, r.unreached = r.overshoots+o.overshoots, r.wasted+o.wasted, r.unreached+o.unreached
 	r.busy, r.ticks = r.busy+o.busy, r.ticks+o.ticks
 	for i := range simAccounts {
 		r.offered[i] += o.offered[i]
@@ -200,3 +207,58 @@
 		t.Errorf("%s: %.3f of the requests served, want %.3f", name, got, want)
 	}
 }
+
+// sumOf adds up measurements of the design with several seeds, as refusals are few.
+func sumOf(s setting) result {
+	sum := measureFrom(oneOwner, s, *seed)
+	for k := range uint64(2) {
+		sum.add(measureFrom(oneOwner, s, *seed+10*(k+1)))
+	}
+	return sum
+}
+
+// Guards against requests that are refused although other targets or regions have room: while a region has no owner that
+// serves, and at targets that refuse connections for longer than their first ejection.
+func TestRoomElsewhere(t *testing.T) {
+	t.Parallel()
+	faults := []struct {
+		name string
+		set  func(*setting)
+		seen func(result) int
+	}{
+		{"region without owner", func(s *setting) { s.joining = true }, func(r result) int { return r.refused }},
+		{"targets refuse", func(s *setting) { s.refusing = true }, func(r result) int { return r.unreached }},
+	}
+	for _, f := range faults {
+		sum := [2]int{}
+		for _, d := range deployments {
+			for _, load := range []float64{0.3, 0.6, 0.9, 1.2} {
+				s := d
+				s.load, s.noisy, s.reserve = load, load > 1, configuredReserve
+				f.set(&s)
+				for i, r := range bothWays(s) {
+					r.row(t, fmt.Sprintf("%s %.0f %%, %s", d.name, load*100, f.name), fmt.Sprintf("%s | %d", []string{"before", "after"}[i], r.unreached))
+					sum[i] += f.seen(r)
+					if r.overshoots != 0 {
+						t.Errorf("%s: %d overshoots", f.name, r.overshoots)
+					}
+				}
+			}
+		}
+		if sum[1] >= sum[0] {
+			t.Errorf("%s: %d requests refused for it, %d without the rules", f.name, sum[1], sum[0])
+		}
+	}
+}
+
+// bothWays measures without and with the rules for room elsewhere.
+func bothWays(s setting) [2]result {
+	var rs [2]result
+	before := s
+	before.without = without{wait: true, move: true, freeRetry: true}
+	var g sync.WaitGroup
+	g.Go(func() { rs[0] = sumOf(before) })
+	g.Go(func() { rs[1] = sumOf(s) })
+	g.Wait()
+	return rs
+}
--- a/balancer/pool.go
+++ b/balancer/pool.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"net/http"
+	"slices"
 	"time"
 
 	"celeryhead.dev/celeryhead/indexer"
@@ -54,6 +55,9 @@
 type run struct {
 	target   string
 	deadline time.Time
+	remote   bool
+	// unreached holds the targets that refused the connection for this work.
+	unreached []string
 }
 
 // New returns a Pool without targets.
@@ -92,13 +96,49 @@
 
 // submitRemote starts w if slots beyond the reserve are free and nobody waits.
 func (p *Pool) submitRemote(now time.Time, id ID, w Work, a *Actions) {
-	// A share of the slots that may be used, or owners of cold targets would refuse all remote work.
-	reserve := int(math.Ceil(p.c.Reserve * float64(p.usable())))
-	if p.queue.length > 0 || p.free(now) <= reserve {
+	if p.queue.length > 0 || p.free(now) <= p.reserve() {
 		a.refuse(id, p.full())
 		return
 	}
-	p.start(id, w, p.pick(now), a)
+	p.start(id, w, p.pick(now, nil), a)
+}
+
+// reserve is a share of the slots that may be used, or owners of cold targets would refuse all remote work.
+func (p *Pool) reserve() int {
+	return int(math.Ceil(p.c.Reserve * float64(p.usable())))
+}
+
+// Move ends the try of a started work that reached no target and starts it on another one with a free slot, on each at
+// most once. It returns that target; without one the work has ended.
+func (p *Pool) Move(now time.Time, id ID) (string, bool, Actions) {
+	var a Actions
+	r := p.running.Get(id)
+	if r == nil {
+		return "", false, a
+	}
+	p.refresh(now)
+	t := p.targets.Get(r.target)
+	t.running--
+	t.observe(now, ConnectFailure, p.mayEject(t))
+	r.unreached = append(r.unreached, r.target)
+	o := p.other(now, r)
+	if o == nil {
+		p.running.Delete(id)
+		p.advance(now, &a)
+		return "", false, a
+	}
+	p.occupy(o)
+	r.target = o.name
+	p.advance(now, &a)
+	return o.name, true, a
+}
+
+// other returns the best target with a free slot that r has not tried, or nil; remote work leaves the reserve free.
+func (p *Pool) other(now time.Time, r *run) *target {
+	if tooLate(now, Work{Deadline: r.deadline}, p.c.ServiceTime) || r.remote && p.free(now) <= p.reserve() {
+		return nil
+	}
+	return p.pick(now, r.unreached)
 }
 
 // Finish ends a started work and starts others in its place; an id that does not run is ignored.
@@ -251,7 +291,7 @@
 // dispatch starts queued works while there are free slots.
 func (p *Pool) dispatch(now time.Time, a *Actions) {
 	for p.queue.length > 0 {
-		t := p.pick(now)
+		t := p.pick(now, nil)
 		if t == nil {
 			return
 		}
@@ -261,19 +301,23 @@
 }
 
 func (p *Pool) start(id ID, w Work, t *target, a *Actions) {
+	p.occupy(t)
+	p.running.Put(id, run{target: t.name, deadline: w.Deadline, remote: w.Remote})
+	a.Starts = append(a.Starts, Start{ID: id, Work: w, Target: t.name})
+}
+
+func (p *Pool) occupy(t *target) {
 	t.running++
 	p.starts++
 	t.started = p.starts
-	p.running.Put(id, run{target: t.name, deadline: w.Deadline})
-	a.Starts = append(a.Starts, Start{ID: id, Work: w, Target: t.name})
 }
 
-// pick returns the best target with a free slot, or nil.
-func (p *Pool) pick(now time.Time) *target {
+// pick returns the best target with a free slot that is not among but, or nil.
+func (p *Pool) pick(now time.Time, but []string) *target {
 	ignore := p.ignoresSignals()
 	var m *target
 	for _, t := range p.targets.All() {
-		if t.room(now, ignore) == 0 {
+		if t.room(now, ignore) == 0 || slices.Contains(but, t.name) {
 			continue
 		}
 		if m == nil || t.before(m) {
--- a/balancer/pool_test.go
+++ b/balancer/pool_test.go
@@ -130,6 +130,26 @@
 	}
 }
 
+// move lets a work reach no target.
+func (m *model) move() {
+	for id := balancer.ID(1); int(id) <= len(m.works); id++ {
+		from, ok := m.running[id]
+		if !ok || rapid.Bool().Draw(m.t, "skip") {
+			continue
+		}
+		delete(m.running, id)
+		delete(m.busy[from], int(id))
+		target, moved, a := m.p.Move(m.now, id)
+		if moved {
+			// The work passes as queued, so that its start is checked like any other.
+			m.queued[id] = true
+			a.Starts = append([]balancer.Start{{ID: id, Work: m.works[id], Target: target}}, a.Starts...)
+		}
+		m.apply(a)
+		return
+	}
+}
+
 func (m *model) cancel() {
 	for id := range m.queued {
 		if !m.p.Cancel(id) {
@@ -235,8 +255,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
 		m.adopt()
-		events := []func(){m.submit, m.submit, m.submit, m.finish, m.finish, m.tick, m.signal, m.cancel, m.adopt, m.report}
-		weights := []int{0, 1, 2, 0, 1, 2, 3, 4, 3, 4, 5, 5, 6, 7, 8, 9}
+		events := []func(){m.submit, m.submit, m.submit, m.finish, m.finish, m.tick, m.signal, m.cancel, m.adopt, m.report, m.move}
+		weights := []int{0, 1, 2, 0, 1, 2, 3, 4, 3, 4, 5, 5, 6, 7, 8, 9, 10}
 		for range eventsPerRun {
 			events[rapid.SampledFrom(weights).Draw(t, "event")]()
 		}
--- a/balancer/simulation_test.go
+++ b/balancer/simulation_test.go
@@ -19,6 +19,13 @@
 	// An owner's targets return 5 s after its death, with all slots busy for another deadline.
 	simLengthAfterDeath = 16 * time.Second
 	reportEvery         = 500 * time.Millisecond
+	simReserve          = 0.1
+	simJoin             = 5 * time.Second
+	simRefusal          = 1600 * time.Millisecond
+	refusalEvery        = time.Second
+	// Pauses of a request that waits for an owner, as in package server.
+	firstPause = 25 * time.Millisecond
+	lastPause  = 400 * time.Millisecond
 	// meanService is the mean of (*simulation).service.
 	meanService = 43200 * time.Microsecond
 	// targetBacklog is how many works beyond its slots a target accepts if it does not shed.
@@ -41,6 +48,27 @@
 	lying, signals bool
 	// death kills the first instance at half of simLength.
 	death bool
+	// reserve is the share of slots that owners keep for their region; 0 stands for simReserve.
+	reserve float64
+	// joining leaves the targets of the last region without an owner until simJoin.
+	joining bool
+	// refusing lets a target refuse connections for simRefusal, another one each refusalEvery.
+	refusing bool
+	// answers adds the owner's load to its answers, besides heartbeats.
+	answers bool
+	without without
+}
+
+// without names rules that a measurement leaves out.
+type without struct {
+	wait, move, freeRetry bool
+}
+
+func (s setting) kept() float64 {
+	if s.reserve > 0 {
+		return s.reserve
+	}
+	return simReserve
 }
 
 func (s setting) length() time.Duration {
@@ -78,6 +106,7 @@
 	at             time.Time
 	tries          int
 	tried          []string
+	pause          time.Duration
 	done           bool
 }
 
@@ -86,6 +115,8 @@
 	region, running int
 	backlog         []func()
 	reported        int
+	// refuses is the end of the time in which the target refuses connections.
+	refuses time.Time
 }
 
 // policy sends a request that arrived at an entry instance.
@@ -101,9 +132,10 @@
 	r       *rand.Rand
 	targets []*simTarget
 	// sheds says that targets refuse works beyond their slots instead of keeping them.
-	sheds  bool
-	dead   bool
-	result result
+	sheds    bool
+	dead     bool
+	refusals int
+	result   result
 }
 
 // result is what the callers and targets saw.
@@ -112,7 +144,9 @@
 	latency, all                      *hdrhistogram.Histogram
 	sent, served, refused, overshoots int
 	// wasted counts works that were sent to a target and shed or aborted there.
-	wasted      int
+	wasted int
+	// unreached counts requests that were refused because the last connection was.
+	unreached   int
 	busy, ticks int
 	offered, ok [simAccounts]int
 }
@@ -249,9 +283,19 @@
 	_ = m.result.all.RecordValue(simDeadline.Microseconds())
 }
 
+// refuseNext lets a target refuse connections, each in turn and far apart; works that run there go on.
+func (m *simulation) refuseNext() {
+	m.refusals++
+	m.targets[m.refusals*5%len(m.targets)].refuses = m.now.Add(simRefusal)
+}
+
 // deliver lets a work arrive at a target; reply is called there when it ends.
 func (m *simulation) deliver(i int, r *request, reply func(balancer.Outcome)) {
 	t := m.targets[i]
+	if t.refuses.After(m.now) {
+		reply(balancer.ConnectFailure)
+		return
+	}
 	if t.running+len(t.backlog) >= slots {
 		m.result.overshoots++
 	}
@@ -362,16 +406,12 @@
 	p := &owned{simulation: m, leased: leased}
 	for i := range 7 {
 		c := balancer.NewChooser(balancer.ChooserConfig{Name: fmt.Sprint(i), Region: fmt.Sprint(regionOf(i)), Seed: uint64(i)})
-		var os []balancer.Owner
-		for j := range 7 {
-			os = append(os, balancer.Owner{Name: fmt.Sprint(j), Region: fmt.Sprint(regionOf(j))})
-		}
-		c.Adopt(os)
+		p.chooser = append(p.chooser, c)
+		p.introduce(c)
 		for r := range 3 {
 			c.Link(m.now, fmt.Sprint(r), m.link, 2)
 		}
-		p.chooser = append(p.chooser, c)
-		p.pools = append(p.pools, balancer.New(balancer.Config{ServiceTime: meanService, Reserve: 0.1}))
+		p.pools = append(p.pools, balancer.New(balancer.Config{ServiceTime: meanService, Reserve: m.kept()}))
 		p.pending = append(p.pending, map[balancer.ID]*pending{})
 		p.adopt(i)
 	}
@@ -380,9 +420,42 @@
 	if m.death {
 		m.after(simLength/2, p.kill)
 	}
+	if m.joining {
+		m.after(simJoin, p.join)
+	}
+	if m.refusing {
+		m.every(refusalEvery, m.refuseNext)
+	}
 	return p
 }
 
+// introduce tells a chooser the owners that act.
+func (p *owned) introduce(c *balancer.Chooser) {
+	var os []balancer.Owner
+	for j := range 7 {
+		if p.dead && j == 0 || p.waits(j) {
+			continue
+		}
+		os = append(os, balancer.Owner{Name: fmt.Sprint(j), Region: fmt.Sprint(regionOf(j))})
+	}
+	c.Adopt(os)
+}
+
+// waits reports whether instance i waits for its targets.
+func (p *owned) waits(i int) bool {
+	return p.joining && regionOf(i) == 2 && p.now.Sub(epoch) < simJoin
+}
+
+// join lets the last region act.
+func (p *owned) join() {
+	for i, c := range p.chooser {
+		p.introduce(c)
+		if regionOf(i) == 2 {
+			p.adopt(i)
+		}
+	}
+}
+
 // adopt gives instance i its targets.
 func (p *owned) adopt(i int) {
 	var hs []balancer.Holding
@@ -404,7 +477,7 @@
 
 // share is the number of slots of target j that instance i holds.
 func (p *owned) share(i, j int, t *simTarget) int {
-	if regionOf(i) != t.region {
+	if regionOf(i) != t.region || p.waits(i) {
 		return 0
 	}
 	first, n := []int{0, 3, 5}[t.region], []int{3, 2, 2}[t.region]
@@ -461,11 +534,7 @@
 	}
 	p.after(1500*time.Millisecond, func() {
 		for _, c := range p.chooser {
-			var os []balancer.Owner
-			for j := range 6 {
-				os = append(os, balancer.Owner{Name: fmt.Sprint(j + 1), Region: fmt.Sprint(regionOf(j + 1))})
-			}
-			c.Adopt(os)
+			p.introduce(c)
 		}
 	})
 	p.after(5*time.Second, func() {
@@ -487,7 +556,7 @@
 		o, ok = balancer.Owner{Name: fmt.Sprint(r.entry)}, len(r.tried) == 0
 	}
 	if !ok {
-		p.refused(r)
+		p.refuse(r, &responder.Refusal{Reason: responder.NoSlot, Ran: responder.NotRun})
 		return
 	}
 	var i int
@@ -497,7 +566,9 @@
 	p.after(d, func() {
 		p.submit(i, r, func(x balancer.Outcome, l balancer.Load) {
 			p.after(d, func() {
-				c.Report(p.now, o.Name, l)
+				if p.answers {
+					c.Report(p.now, o.Name, l)
+				}
 				p.end(r, x)
 			})
 		})
@@ -520,12 +591,32 @@
 		return
 	}
 	r.tries++
-	x := &responder.Refusal{Ran: responder.NotRun}
+	x := &responder.Refusal{Reason: responder.NoSlot, Ran: responder.NotRun}
+	if o == balancer.ConnectFailure && !p.without.freeRetry {
+		x.Reason = responder.TargetUnreachable
+	}
 	if !r.done && p.chooser[r.entry].Retry(p.now, x, r.at.Add(simDeadline), r.tried...) {
 		p.forward(r)
 		return
 	}
-	p.refused(r)
+	if o == balancer.ConnectFailure && p.counts(r) {
+		p.result.unreached++
+	}
+	p.refuse(r, x)
+}
+
+// refuse lets a request wait and choose again within its deadline while no owner of its region serves.
+func (p *owned) refuse(r *request, x *responder.Refusal) {
+	r.pause = min(max(firstPause, 2*r.pause), lastPause)
+	waits := !p.without.wait && p.chooser[r.entry].Waits(p.now, x)
+	if r.done || !waits || r.at.Add(simDeadline).Sub(p.now) < 2*r.pause {
+		p.refused(r)
+		return
+	}
+	p.after(r.pause, func() {
+		r.tries, r.tried = 0, nil
+		p.send(r)
+	})
 }
 
 func (p *owned) submit(i int, r *request, reply func(balancer.Outcome, balancer.Load)) {
@@ -544,11 +635,7 @@
 
 func (p *owned) apply(i int, a balancer.Actions) {
 	for _, s := range a.Starts {
-		var j int
-		_, _ = fmt.Sscan(s.Target, &j)
-		p.after(p.hop, func() {
-			p.deliver(j, p.pending[i][s.ID].r, func(o balancer.Outcome) { p.after(p.hop, func() { p.finish(i, s.ID, o) }) })
-		})
+		p.sendTarget(i, s.ID, s.Target)
 	}
 	for _, r := range a.Refused {
 		w := p.pending[i][r.ID]
@@ -557,10 +644,26 @@
 	}
 }
 
+func (p *owned) sendTarget(i int, id balancer.ID, target string) {
+	var j int
+	_, _ = fmt.Sscan(target, &j)
+	p.after(p.hop, func() {
+		p.deliver(j, p.pending[i][id].r, func(o balancer.Outcome) { p.after(p.hop, func() { p.finish(i, id, o) }) })
+	})
+}
+
 func (p *owned) finish(i int, id balancer.ID, o balancer.Outcome) {
 	if p.dead && i == 0 {
 		return
 	}
+	if o == balancer.ConnectFailure && !p.without.move {
+		t, ok, a := p.pools[i].Move(p.now, id)
+		p.apply(i, a)
+		if ok {
+			p.sendTarget(i, id, t)
+			return
+		}
+	}
 	w := p.pending[i][id]
 	delete(p.pending[i], id)
 	p.apply(i, p.pools[i].Finish(p.now, id, o))
--- a/balancer/target_test.go
+++ b/balancer/target_test.go
@@ -60,6 +60,56 @@
 	return n
 }
 
+// Guards against a work that reached no target and is refused although another target has a free slot, tries one twice,
+// takes the reserve, starts too late or keeps a slot that it left.
+func TestMoveToAnotherTarget(t *testing.T) {
+	for _, x := range []struct {
+		name    string
+		targets int
+		reserve float64
+		remote  bool
+		late    bool
+		busy    int
+		moves   int
+	}{
+		{name: "one target", targets: 1},
+		{name: "each other target once", targets: 3, moves: 2},
+		{name: "remote", targets: 3, reserve: 0.5, remote: true, moves: 2},
+		{name: "remote, only the reserve is free", targets: 2, reserve: 0.5, remote: true, busy: 3},
+		{name: "local, others are busy", targets: 2, busy: 4, moves: 1},
+		{name: "local, all are taken", targets: 2, busy: 5},
+		{name: "too late", targets: 3, late: true},
+	} {
+		now := epoch
+		p := warm(balancer.Config{Reserve: x.reserve, ServiceTime: serviceTime}, now, x.targets)
+		_, a := p.Submit(now, balancer.Work{Deadline: now.Add(time.Second), Remote: x.remote})
+		if len(a.Starts) != 1 {
+			t.Fatalf("%s: not started", x.name)
+		}
+		for range x.busy {
+			p.Submit(now, balancer.Work{Deadline: now.Add(time.Minute)})
+		}
+		if x.late {
+			now = now.Add(time.Second)
+		}
+		id, tried := a.Starts[0].ID, map[string]bool{a.Starts[0].Target: true}
+		n := 0
+		for {
+			s, ok, _ := p.Move(now, id)
+			if !ok {
+				break
+			}
+			if n++; tried[s] || n > x.targets {
+				t.Fatalf("%s: moves to %s again", x.name, s)
+			}
+			tried[s] = true
+		}
+		if l := p.Load(now); n != x.moves || l.Free != x.targets*slots-x.busy {
+			t.Errorf("%s: %d moves, want %d; %d slots free", x.name, n, x.moves, l.Free)
+		}
+	}
+}
+
 // Guards against work sent to targets that cannot be reached, and against a return with all slots at once.
 func TestUnreachableTargetsAreEjectedAndReturn(t *testing.T) {
 	for _, c := range []struct {
--- a/server/choosers.go
+++ b/server/choosers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"celeryhead.dev/celeryhead/balancer"
+	"celeryhead.dev/celeryhead/composer"
 	"celeryhead.dev/celeryhead/controller"
 	"celeryhead.dev/celeryhead/messenger"
 	"celeryhead.dev/celeryhead/responder"
@@ -149,6 +150,23 @@
 	return h.Serving(now)
 }
 
+// waits reports whether a refused request waits for an owner. A request that prefers another region than that of this
+// instance, or whose region has no target of the pool, depends on slots of other regions in any case.
+func (c *choosers) waits(k *call, f *responder.Refusal, now time.Time) bool {
+	if f.Reason != responder.NoOwner && (k.region != c.server.self.Region || !c.targetsIn(k.route.Pool, k.region)) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.get(k.route.Pool, k.region).Waits(now, f)
+}
+
+// targetsIn reports whether the pool has targets in the region.
+func (c *choosers) targetsIn(pool, region string) bool {
+	v := c.server.control.View()
+	return slices.ContainsFunc(v.Pools[pool].Targets, func(t composer.Target) bool { return v.TargetRegions[t.Name] == region })
+}
+
 // retry reports whether a request that the owners tried have refused may go to another one.
 func (c *choosers) retry(k *call, f *responder.Refusal, now time.Time, tried []string) bool {
 	c.mu.Lock()
--- a/server/export_test.go
+++ b/server/export_test.go
@@ -5,9 +5,14 @@
 	"crypto/sha256"
 	"io"
 	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
 	"time"
 
+	"celeryhead.dev/celeryhead/balancer"
 	"celeryhead.dev/celeryhead/claimer"
+	"celeryhead.dev/celeryhead/composer"
 	"celeryhead.dev/celeryhead/responder"
 	"celeryhead.dev/celeryhead/timer"
 )
@@ -49,6 +54,25 @@
 	return Body{Text: string(text), Whole: b.whole(), Digest: b.digest(), Err: err}, nil
 }
 
+// RunAt runs a request of an open route in a pool of one target for each address, all owned by this instance.
+func (s *Server) RunAt(as ...netip.AddrPort) *responder.Refusal {
+	p := composer.Pool{Name: "stock"}
+	var hs []balancer.Holding
+	for i, a := range as {
+		n := strconv.Itoa(i)
+		p.Targets = append(p.Targets, composer.Target{Name: n, Address: a})
+		hs = append(hs, balancer.Holding{Target: n, Slots: 1})
+	}
+	s.control.View().Config.Pools = []composer.Pool{p}
+	o := s.pools.ensure(p)
+	defer o.stop()
+	o.adopt(hs)
+	r := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/"}, Header: http.Header{}}
+	c := &call{request: r, route: composer.Route{Pool: p.Name, Open: true}, deadline: s.clock().Add(time.Minute), region: s.self.Region, body: &body{}}
+	_, f := s.run(context.Background(), c)
+	return f
+}
+
 // CallersHandler returns the handler of the callers' listener.
 func (s *Server) CallersHandler() http.Handler { return s.callersHandler() }
 
--- a/server/forward.go
+++ b/server/forward.go
@@ -24,7 +24,7 @@
 func (s *Server) forward(ctx context.Context, c *call) (*forwarder.Answer, *responder.Refusal) {
 	for pause := firstOwnerPause; ; pause = min(2*pause, lastOwnerPause) {
 		a, f := s.forwardOnce(ctx, c)
-		if f == nil || f.Reason != responder.NoOwner || !c.body.whole() {
+		if f == nil || !s.choosers.waits(c, f, s.clock()) || !c.body.whole() {
 			return a, f
 		}
 		if c.deadline.Sub(s.clock()) < 2*pause || !sleep(ctx, pause) {
--- a/server/owner.go
+++ b/server/owner.go
@@ -71,30 +71,53 @@
 	return deadlineExceeded()
 }
 
-// send runs a request on the target of a lease and releases the lease when the answer has ended.
+// send runs a request on the target of a lease, or on another one of this instance if it does not reach that, and
+// releases the lease when the answer has ended.
 func (s *Server) send(ctx context.Context, c *call, l *balancer.Lease) (*forwarder.Answer, *responder.Refusal) {
-	t, ok := s.control.View().Address(l.Target)
-	if !ok {
-		s.release(c, l, balancer.NotSent)
-		return nil, noOwner()
+	s.started.count(s.clock())
+	for {
+		t, ok := s.control.View().Address(l.Target)
+		if !ok {
+			s.release(c, l, balancer.NotSent)
+			return nil, noOwner()
+		}
+		a, err := s.sendTarget(ctx, c, l.Target, t)
+		if err != nil {
+			if unreached(ctx, c, err) && l.Move() {
+				continue
+			}
+			return nil, s.failed(ctx, c, l, t, err)
+		}
+		a.Body = &leasedBody{ReadCloser: a.Body, release: func(err error) { s.release(c, l, s.outcome(ctx, c, l.Target, t, a.Status, err)) }}
+		return a, nil
 	}
+}
+
+func (s *Server) sendTarget(ctx context.Context, c *call, target string, t netip.AddrPort) (*forwarder.Answer, error) {
 	r := *c.request
 	r.Body = c.body.open()
-	s.started.count(s.clock())
 	a, err := s.targets.Do(ctx, forwarder.Call{
 		Address:  t,
 		Request:  &r,
 		Deadline: c.deadline,
-		Before:   func() error { return s.admit(c, l.Target) },
+		Before:   func() error { return s.admit(c, target) },
 	})
 	if err != nil {
-		return nil, s.failed(ctx, c, l, t, err)
+		return nil, err
 	}
 	removeInternal(a.Header)
-	a.Body = &leasedBody{ReadCloser: a.Body, release: func(err error) { s.release(c, l, s.outcome(ctx, c, l.Target, t, a.Status, err)) }}
 	return a, nil
 }
 
+// unreached reports whether a request that failed reached no target and can be sent again.
+func unreached(ctx context.Context, c *call, err error) bool {
+	var x *forwarder.Failure
+	if !errors.As(err, &x) || ctx.Err() != nil || x.BodyRead && !c.body.whole() {
+		return false
+	}
+	return x.Ran == responder.NotRun && x.Reason == responder.TargetUnreachable
+}
+
 func (s *Server) release(c *call, l *balancer.Lease, o balancer.Outcome) {
 	l.Release(o)
 	s.end(c, o)
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -1,6 +1,7 @@
 package server_test
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -131,3 +132,34 @@
 		t.Errorf("status %d, header %v, body %q", w.Code, w.Header(), w.Body)
 	}
 }
+
+// Guards against callers who are told that a target refused the connection while another target of this instance has a
+// free slot. A request that reaches that one is refused there as stale, since the instance has no proof.
+func TestRefusedConnectionGoesToAnotherTarget(t *testing.T) {
+	listen := func() (net.Listener, netip.AddrPort) {
+		var c net.ListenConfig
+		l, err := c.Listen(t.Context(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l, netip.MustParseAddrPort(l.Addr().String())
+	}
+	up, well := listen()
+	defer func() { _ = up.Close() }()
+	down, refusing := listen()
+	if err := down.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		targets []netip.AddrPort
+		reason  responder.Reason
+	}{
+		"another has room":  {[]netip.AddrPort{refusing, well}, responder.Stale},
+		"all refuse":        {[]netip.AddrPort{refusing, refusing}, responder.TargetUnreachable},
+		"there is no other": {[]netip.AddrPort{refusing}, responder.TargetUnreachable},
+	} {
+		if f := newServer(t).RunAt(c.targets...); f == nil || f.Reason != c.reason || f.Ran != responder.NotRun {
+			t.Errorf("%s: refusal %v, want %s", name, f, c.reason)
+		}
+	}
+}
