Compute a request's fingerprint once, and start a timer only for a copy that waits

Ruled out: a shorter fingerprint, which peers compare; the deadline's own timer, which the request needs. Change: the call keeps its fingerprint, computed before the lock is taken; the timer belongs to the wait. Conclusion: one fingerprint and no timer for each request that need not wait.

--- a/server/export_test.go
+++ b/server/export_test.go
@@ -73,6 +73,41 @@
 	return f
 }
 
+// Copy is a copy of a request on its way.
+type Copy struct {
+	server *Server
+	call   call
+}
+
+// NewCopy returns a copy of a GET request of an account.
+func (s *Server) NewCopy(account, path string) *Copy {
+	r := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: path}, Header: http.Header{}}
+	return &Copy{server: s, call: call{request: r, account: composer.Account{Name: account}, route: composer.Route{Name: "read", Pool: "stock"}}}
+}
+
+// ComputesOnce reports whether the fingerprint is that of the first time it was asked for, whatever changes later.
+func (c *Copy) ComputesOnce() bool {
+	k := c.call
+	first := k.fingerprint()
+	k.digest[0]++
+	return k.fingerprint() == first
+}
+
+// Pass takes a new request of the same kind through the steps that ask for strikes, from its entry to its end at a target
+// of the same instance.
+func (c *Copy) Pass(ctx context.Context) *responder.Refusal {
+	k := c.call
+	if f := c.server.checkCrash(&k); f != nil {
+		return f
+	}
+	c.server.markSuspect(&k)
+	if f := c.server.start(ctx, &k); f != nil {
+		return f
+	}
+	c.server.end(&k, balancer.Success)
+	return nil
+}
+
 // CallersHandler returns the handler of the callers' listener.
 func (s *Server) CallersHandler() http.Handler { return s.callersHandler() }
 
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -20,7 +20,7 @@
 )
 
 // newServer returns a server that was never run: it has no proof, no configuration and no peers.
-func newServer(t *testing.T) *server.Server {
+func newServer(t testing.TB) *server.Server {
 	t.Helper()
 	a, err := certifier.NewAuthority("test", time.Now(), time.Hour)
 	if err != nil {
@@ -163,3 +163,29 @@
 		}
 	}
 }
+
+// Guards against a request path that computes the fingerprint at each step, or starts a timer for a copy that need not wait.
+func TestStrikesCostOneFingerprint(t *testing.T) {
+	c := newServer(t).NewCopy("maker", "/orders/1")
+	if !c.ComputesOnce() {
+		t.Error("the fingerprint is computed again")
+	}
+	n := testing.AllocsPerRun(100, func() {
+		if f := c.Pass(t.Context()); f != nil {
+			t.Error(f)
+		}
+	})
+	if n > 0 {
+		t.Errorf("%.0f allocations, as for a timer", n)
+	}
+}
+
+func BenchmarkStrikes(b *testing.B) {
+	c := newServer(b).NewCopy("maker", "/orders/1")
+	b.ReportAllocs()
+	for b.Loop() {
+		if f := c.Pass(b.Context()); f != nil {
+			b.Fatal(f)
+		}
+	}
+}
--- a/server/strikes.go
+++ b/server/strikes.go
@@ -45,22 +45,26 @@
 	return s.changed
 }
 
-// fingerprint needs the digest of the body.
+// fingerprint needs the digest of the body. It is computed once, since each step of a request asks for it.
 func (c *call) fingerprint() breaker.Fingerprint {
-	return breaker.Request{
-		Account: c.account.Name,
-		Route:   c.route.Name,
-		Method:  c.request.Method,
-		Path:    c.request.URL.RequestURI(),
-		Body:    breaker.BodyDigest(c.digest),
-	}.Fingerprint()
+	if !c.printed {
+		c.printed = true
+		c.print = breaker.Request{
+			Account: c.account.Name,
+			Route:   c.route.Name,
+			Method:  c.request.Method,
+			Path:    c.request.URL.RequestURI(),
+			Body:    breaker.BodyDigest(c.digest),
+		}.Fingerprint()
+	}
+	return c.print
 }
 
 // checkCrash refuses a request that crashed targets before.
 func (s *Server) checkCrash(c *call) *responder.Refusal {
-	now := s.clock()
+	now, k := s.clock(), c.fingerprint()
 	s.strikes.mu.Lock()
-	t := s.strikes.breaker.Blocked(now, c.fingerprint())
+	t := s.strikes.breaker.Blocked(now, k)
 	s.strikes.mu.Unlock()
 	if t.IsZero() {
 		return nil
@@ -82,20 +86,29 @@
 // start waits until a copy of a request may run on a target of this instance.
 func (s *Server) start(ctx context.Context, c *call) *responder.Refusal {
 	begun := s.clock()
-	// A copy that has waited for the whole hold asks again.
+	started, changed, f := s.tryStart(c, begun)
+	if started || f != nil {
+		return f
+	}
+	return s.await(ctx, c, begun, changed)
+}
+
+// await asks again at each change, and once when the copy has waited for the whole hold.
+func (s *Server) await(ctx context.Context, c *call, begun time.Time, changed <-chan struct{}) *responder.Refusal {
 	hold := time.NewTimer(breaker.DefaultHold)
 	defer hold.Stop()
 	for {
-		started, changed, f := s.tryStart(c, begun)
-		if started || f != nil {
-			return f
-		}
 		select {
 		case <-ctx.Done():
 			return deadlineExceeded()
 		case <-changed:
 		case <-hold.C:
 		}
+		var started bool
+		var f *responder.Refusal
+		if started, changed, f = s.tryStart(c, begun); started || f != nil {
+			return f
+		}
 	}
 }
 
@@ -137,12 +150,17 @@
 	return o == balancer.Success || o == balancer.Failure
 }
 
+// markSuspect notes whether the request has a strike now.
+func (s *Server) markSuspect(c *call) {
+	s.strikes.mu.Lock()
+	defer s.strikes.mu.Unlock()
+	c.suspect = s.strikes.breaker.Suspect(s.clock(), c.fingerprint())
+}
+
 // choose returns the owner that gets a request. The copies of one with a strike meet at one instance.
 func (s *Server) choose(c *call, tried []string) (owner, bool) {
 	now := s.clock()
-	s.strikes.mu.Lock()
-	c.suspect = s.strikes.breaker.Suspect(now, c.fingerprint())
-	s.strikes.mu.Unlock()
+	s.markSuspect(c)
 	if !c.suspect {
 		return s.choosers.choose(c, now, tried)
 	}
