--- a/server/export_test.go
+++ b/server/export_test.go
@@ -5,9 +5,14 @@
 	"crypto/sha256"
 	"io"
 	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
 	"time"
 
+	"celeryhead.dev/celeryhead/balancer"
 	"celeryhead.dev/celeryhead/claimer"
+	"celeryhead.dev/celeryhead/composer"
 	"celeryhead.dev/celeryhead/responder"
 	"celeryhead.dev/celeryhead/timer"
 )
@@ -49,6 +54,60 @@
 	return Body{Text: string(text), Whole: b.whole(), Digest: b.digest(), Err: err}, nil
 }
 
+// RunAt runs a request of an open route in a pool of one target for each address, all owned by this instance.
+func (s *Server) RunAt(as ...netip.AddrPort) *responder.Refusal {
+	p := composer.Pool{Name: "stock"}
+	var hs []balancer.Holding
+	for i, a := range as {
+		n := strconv.Itoa(i)
+		p.Targets = append(p.Targets, composer.Target{Name: n, Address: a})
+		hs = append(hs, balancer.Holding{Target: n, Slots: 1})
+	}
+	s.control.View().Config.Pools = []composer.Pool{p}
+	o := s.pools.ensure(p)
+	defer o.stop()
+	o.adopt(hs)
+	r := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/"}, Header: http.Header{}}
+	c := &call{request: r, route: composer.Route{Pool: p.Name, Open: true}, deadline: s.clock().Add(time.Minute), region: s.self.Region, body: &body{}}
+	_, f := s.run(context.Background(), c)
+	return f
+}
+
+// Copy is a copy of a request on its way.
+type Copy struct {
+	server *Server
+	call   call
+}
+
+// NewCopy returns a copy of a GET request of an account.
+func (s *Server) NewCopy(account, path string) *Copy {
+	r := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: path}, Header: http.Header{}}
+	return &Copy{server: s, call: call{request: r, account: composer.Account{Name: account}, route: composer.Route{Name: "read", Pool: "stock"}}}
+}
+
+// ComputesOnce reports whether the fingerprint is that of the first time it was asked for, whatever changes later.
+func (c *Copy) ComputesOnce() bool {
+	k := c.call
+	first := k.fingerprint()
+	k.digest[0]++
+	return k.fingerprint() == first
+}
+
+// Pass takes a new request of the same kind through the steps that ask for strikes, from its entry to its end at a target
+// of the same instance.
+func (c *Copy) Pass(ctx context.Context) *responder.Refusal {
+	k := c.call
+	if f := c.server.checkCrash(&k); f != nil {
+		return f
+	}
+	c.server.markSuspect(&k)
+	if f := c.server.start(ctx, &k); f != nil {
+		return f
+	}
+	c.server.end(&k, balancer.Success)
+	return nil
+}
+
 // CallersHandler returns the handler of the callers' listener.
 func (s *Server) CallersHandler() http.Handler { return s.callersHandler() }
 
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/pem"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -27,14 +28,14 @@
 )
 
 // newServer returns a server that was never run: it has no proof, no configuration and no peers.
-func newServer(t *testing.T) *server.Server {
+func newServer(t testing.TB) *server.Server {
 	t.Helper()
 	s, _ := newCertified(t)
 	return s
 }
 
 // newCertified also returns the authority of the server's peers.
-func newCertified(t *testing.T) (*server.Server, *certifier.Authority) {
+func newCertified(t testing.TB) (*server.Server, *certifier.Authority) {
 	t.Helper()
 	a, err := certifier.NewAuthority("test", time.Now(), time.Hour)
 	if err != nil {
@@ -198,3 +199,60 @@
 		}
 	}
 }
+
+// Guards against callers who are told that a target refused the connection while another target of this instance has a
+// free slot. A request that reaches that one is refused there as stale, since the instance has no proof.
+func TestRefusedConnectionGoesToAnotherTarget(t *testing.T) {
+	listen := func() (net.Listener, netip.AddrPort) {
+		var c net.ListenConfig
+		l, err := c.Listen(t.Context(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l, netip.MustParseAddrPort(l.Addr().String())
+	}
+	up, well := listen()
+	defer func() { _ = up.Close() }()
+	down, refusing := listen()
+	if err := down.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		targets []netip.AddrPort
+		reason  responder.Reason
+	}{
+		"another has room":  {[]netip.AddrPort{refusing, well}, responder.Stale},
+		"all refuse":        {[]netip.AddrPort{refusing, refusing}, responder.TargetUnreachable},
+		"there is no other": {[]netip.AddrPort{refusing}, responder.TargetUnreachable},
+	} {
+		if f := newServer(t).RunAt(c.targets...); f == nil || f.Reason != c.reason || f.Ran != responder.NotRun {
+			t.Errorf("%s: refusal %v, want %s", name, f, c.reason)
+		}
+	}
+}
+
+// Guards against a request path that computes the fingerprint at each step, or starts a timer for a copy that need not wait.
+func TestStrikesCostOneFingerprint(t *testing.T) {
+	c := newServer(t).NewCopy("maker", "/orders/1")
+	if !c.ComputesOnce() {
+		t.Error("the fingerprint is computed again")
+	}
+	n := testing.AllocsPerRun(100, func() {
+		if f := c.Pass(t.Context()); f != nil {
+			t.Error(f)
+		}
+	})
+	if n > 0 {
+		t.Errorf("%.0f allocations, as for a timer", n)
+	}
+}
+
+func BenchmarkStrikes(b *testing.B) {
+	c := newServer(b).NewCopy("maker", "/orders/1")
+	b.ReportAllocs()
+	for b.Loop() {
+		if f := c.Pass(b.Context()); f != nil {
+			b.Fatal(f)
+		}
+	}
+}
