Tell instances that cannot act any more, and gaps between own listings

A successor in a store outage must know that the owner before it does not act and cannot act again unnoticed. Leaving the peer set (absent for list_lag + list_age) is not enough: an instance that is off the list for 11 s and lists again may never see a reading without itself, while a peer whose readings lag sees it absent for 20 s. Tracker.Departed therefore asks for 2 list_lag + list_age without a reading that shows it and without a message, over readings at most list_age apart.

Fault found on the way: after an instance left the list, a reading that still showed the time before restarted its time as a newcomer, and readings without it were ignored for list_lag after that. It counted its next listing from before it began.

Ruled out: a longer stay in the peer set, which would keep the others without proofs for list_lag longer after each death in an outage.

--- a/tracker/doc.go
+++ b/tracker/doc.go
@@ -10,6 +10,9 @@
 // acts: it said that this incarnation stopped, or it was absent from every
 // reading for ListLag + ListAge after the first reading without it arrived.
 //
+// Departed asks for a longer absence, after which an instance that is listed again
+// knows that it was off the list, or has gaps between its own readings.
+//
 // A silent instance is due for removal from the assignments unless only a link to
 // it may have failed: an instance that is heard hears it, its last removal was
 // false, or the own instance was left out itself.
--- a/tracker/observe.go
+++ b/tracker/observe.go
@@ -7,6 +7,7 @@
 
 // ObserveList records a list reading that was requested at requested and arrived at now.
 func (t *Tracker) ObserveList(requested, now time.Time, entries []Entry) {
+	t.observeReading(requested, now)
 	t.observeSelf(requested, now, entries)
 	seen := make(map[string]bool, len(entries))
 	for _, e := range entries {
@@ -31,9 +32,15 @@
 	}
 	// Within ListLag of the first sight, a reading may still show the time before the registration.
 	if t.first.IsZero() || requested.Before(t.first.Add(t.c.ListLag)) {
+		t.missed = true
 		return
 	}
-	t.first, t.listed, t.admitted = time.Time{}, time.Time{}, time.Time{}
+	t.unlist()
+}
+
+// unlist makes the instance a newcomer once it is listed again.
+func (t *Tracker) unlist() {
+	t.first, t.listed, t.shown, t.admitted = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	for _, p := range t.peers.All() {
 		p.confirmed = false
 	}
@@ -47,9 +54,18 @@
 		t.supersede()
 		return
 	}
+	apart := requested.Sub(t.listed) > t.c.ListAge
+	// The first sight may have been a reading that still showed the time before the instance left the list.
+	if apart && t.missed && !t.first.IsZero() {
+		t.unlist()
+	}
 	if t.first.IsZero() {
 		t.first = now
 	}
+	if apart {
+		t.shown = now
+	}
+	t.missed = false
 	t.listed = latest(t.listed, requested)
 }
 
@@ -93,17 +109,19 @@
 	if requested.Before(p.absentSince.Add(t.c.hold())) {
 		return
 	}
-	t.remove(p, departure{incarnation: p.Incarnation, at: now})
+	t.remove(p, departure{incarnation: p.Incarnation, at: now}, p.absentSince)
 }
 
-func (t *Tracker) remove(p *peer, d departure) {
+func (t *Tracker) remove(p *peer, d departure, since time.Time) {
 	t.revision++
 	t.departed.Put(p.Name, d)
+	t.absences.Put(p.Name, absence{incarnation: d.incarnation, since: since, stopped: d.stopped})
 	t.peers.Delete(p.Name)
 }
 
 // count adds an instance to the peer set, or replaces an earlier incarnation.
 func (t *Tracker) count(now time.Time, i Instance, r Reason) *peer {
+	t.appear(i.Name)
 	p := t.peers.Get(i.Name)
 	if p == nil {
 		p = t.peers.Put(i.Name, peer{Instance: i, since: now, evidence: now})
@@ -160,7 +178,7 @@
 		return false
 	}
 	if c.State == Gone {
-		t.remove(t.count(now, c.From, Contacted), departure{incarnation: c.From.Incarnation, at: now, stopped: true})
+		t.remove(t.count(now, c.From, Contacted), departure{incarnation: c.From.Incarnation, at: now, stopped: true}, now)
 		return false
 	}
 	p := t.count(now, c.From, Contacted)
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -154,12 +154,19 @@
 	c        Config
 	peers    *indexer.Table[string, peer]
 	departed *indexer.Table[string, departure]
-	leaving  bool
+	absences *indexer.Table[string, absence]
+	// read is when the newest list reading was requested, and unbroken when the run of readings that it ends began.
+	read, unbroken time.Time
+	leaving        bool
 	// superseded reports that a later incarnation of the own name was seen.
 	superseded bool
 	// first is when a reading that shows the own instance first arrived.
-	first    time.Time
-	listed   time.Time
+	first  time.Time
+	listed time.Time
+	// missed is true if a reading without the own instance arrived since the last one with it.
+	missed bool
+	// shown is when the present run of readings that show the own instance began.
+	shown    time.Time
 	admitted time.Time
 	// revision counts the changes of the peer set and of the admission.
 	revision uint64
@@ -180,6 +187,7 @@
 		c:        c.withDefaults(),
 		peers:    indexer.New[string, peer](),
 		departed: indexer.New[string, departure](),
+		absences: indexer.New[string, absence](),
 	}, nil
 }
 
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -167,3 +167,60 @@
 		t.Fatal("an instance that was paused for an hour removes its peers at once")
 	}
 }
+
+// Guards against taking an instance for gone that may act, or may come back without noticing that it was off the list.
+func TestDeparted(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// until is the last second of the readings, which lack b from 20 s on.
+		until int
+		do    func(a *tracker.Tracker, second int) (skip bool)
+		want  bool
+	}{
+		{"absent for list_lag + list_age", 34, nil, false},
+		{"absent for 2 list_lag + list_age", 43, nil, true},
+		{"heard meanwhile", 43, func(a *tracker.Tracker, s int) bool {
+			return s == 25 && a.ObserveHeartbeat(at(25*time.Second), tracker.Contact{From: instance("b", 1), State: tracker.Active})
+		}, false},
+		{"heard since", 43, func(a *tracker.Tracker, s int) bool {
+			return s == 43 && a.ObserveHeartbeat(at(43*time.Second), tracker.Contact{From: instance("b", 1), State: tracker.Active})
+		}, false},
+		{"no readings for longer than list_age", 43, func(_ *tracker.Tracker, s int) bool { return s > 24 && s < 29 }, false},
+		{"stopped", 21, func(a *tracker.Tracker, _ int) bool {
+			return a.ObserveHeartbeat(at(20*time.Second), tracker.Contact{From: instance("b", 1), State: tracker.Gone})
+		}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := newTracker(t, "a")
+			for s := range 20 {
+				a.ObserveList(at(time.Duration(s)*time.Second), at(time.Duration(s)*time.Second), entries("a", "b"))
+			}
+			for s := 20; s <= c.until; s++ {
+				if c.do == nil || !c.do(a, s) {
+					a.ObserveList(at(time.Duration(s)*time.Second), at(time.Duration(s)*time.Second), entries("a"))
+				}
+			}
+			if got := len(a.Departed()) == 1; got != c.want {
+				t.Fatalf("departed: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against an instance that left the list and was shown by an old reading, so that it counts its new listing from
+// before it began.
+func TestListingIsCountedFromItsStart(t *testing.T) {
+	a := newTracker(t, "a")
+	for s := range 50 {
+		now := at(time.Duration(s) * time.Second)
+		// Off the list from 21 s to 40 s; the reading at 31 s shows the time before.
+		if s < 21 || s == 31 || s >= 40 {
+			a.ObserveList(now, now, entries("a"))
+		} else {
+			a.ObserveList(now, now, nil)
+		}
+		if s >= 40 && (a.Acts(now) || a.Settled(now)) {
+			t.Fatalf("acts %d s after it was listed again", s-40)
+		}
+	}
+}
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -55,6 +55,11 @@
 			t.departed.Delete(k)
 		}
 	}
+	for k, d := range t.absences.All() {
+		if now.Sub(d.since) > absenceLife {
+			t.absences.Delete(k)
+		}
+	}
 }
 
 func (t *Tracker) silence(now time.Time, p *peer) time.Duration {
