Succeed lost owners while the store is down

Cause: without the store no assignment can be written, so targets and bucket parts of a lost owner stayed unused. With both holders of an account's bucket lost, 64 of 64 keyed requests were refused as no_owner.

Why no pair of instances acts on one resource is argued at Assigner.Observe. Where the stated conditions were not enough they are stricter: - an owner must be absent for 2 list_lag + list_age; - an owner that comes back without having noticed that it was off the list (list unreachable, process paused) waits, and counts the successor's work. Before that rule: "a1 and a2#2 both act on {t5 c 0 false}"; - it keeps its release back, and a new owner takes no release without a proof, by an owner that is no peer, or after a store outage. Before: "a2 and a4#9 both act on {t1 a 0 false}". Also, the controller's attester used the default list_lag in place of the setting, so an owner off the list could act longer than its peers count it.

Ruled out: newcomers after every gap between listings, which would empty the assignments after an outage of the list; a wait of the successor alone, which cannot cover an owner that returns while readings lag.

Conclusion: what remains is the time without proofs after a death and the wait of the successor.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -17,6 +17,8 @@
 	Self Member
 	// Freshness is the largest age of a proof; 0 means DefaultFreshness.
 	Freshness time.Duration
+	// ListLag and ListAge are those of the tracker; 0 means the defaults.
+	ListLag, ListAge time.Duration
 	// LargestDeadline bounds how long a request of an earlier owner may run.
 	LargestDeadline time.Duration
 }
@@ -28,6 +30,8 @@
 	Scope string
 	// Part is 0 for an undivided resource, and 1 or 2 for the parts of a divided one.
 	Part int
+	// Sole means that no other instance succeeds the owner while the store is down.
+	Sole bool
 }
 
 // Residue is work of earlier owners that may still run.
@@ -71,6 +75,9 @@
 type holding struct {
 	owner Member
 	mine  bool
+	// successor stands in for a lost owner while the store is down; heir is true if it is this instance.
+	successor Member
+	heir      bool
 	// taken is set once the resource was ready while the instance acted.
 	taken   bool
 	ready   time.Time
@@ -107,9 +114,17 @@
 	// deadlines bounds the requests on single resources.
 	deadlines map[Resource]time.Duration
 	released  uint64
-	// stopped is the version up to which lost work has stopped; it is reported from hold on.
-	stopped uint64
-	hold    time.Time
+	// stopped is the version up to which lost work has stopped; it is reported from holdBack on.
+	stopped  uint64
+	holdBack time.Time
+
+	situation Situation
+	lapses    [kinds]lapse
+	// barred is until when nothing is taken after a lapse.
+	barred [kinds]time.Time
+	// storeLost is true once the reads of the store have failed for long enough to succeed lost owners, and succeeds
+	// once this instance does.
+	storeLost, succeeds bool
 }
 
 // New returns an assigner that owns nothing.
@@ -117,6 +132,12 @@
 	if c.Freshness == 0 {
 		c.Freshness = DefaultFreshness
 	}
+	if c.ListLag == 0 {
+		c.ListLag = DefaultListLag
+	}
+	if c.ListAge == 0 {
+		c.ListAge = DefaultListAge
+	}
 	return &Assigner{
 		c:        c,
 		scopes:   map[string]scope{},
@@ -156,6 +177,7 @@
 			a.holdings.Delete(r)
 		}
 	}
+	a.findSuccessors()
 }
 
 // add starts a resource like one whose earlier owner is unknown: instances that
@@ -200,33 +222,42 @@
 	if h.Version <= a.heads.Version {
 		return Change{}, false
 	}
-	steps := a.replaceScopes(now, h)
+	ts := a.replaceScopes(now, h)
 	a.heads = h
 	var c Change
 	for r, o := range a.holdings.All() {
-		a.move(now, r, o, steps[r.Scope], &c)
+		a.move(now, r, o, ts[r.Scope], &c)
 	}
+	a.findSuccessors()
 	return c, true
 }
 
-// replaceScopes applies the assignments and returns the changes of members in each scope.
-func (a *Assigner) replaceScopes(now time.Time, h Heads) map[string]uint64 {
+// transition is a change of a scope.
+type transition struct {
+	// steps counts the changes of members.
+	steps uint64
+	// before is the proof that ownership needed.
+	before kind
+}
+
+// replaceScopes applies the assignments and returns the changes of the scopes.
+func (a *Assigner) replaceScopes(now time.Time, h Heads) map[string]transition {
 	for name := range h.Scopes {
 		if _, ok := a.scopes[name]; !ok {
 			a.scopes[name] = scope{}
 		}
 	}
-	steps := make(map[string]uint64, len(a.scopes))
+	ts := make(map[string]transition, len(a.scopes))
 	for name, s := range a.scopes {
 		n := effective(now, h, name)
-		steps[name] = s.steps(n)
-		if steps[name] == 0 {
+		t := transition{steps: s.steps(n), before: kindOf(name, s)}
+		if t.steps == 0 {
 			n.learned = s.learned
 		}
-		a.postpone(now, s, steps[name])
-		a.scopes[name] = n
+		a.postpone(now, s, t.steps)
+		a.scopes[name], ts[name] = n, t
 	}
-	return steps
+	return ts
 }
 
 // postpone keeps back the release while the owner of an epoch before the last
@@ -234,9 +265,9 @@
 func (a *Assigner) postpone(now time.Time, s scope, steps uint64) {
 	switch {
 	case steps == 1:
-		a.hold = latest(a.hold, s.learned.Add(a.c.Freshness))
+		a.holdBack = latest(a.holdBack, s.learned.Add(a.c.Freshness))
 	case steps > 1:
-		a.hold = latest(a.hold, now.Add(a.c.Freshness))
+		a.holdBack = latest(a.holdBack, now.Add(a.c.Freshness))
 	}
 }
 
@@ -247,19 +278,21 @@
 	return b
 }
 
-func (a *Assigner) move(now time.Time, r Resource, h *holding, steps uint64, c *Change) {
-	if steps == 0 {
+func (a *Assigner) move(now time.Time, r Resource, h *holding, t transition, c *Change) {
+	if t.steps == 0 {
 		return
 	}
 	s := a.scopes[r.Scope]
 	old, was := h.owner, h.mine
 	h.owner, _ = s.owner(r.Name, r.Part)
 	h.mine = h.owner.is(a.c.Self)
-	h.taken = h.taken && h.mine
-	if steps == 1 && was && h.mine {
+	h.taken = h.taken && was && h.mine
+	h.heir = false
+	if t.steps == 1 && was && h.mine {
 		return
 	}
 	if was {
+		a.withhold(now, r, t.before)
 		c.Lost = append(c.Lost, Loss{Resource: r, Inherited: h.residue})
 	}
 	if !h.mine {
@@ -268,7 +301,7 @@
 	c.Gained = append(c.Gained, r)
 	h.version = a.heads.Version
 	a.gain(r, h, now)
-	if steps == 1 {
+	if t.steps == 1 && a.mayBeReleased(now, r, t.before, old) {
 		h.from = old
 	}
 }
@@ -276,7 +309,7 @@
 // gain starts the wait for the proofs and requests of earlier owners to lapse.
 func (a *Assigner) gain(r Resource, h *holding, learned time.Time) {
 	h.taken = false
-	h.ready = learned.Add(a.c.Freshness)
+	h.ready = latest(learned.Add(a.c.Freshness), a.barred[a.kindOf(r)])
 	h.from = Member{}
 	h.residue = Residue{Unknown: true, Until: h.ready.Add(a.deadline(r))}
 }
@@ -288,7 +321,7 @@
 
 // Released returns the version up to which heartbeats report lost work as stopped.
 func (a *Assigner) Released(now time.Time) uint64 {
-	if !now.Before(a.hold) {
+	if !now.Before(a.holdBack) {
 		a.released = a.stopped
 	}
 	return a.released
@@ -301,9 +334,7 @@
 		if !h.mine || h.from.Name == "" || !h.from.is(from) || version < h.version {
 			continue
 		}
-		if now.Before(h.ready) {
-			h.ready = now
-		}
+		h.ready = earliest(h.ready, latest(now, a.barred[a.kindOf(r)]))
 		h.residue = h.residue.reduced(residues[r])
 	}
 }
@@ -323,10 +354,14 @@
 
 // Tick takes the resources that are ready. Taking needs acts, tracker.Acts,
 // because only then every earlier owner asks this instance before it renews its
-// proof; keeping them needs active, the own state in the tracker.
+// proof; keeping them needs active, the own state in the tracker. A newcomer owns
+// nothing, and starts like a new owner afterwards: a successor may have acted.
 func (a *Assigner) Tick(now time.Time, active, acts bool) {
-	for _, h := range a.holdings.All() {
-		h.taken = h.mine && active && (h.taken || acts && !now.Before(h.ready))
+	for r, h := range a.holdings.All() {
+		if h.mine && !active {
+			a.gain(r, h, now)
+		}
+		h.taken = (h.mine && active || h.heir) && (h.taken || acts && !now.Before(h.ready))
 	}
 }
 
@@ -336,12 +371,15 @@
 	return h != nil && h.taken
 }
 
-// Owner returns the owner of the resource in the adopted assignment.
+// Owner returns the owner of the resource in the adopted assignment, or its successor as seen from here.
 func (a *Assigner) Owner(r Resource) (Member, bool) {
 	h := a.holdings.Get(r)
 	if h == nil || h.owner.Name == "" {
 		return Member{}, false
 	}
+	if h.successor.Name != "" {
+		return h.successor, true
+	}
 	return h.owner, true
 }
 
--- a/assigner/assigner_test.go
+++ b/assigner/assigner_test.go
@@ -44,12 +44,28 @@
 func newAssigner(self string, r assigner.Resource) *assigner.Assigner {
 	a := assigner.New(assigner.Config{Self: member(self), LargestDeadline: 10 * time.Second})
 	a.SetResources(start, []assigner.Resource{r})
+	a.Observe(start, proven)
 	return a
 }
 
+// proven is the situation of an instance that may act for an hour and counts every other one.
+var proven = assigner.Situation{
+	Settled: true,
+	Acts:    true,
+	Region:  assigner.Proof{Expiry: after(time.Hour)},
+	Fleet:   assigner.Proof{Expiry: after(time.Hour)},
+	Listed:  after(time.Hour),
+	Peer:    func(string) bool { return true },
+}
+
 // readyAt returns the seconds after which the assigner takes the resource, or -1.
 func readyAt(a *assigner.Assigner, r assigner.Resource) int {
-	for s := range 30 {
+	return readyAfter(a, r, 0)
+}
+
+// readyAfter is readyAt from a second on.
+func readyAfter(a *assigner.Assigner, r assigner.Resource, from int) int {
+	for s := from; s < 30; s++ {
 		a.Tick(after(time.Duration(s)*time.Second), true, true)
 		if a.MayAct(r) {
 			return s
@@ -69,6 +85,14 @@
 	}{
 		{"without a release", func(*assigner.Assigner) {}, 13},
 		{"released by the earlier owner", func(a *assigner.Assigner) { a.ObserveRelease(at, member("a1"), 3, nil) }, 0},
+		{"released to an owner without a proof", regained(assigner.Situation{Settled: true, Listed: at, Peer: proven.Peer}), 13},
+		{"released by an owner that was no peer", regained(assigner.Situation{
+			Settled: true, Listed: at, Region: proven.Region, Peer: func(string) bool { return false },
+		}), 13},
+		{"released after a store outage", regained(assigner.Situation{
+			Settled: true, Listed: at, Region: proven.Region, Peer: proven.Peer, StoreRead: start.Add(-time.Minute),
+		}), 13},
+		{"released to an owner in another situation", regained(proven), 0},
 		{"an older version released", func(a *assigner.Assigner) { a.ObserveRelease(at, member("a1"), 2, nil) }, 13},
 		{"released by another instance", func(a *assigner.Assigner) { a.ObserveRelease(at, member("a3"), 3, nil) }, 13},
 		{"released by another incarnation", func(a *assigner.Assigner) {
@@ -93,6 +117,17 @@
 	}
 }
 
+// regained gives the resource back to a1, then to a2 in a situation, and reports a release.
+func regained(s assigner.Situation) func(*assigner.Assigner) {
+	return func(a *assigner.Assigner) {
+		at := after(10 * time.Second)
+		a.Observe(at, s)
+		a.Adopt(at, heads(4, 4, "a1", "a2", "a3"))
+		a.Adopt(at, heads(5, 5, "a2", "a3"))
+		a.ObserveRelease(at, member("a1"), 5, nil)
+	}
+}
+
 // Guards against a release by the preceding epoch's owner, when an epoch that
 // this instance never saw had another owner.
 func TestRuleOfSkippedEpoch(t *testing.T) {
--- a/assigner/doc.go
+++ b/assigner/doc.go
@@ -5,6 +5,9 @@
 // Freshness after it learned of the change, when every proof for an older epoch
 // has lapsed. A skipped epoch hides owners, so then only the time counts.
 //
+// While the store is down, the next member in the order of a resource succeeds an
+// owner that departed; Assigner.Observe states why no two instances act on it then.
+//
 // An Assigner does no I/O and is not safe for concurrent use. Ownership also
 // needs a valid proof of the scope, which package attester holds.
 package assigner
--- a/assigner/rank.go
+++ b/assigner/rank.go
@@ -61,19 +61,37 @@
 }
 
 func (r ranking) owner(resource string, part int) (Member, bool) {
-	if len(r.members) == 0 {
+	return r.successor(resource, part, all)
+}
+
+func all(int) bool {
+	return true
+}
+
+// successor returns the owner among the members for which in is true; without one that may own the part, any of them.
+func (r ranking) successor(resource string, part int, in func(i int) bool) (Member, bool) {
+	h := xxhash.Sum64String(resource)
+	may := r.eligible(h, part)
+	at := r.first(h, func(i int) bool { return may(i) && in(i) })
+	if at < 0 {
+		at = r.first(h, in)
+	}
+	if at < 0 {
 		return Member{}, false
 	}
-	h := xxhash.Sum64String(resource)
-	in := func(int) bool { return true }
+	return r.members[at], true
+}
+
+// eligible returns which members may own a part.
+func (r ranking) eligible(resource uint64, part int) func(i int) bool {
 	switch {
-	case part == 0:
-	case r.divided(h):
-		in = func(i int) bool { return r.half(h, i) == part }
+	case part == 0 || len(r.members) == 0:
+	case r.divided(resource):
+		return func(i int) bool { return r.half(resource, i) == part }
 	case part == 2:
-		in = r.others(r.first(h, in))
+		return r.others(r.first(resource, all))
 	}
-	return r.members[r.first(h, in)], true
+	return all
 }
 
 // others returns which members are as far from one as possible: in other failure domains, or at least other members.
--- a/attester/attester.go
+++ b/attester/attester.go
@@ -271,6 +271,12 @@
 	return latest(a.readExpiry(s), a.roundExpiry(s))
 }
 
+// Round returns when the oldest of the newest heartbeats that the peers of the scope answered was sent; zero if a peer
+// answered none, or without peers.
+func (a *Attester) Round(s Scope) time.Time {
+	return a.oldestOf(s).at
+}
+
 // Valid reports whether the proof of the scope holds at now.
 func (a *Attester) Valid(s Scope, now time.Time) bool {
 	return now.Before(a.Expiry(s))
--- a/attester/trace_test.go
+++ b/attester/trace_test.go
@@ -55,10 +55,14 @@
 		w.kill(n)
 	case "unlist":
 		w.unregister(e.Instance)
+	case "relist":
+		w.register(n)
 	case "pause":
 		n.paused = end
 	case "stale_list":
 		n.stale = true
+	case "fresh_list":
+		n.stale = false
 	case "change":
 		n.execute(n.change)
 	case "one_way", "apart":
--- a/attester/world_test.go
+++ b/attester/world_test.go
@@ -23,6 +23,8 @@
 	listLag    = tracker.DefaultListLag
 	freshness  = attester.DefaultFreshness
 	repeatTime = time.Second
+	// largestDeadline is that of a request.
+	largestDeadline = 10 * time.Second
 )
 
 // resources has targets in two regions with instances and one without, and both parts of a bucket.
@@ -89,8 +91,13 @@
 	reports []report
 	log     []string
 	fail    string
+	last    map[assigner.Resource]actor
+	// successions counts how often a successor began to act.
+	successions int
 	// rule replaces the rule of removal, for comparisons.
 	rule rule
+	// unsucceeded turns succession off, for comparisons.
+	unsucceeded bool
 	// reportNothing hides whom instances hear.
 	reportNothing bool
 }
@@ -111,8 +118,10 @@
 	admitted time.Time
 	writing  bool
 	lastRead time.Time
-	lastList time.Time
-	maximum  uint64
+	// storeRead is when a read of the store last succeeded, or the start.
+	storeRead time.Time
+	lastList  time.Time
+	maximum   uint64
 	// lag is the least part of the list lag in the readings of this process.
 	lag float64
 	// stale makes the list show this process the oldest state that it may.
@@ -144,6 +153,7 @@
 		heads:  assigner.Heads{Version: 1, Scopes: map[string]assigner.Assignment{"a": {}, "b": {}, "c": {}, "": {}}},
 		done:   map[string]uint64{},
 		faults: until{},
+		last:   map[assigner.Resource]actor{},
 	}
 }
 
@@ -210,7 +220,35 @@
 		n.w.at(n.paused, func() { n.execute(f) })
 	default:
 		f()
+		if !n.dead {
+			n.observe()
+		}
+	}
+}
+
+// observe lets an event take effect on ownership.
+func (n *node) observe() {
+	n.assigner.Observe(n.now(), n.situation())
+	n.assigner.Tick(n.now(), n.tracker.Settled(n.now()), n.tracker.Acts(n.now()))
+}
+
+func (n *node) situation() assigner.Situation {
+	s := assigner.Situation{
+		Settled:     n.tracker.Settled(n.now()),
+		Acts:        n.tracker.Acts(n.now()),
+		Region:      assigner.Proof{Expiry: n.attester.Expiry(attester.Region), Round: n.attester.Round(attester.Region)},
+		Fleet:       assigner.Proof{Expiry: n.attester.Expiry(attester.FleetOwner), Round: n.attester.Round(attester.FleetOwner)},
+		Listed:      n.tracker.ListedAt(),
+		ListedSince: n.tracker.ListedSince(),
+		Peer:        func(name string) bool { return n.tracker.State(n.now(), name) != tracker.Gone },
+	}
+	if !n.w.unsucceeded {
+		s.StoreRead = n.storeRead
+	}
+	for _, d := range n.tracker.Departed() {
+		s.Departed = append(s.Departed, assigner.Departure(d))
 	}
+	return s
 }
 
 func (n *node) now() time.Time {
@@ -235,8 +273,9 @@
 	self := tracker.Instance{Name: name, Incarnation: w.starts, Region: name[:1], FailureDomain: name}
 	n := &node{w: w, self: self, offset: time.Duration(w.rng.IntN(1e6)) * time.Second, attester: attester.New(attester.Config{Region: self.Region})}
 	n.tracker, _ = tracker.New(tracker.Config{Self: self, Seed: w.starts})
-	n.assigner = assigner.New(assigner.Config{Self: member(self), LargestDeadline: 10 * time.Second})
+	n.assigner = assigner.New(assigner.Config{Self: member(self), LargestDeadline: largestDeadline})
 	n.assigner.SetResources(n.now(), resources)
+	n.storeRead = n.now()
 	if !w.steady {
 		n.lag = []float64{0, 0, 0.98, w.rng.Float64()}[w.rng.IntN(4)]
 	}
@@ -338,7 +377,6 @@
 func (n *node) tick() {
 	p := n.tracker.Tick(n.now())
 	n.sync()
-	n.assigner.Tick(n.now(), n.tracker.Own(n.now()) == tracker.Active, n.tracker.Acts(n.now()))
 	for _, i := range p.Heartbeat {
 		n.heartbeat(i)
 	}
@@ -463,6 +501,7 @@
 		}
 		w.deliver(n, w.delay(), func() {
 			n.adopt(h)
+			n.storeRead = n.now()
 			n.attester.RecordRead(sent, h.Version)
 		})
 	})
@@ -494,7 +533,7 @@
 		}
 	}
 	w.deliver(n, repeatTime, retry)
-	if w.storeDown(n) || w.drops() {
+	if w.storeDown(n) || w.on("writes "+n.self.Name) || w.drops() {
 		return
 	}
 	w.at(w.now.Add(w.delay()), func() {
@@ -627,21 +666,66 @@
 	return n.assigner.MayAct(r) && n.attester.Valid(s, n.now())
 }
 
+// actor is who acted on a resource last, whether as the successor of a lost owner, and when.
+type actor struct {
+	node *node
+	// version is what the process applied when it was an heir or not.
+	version uint64
+	heir    bool
+	at      time.Time
+}
+
+// heir reports whether the process is not the owner of the resource in the assignment that it applies.
+func (n *node) heir(r assigner.Resource) bool {
+	m := n.heads.Scopes[r.Scope].Members
+	if len(m) == 0 {
+		m = n.heads.Scopes[assigner.FleetScope].Members
+	}
+	o, _ := assigner.PartOwner(r.Name, r.Part, m)
+	return o.Name != n.self.Name
+}
+
+// checkActor fails if two processes act on a resource, or if one acts after a successor, or as one, without counting
+// the requests of the other.
+func (w *world) checkActor(r assigner.Resource) {
+	var owner *node
+	for _, n := range w.nodes {
+		if n.dead || !n.acts(r) {
+			continue
+		}
+		if owner != nil {
+			w.fail = fmt.Sprintf("%s and %s#%d both act on %v", owner.self.Name, n.self.Name, n.self.Incarnation, r)
+			w.logf("%s", w.fail)
+			return
+		}
+		owner = n
+	}
+	if owner == nil {
+		return
+	}
+	l := w.last[r]
+	if l.node != owner {
+		l.heir = l.heir || owner.heir(r)
+		if l.node != nil && l.heir && w.now.Sub(l.at) < largestDeadline && !owner.assigner.Residue(r, owner.now()).Unknown {
+			w.fail = fmt.Sprintf("%s acts on %v as if no request of %s ran", owner.self.Name, r, l.node.self.Name)
+			w.logf("%s", w.fail)
+		}
+	}
+	if v := owner.heads.Version; l.node != owner || l.version != v {
+		l = actor{node: owner, version: v, heir: owner.heir(r)}
+		if l.heir {
+			w.successions++
+			w.logf("%s#%d succeeds in %v", owner.self.Name, owner.self.Incarnation, r)
+		}
+	}
+	l.at = w.now
+	w.last[r] = l
+}
+
 // check evaluates the invariants at the true time.
 func (w *world) check() {
 	for _, r := range resources {
-		var owner *node
-		for _, n := range w.nodes {
-			if n.dead || !n.acts(r) {
-				continue
-			}
-			if owner != nil {
-				w.fail = fmt.Sprintf("%s and %s#%d both act on %v", owner.self.Name, n.self.Name, n.self.Incarnation, r)
-				w.logf("%s", w.fail)
-				return
-			}
-			owner = n
-		}
+		w.checkActor(r)
 	}
 	w.checkReports()
 	for _, n := range w.nodes {
--- a/controller/beats.go
+++ b/controller/beats.go
@@ -84,7 +84,12 @@
 	c.noteReport(b, now)
 	c.publish(now)
 	a := c.message(c.tracker.Heartbeat(now), now)
+	ended := c.applied < c.endings
 	c.mu.Unlock()
+	if ended {
+		// The sender may be the lost owner, which acts again once it has this answer.
+		c.reassign()
+	}
 	if b.HeadsVersion > a.HeadsVersion {
 		go c.adoptFromPeer(context.WithoutCancel(ctx), k.From.Name, c.config.Dialer.Peer(k.From))
 	}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -94,6 +94,10 @@
 	inherited []assigner.Loss
 
 	store, list outage
+	// endings counts how often this instance gave up resources of lost owners; Hooks.Reassign has applied the first ones.
+	endings, applied uint64
+	// storeRead is when a read of the store last succeeded, or the start.
+	storeRead time.Time
 }
 
 // report is what a peer said in its newest heartbeat.
@@ -123,11 +127,21 @@
 		collector: collector.New(collector.Config{Wrong: c.Log.ContentWrong}),
 		kick:      make(chan struct{}, 1),
 		tracker:   t,
-		attester:  attester.New(attester.Config{Region: c.Self.Region, Freshness: c.Timing.Freshness, ListAge: c.Timing.ListAge}),
-		assigner:  assigner.New(assigner.Config{Self: member(c.Self), Freshness: c.Timing.Freshness}),
-		members:   map[string]tracker.State{},
-		reports:   map[string]report{},
-		pending:   map[string]bool{},
+		attester: attester.New(attester.Config{
+			Region:    c.Self.Region,
+			Freshness: c.Timing.Freshness,
+			ListLag:   c.Timing.ListLag,
+			ListAge:   c.Timing.ListAge,
+		}),
+		assigner: assigner.New(assigner.Config{
+			Self:      member(c.Self),
+			Freshness: c.Timing.Freshness,
+			ListLag:   c.Timing.ListLag,
+			ListAge:   c.Timing.ListAge,
+		}),
+		members: map[string]tracker.State{},
+		reports: map[string]report{},
+		pending: map[string]bool{},
 	}
 	v, err := newView(nil, storer.Row{}, emptyHeads(), nil)
 	if err != nil {
@@ -136,6 +150,7 @@
 	k.view.Store(v)
 	k.live.Store(steerer.NewFleet(nil))
 	k.started = c.Clock()
+	k.storeRead = k.started
 	for s := range k.lapsed {
 		k.lapsed[s] = k.started
 	}
@@ -278,15 +293,49 @@
 // publish makes the present state visible to the request path; c.mu is held.
 func (c *Controller) publish(now time.Time) {
 	c.syncMembership(now)
-	o := c.tracker.Own(now)
+	if c.assigner.Observe(now, c.situation(now)) {
+		c.endings++
+	}
 	// A leaving instance keeps what it owns until it has adopted an assignment without it, so that nobody waits for the next owner.
-	c.assigner.Tick(now, o == tracker.Active || o == tracker.Leaving, c.tracker.Acts(now))
+	c.assigner.Tick(now, c.tracker.Settled(now), c.tracker.Acts(now))
 	c.gate.Publish(c.attester)
 	for s := range scopeNames {
 		c.noteProof(s, now)
 	}
 }
 
+// reassign applies the present ownership to the request path.
+func (c *Controller) reassign() {
+	c.mu.Lock()
+	n := c.endings
+	c.mu.Unlock()
+	c.config.Hooks.Reassign()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.applied = max(c.applied, n)
+}
+
+// situation returns what ownership depends on; c.mu is held.
+func (c *Controller) situation(now time.Time) assigner.Situation {
+	s := assigner.Situation{
+		Settled:     c.tracker.Settled(now),
+		Acts:        c.tracker.Acts(now),
+		Region:      assigner.Proof{Expiry: c.attester.Expiry(attester.Region), Round: c.attester.Round(attester.Region)},
+		Fleet:       assigner.Proof{Expiry: c.attester.Expiry(attester.FleetOwner), Round: c.attester.Round(attester.FleetOwner)},
+		Listed:      c.tracker.ListedAt(),
+		ListedSince: c.tracker.ListedSince(),
+		StoreRead:   c.storeRead,
+		Peer:        func(name string) bool { return c.tracker.State(now, name) != tracker.Gone },
+	}
+	if !c.store.down {
+		return s
+	}
+	for _, d := range c.tracker.Departed() {
+		s.Departed = append(s.Departed, assigner.Departure(d))
+	}
+	return s
+}
+
 // syncMembership passes the peer set on when it has changed, because that takes time in proportion to its size.
 func (c *Controller) syncMembership(now time.Time) {
 	r, l := c.tracker.Revision(), c.tracker.ListedAt()
--- a/controller/links_test.go
+++ b/controller/links_test.go
@@ -28,8 +28,19 @@
 	// cut is true while the first two do not reach each other, apart while the first half and the others do not.
 	cut, apart atomic.Bool
 	dead       atomic.Int64
+	store      *emulator.Memory
+	// reassigned counts the calls of Hooks.Reassign.
+	reassigned atomic.Int64
 }
 
+// hooks counts reassignments.
+type hooks struct {
+	noHooks
+	fleet *fleet
+}
+
+func (h hooks) Reassign() { h.fleet.reassigned.Add(1) }
+
 // end is the fleet as one member sees it.
 type end struct {
 	fleet *fleet
@@ -87,17 +98,16 @@
 }
 
 func startFleet(ctx context.Context, t *testing.T, n int) *fleet {
-	f := &fleet{}
+	f := &fleet{store: emulator.NewMemory()}
 	f.dead.Store(-1)
-	store := emulator.NewMemory()
 	l, err := logger.New(logger.Config{Level: "error", Format: "json", Writer: io.Discard})
 	if err != nil {
 		t.Fatal(err)
 	}
 	for i := range n {
 		c, err := controller.New(controller.Config{
-			Self: identity(i), Store: store, StoreTimeout: time.Second, List: end{f, i}, Dialer: end{f, i},
-			Hooks: noHooks{}, Log: l, Clock: time.Now, Seed: uint64(i),
+			Self: identity(i), Store: f.store, StoreTimeout: time.Second, List: end{f, i}, Dialer: end{f, i},
+			Hooks: hooks{fleet: f}, Log: l, Clock: time.Now, Seed: uint64(i),
 			Timing: loader.Timing{
 				Freshness: 3 * time.Second, Heartbeat: 500 * time.Millisecond, Suspicion: 1500 * time.Millisecond,
 				ListLag: 10 * time.Second, ListAge: 3 * time.Second,
--- a/controller/loops.go
+++ b/controller/loops.go
@@ -68,7 +68,7 @@
 	for _, i := range p.Heartbeat {
 		go c.beat(ctx, i)
 	}
-	c.config.Hooks.Reassign()
+	c.reassign()
 }
 
 func (c *Controller) others() []tracker.Instance {
@@ -108,6 +108,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.storeRead = now
 	c.blank = r.Version == 0
 	c.attester.RecordRead(sent, r.Version)
 	c.publish(c.config.Clock())
--- a/controller/view.go
+++ b/controller/view.go
@@ -145,7 +145,8 @@
 
 // ShiftResource names the right to advance a shift.
 func ShiftResource(name string) assigner.Resource {
-	return assigner.Resource{Name: shiftPrefix + name, Scope: assigner.FleetScope}
+	// A step is a write to the store, so nobody needs to succeed the owner without it.
+	return assigner.Resource{Name: shiftPrefix + name, Scope: assigner.FleetScope, Sole: true}
 }
 
 func (v *View) resources() []assigner.Resource {
