--- a/controller/links_test.go
+++ b/controller/links_test.go
@@ -37,8 +37,18 @@
 	// booting is true while an instance is listed that does not answer.
 	booting atomic.Bool
 	store   *emulator.Memory
+	// reassigned counts the calls of Hooks.Reassign.
+	reassigned atomic.Int64
 }
 
+// hooks counts reassignments.
+type hooks struct {
+	noHooks
+	fleet *fleet
+}
+
+func (h hooks) Reassign() { h.fleet.reassigned.Add(1) }
+
 // end is the fleet as one member sees it.
 type end struct {
 	fleet *fleet
@@ -138,7 +148,7 @@
 	for i := range n {
 		c, err := controller.New(controller.Config{
 			Self: identity(i), Store: f.store, StoreTimeout: time.Second, List: end{f, i}, Dialer: end{f, i},
-			Hooks: noHooks{}, Log: l, Clock: time.Now, Seed: uint64(i),
+			Hooks: hooks{fleet: f}, Log: l, Clock: time.Now, Seed: uint64(i),
 			Timing: loader.Timing{
 				Freshness: 3 * time.Second, Heartbeat: 500 * time.Millisecond, Suspicion: 1500 * time.Millisecond,
 				ListLag: 10 * time.Second, ListAge: 3 * time.Second,
--- a/examples/embedding/worker.go
+++ b/examples/embedding/worker.go
@@ -82,11 +82,24 @@
 	if err := w.propose(now); err != nil {
 		return err
 	}
-	own := w.tracker.Own(now)
-	w.assigner.Tick(now, own == tracker.Active || own == tracker.Leaving, w.tracker.Acts(now))
+	w.assigner.Observe(now, w.situation(now))
+	w.assigner.Tick(now, w.tracker.Settled(now), w.tracker.Acts(now))
 	return nil
 }
 
+// situation is what ownership depends on. The row can always be read here, so nobody succeeds a lost worker without an assignment.
+func (w *worker) situation(now time.Time) assigner.Situation {
+	return assigner.Situation{
+		Settled:     w.tracker.Settled(now),
+		Acts:        w.tracker.Acts(now),
+		Fleet:       assigner.Proof{Expiry: w.attester.Expiry(attester.FleetOwner), Round: w.attester.Round(attester.FleetOwner)},
+		Listed:      w.tracker.ListedAt(),
+		ListedSince: w.tracker.ListedSince(),
+		StoreRead:   now,
+		Peer:        func(name string) bool { return w.tracker.State(now, name) != tracker.Gone },
+	}
+}
+
 func (w *worker) readList(now time.Time) {
 	w.listed = now
 	var es []tracker.Entry
