--- a/balancer/target.go
+++ b/balancer/target.go
@@ -99,9 +99,9 @@
 	return t.running + t.inherited()
 }
 
-// usable is the number of slots that works of this instance may take; an ejected target has none until its ejection ends.
+// usable is the number of slots that works of this instance may take.
 func (t *target) usable() int {
-	if !t.serves() || t.state == Suspect {
+	if !t.serves() {
 		return 0
 	}
 	return max(min(t.capacity(), t.limit)-t.inherited(), 0)
