--- a/balancer/pool.go
+++ b/balancer/pool.go
@@ -1,14 +1,9 @@
 package balancer
 
 import (
-	"fmt"
-	"math"
-	"net/http"
-	"slices"
 	"time"
 
 	"celeryhead.dev/celeryhead/indexer"
-	"celeryhead.dev/celeryhead/responder"
 )
 
 const (
@@ -94,20 +89,6 @@
 	return id, a
 }
 
-// submitRemote starts w if slots beyond the reserve are free and nobody waits.
-func (p *Pool) submitRemote(now time.Time, id ID, w Work, a *Actions) {
-	if p.queue.length > 0 || p.free(now) <= p.reserve() {
-		a.refuse(id, p.full())
-		return
-	}
-	p.start(id, w, p.pick(now, nil), a)
-}
-
-// reserve is a share of the slots that may be used, or owners of cold targets would refuse all remote work.
-func (p *Pool) reserve() int {
-	return int(math.Ceil(p.c.Reserve * float64(p.usable())))
-}
-
 // Move ends the try of a started work that reached no target and starts it on another one with a free slot, on each at
 // most once. It returns that target; without one the work has ended.
 func (p *Pool) Move(now time.Time, id ID) (string, bool, Actions) {
@@ -133,14 +114,6 @@
 	return o.name, true, a
 }
 
-// other returns the best target with a free slot that r has not tried, or nil; remote work leaves the reserve free.
-func (p *Pool) other(now time.Time, r *run) *target {
-	if tooLate(now, Work{Deadline: r.deadline}, p.c.ServiceTime) || r.remote && p.free(now) <= p.reserve() {
-		return nil
-	}
-	return p.pick(now, r.unreached)
-}
-
 // Finish ends a started work and starts others in its place; an id that does not run is ignored.
 func (p *Pool) Finish(now time.Time, id ID, o Outcome) Actions {
 	var a Actions
@@ -255,29 +228,6 @@
 	return m
 }
 
-// advance is the system that runs over all entities after each event.
-func (p *Pool) advance(now time.Time, a *Actions) {
-	p.refresh(now)
-	if p.queue.length == 0 {
-		return
-	}
-	for _, q := range p.queue.expire(now, p.c.ServiceTime) {
-		a.refuse(q.id, p.late())
-	}
-	p.dispatch(now, a)
-	if p.queue.length == 0 {
-		return
-	}
-	if r := p.closed(now); r != nil {
-		for _, q := range p.queue.removeIf(func(Work) bool { return true }) {
-			a.refuse(q.id, r)
-		}
-	}
-	for p.queue.length > p.c.QueuePerSlot*p.slots() {
-		a.refuse(p.queue.dropNewest().id, p.full())
-	}
-}
-
 // refresh lets time take effect on all targets.
 func (p *Pool) refresh(now time.Time) {
 	for name, t := range p.targets.All() {
@@ -288,45 +238,6 @@
 	}
 }
 
-// dispatch starts queued works while there are free slots.
-func (p *Pool) dispatch(now time.Time, a *Actions) {
-	for p.queue.length > 0 {
-		t := p.pick(now, nil)
-		if t == nil {
-			return
-		}
-		q := p.queue.pop()
-		p.start(q.id, q.work, t, a)
-	}
-}
-
-func (p *Pool) start(id ID, w Work, t *target, a *Actions) {
-	p.occupy(t)
-	p.running.Put(id, run{target: t.name, deadline: w.Deadline, remote: w.Remote})
-	a.Starts = append(a.Starts, Start{ID: id, Work: w, Target: t.name})
-}
-
-func (p *Pool) occupy(t *target) {
-	t.running++
-	p.starts++
-	t.started = p.starts
-}
-
-// pick returns the best target with a free slot that is not among but, or nil.
-func (p *Pool) pick(now time.Time, but []string) *target {
-	ignore := p.ignoresSignals()
-	var m *target
-	for _, t := range p.targets.All() {
-		if t.room(now, ignore) == 0 || slices.Contains(but, t.name) {
-			continue
-		}
-		if m == nil || t.before(m) {
-			m = t
-		}
-	}
-	return m
-}
-
 // ignoresSignals reports whether endpoint signals would take out more than half of the targets.
 func (p *Pool) ignoresSignals() bool {
 	n, out := 0, 0
@@ -357,125 +268,3 @@
 	}
 	return 2*out <= n
 }
-
-// slots is the number of slots of targets that serve.
-func (p *Pool) slots() int {
-	n := 0
-	for _, t := range p.targets.All() {
-		if t.serves() {
-			n += t.capacity()
-		}
-	}
-	return n
-}
-
-// free is the number of works that may start now.
-func (p *Pool) free(now time.Time) int {
-	n, ignore := 0, p.ignoresSignals()
-	for _, t := range p.targets.All() {
-		n += t.room(now, ignore)
-	}
-	return n
-}
-
-// unfit returns the refusal of a work that should not wait here, or nil.
-func (p *Pool) unfit(now time.Time, w Work) *responder.Refusal {
-	if tooLate(now, w, p.c.ServiceTime) {
-		return p.late()
-	}
-	return p.closed(now)
-}
-
-// closed returns the refusal of all work while no target can take any, or nil.
-func (p *Pool) closed(now time.Time) *responder.Refusal {
-	var opens time.Time
-	serves, inherited, ignore := false, true, p.ignoresSignals()
-	for _, t := range p.targets.All() {
-		if !t.serves() {
-			continue
-		}
-		inherited = inherited && t.occupied() && !t.closed.After(now)
-		o := t.opens(now, ignore)
-		if !serves || o.Before(opens) {
-			opens = o
-		}
-		serves = true
-	}
-	if !serves {
-		return p.refusal(responder.NoOwner, "this instance owns no target of pool %s that accepts work")
-	}
-	wait := opens.Sub(now)
-	if wait <= maxStall {
-		return nil
-	}
-	r := p.refusal(responder.NoSlot, "no target of pool %s that this instance owns accepts work at present")
-	if inherited {
-		// Not load but a change of owner is the cause, and the earlier owner may report soon that its works have ended.
-		r = p.refusal(responder.NoOwner, "works of earlier owners occupy all targets of pool %s that this instance owns")
-	}
-	r.RetryAfter = max(wait, minRetryAfter)
-	return r
-}
-
-func (p *Pool) full() *responder.Refusal {
-	r := p.refusal(responder.NoSlot, "all slots and queue places of pool %s are taken")
-	drained := time.Duration(p.queue.length) * p.c.ServiceTime / time.Duration(max(p.slots(), 1))
-	r.RetryAfter = max(drained, minRetryAfter)
-	return r
-}
-
-func (p *Pool) late() *responder.Refusal {
-	r := p.refusal(responder.DeadlineExceeded, "no slot of pool %s was free in time")
-	r.Status = http.StatusGatewayTimeout
-	return r
-}
-
-// refusal inserts the name of the pool into format.
-func (p *Pool) refusal(reason responder.Reason, format string) *responder.Refusal {
-	return &responder.Refusal{
-		Status:  http.StatusServiceUnavailable,
-		Reason:  reason,
-		Ran:     responder.NotRun,
-		Message: fmt.Sprintf(format, p.c.Name),
-	}
-}
-
-// Load is what an owner reports about its part of a pool.
-type Load struct {
-	Slots, Free, Queued int
-}
-
-// Load returns the slots that works of this instance may take, how many are free, and the length of the queue.
-func (p *Pool) Load(now time.Time) Load {
-	p.refresh(now)
-	// Slots in which works of an earlier owner run do not count, so that an owner without others gets no requests.
-	return Load{Slots: p.usable(), Free: p.free(now), Queued: p.queue.length}
-}
-
-// usable is the number of slots that works of this instance may take.
-func (p *Pool) usable() int {
-	n := 0
-	for _, t := range p.targets.All() {
-		n += t.usable()
-	}
-	return n
-}
-
-// Status describes one target.
-type Status struct {
-	Target string
-	State  State
-	Slots  int
-	// Running counts works of this instance, Inherited slots that others or abandoned works may occupy.
-	Running, Inherited int
-}
-
-// Statuses returns the targets in the order in which they were gained.
-func (p *Pool) Statuses(now time.Time) []Status {
-	var ss []Status
-	p.refresh(now)
-	for _, t := range p.targets.All() {
-		ss = append(ss, Status{Target: t.name, State: t.state, Slots: t.slots, Running: t.running, Inherited: t.inherited()})
-	}
-	return ss
-}
