Test a failed link between two instances with real processes

Cause: link faults were proved in simulated time only (docs/proofs.md said so). Ruled out: a bound of its own for refusals; none is needed.

--- a/launcher/cut_test.go
+++ b/launcher/cut_test.go
@@ -339,6 +339,48 @@
 	s.checkOnce(all)
 }
 
+// Guards against a failed link between two instances, in both directions or in one, that stops requests at other instances
+// or moves ownership although everyone is alive.
+func TestLinkIsCut(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		one     bool
+		through func(*launcher.Relay)
+	}{{name: "both ways", through: (*launcher.Relay).Cut}, {name: "one way, silent", one: true, through: (*launcher.Relay).Drop}} {
+		t.Run(c.name, func(t *testing.T) {
+			n := newNetwork(t)
+			s := start(t, launcher.Config{Through: n.through})
+			stop := s.mixed()
+			s.settle()
+			a, b := s.region("almaty")[0].Name, s.region("astana")[0].Name
+			link := func(p launcher.Path) bool { return p.From == a && p.To == b || !c.one && p.From == b && p.To == a }
+			before := s.written()
+			n.on(link, c.through)
+			cut := time.Now()
+			pause(takeover + watch)
+			if n := s.written() - before; n > 0 {
+				t.Errorf("%d assignments were written while the link was cut", n)
+			}
+			n.on(link, (*launcher.Relay).Heal)
+			healed := time.Now()
+			pause(watch)
+			all := stop()
+			s.expect("while the link is cut", during(all, cut.Add(routeDeadline), healed), anyKind, whole)
+			s.expect("after healing", during(all, healed.Add(time.Second), time.Now()), anyKind, whole)
+			s.checkOnce(all)
+		})
+	}
+}
+
+// written returns how many assignments the instances have written.
+func (s *system) written() int {
+	n := 0
+	for _, i := range s.Instances {
+		n += strings.Count(s.Log(i.Name), `"event":3002`)
+	}
+	return n
+}
+
 // Guards the failures that come together: the store is down, a region is cut off and an instance of another region dies.
 func TestStoreOutageAndRegionCutOff(t *testing.T) {
 	testStoreOutageAndRegionCutOff(t)
