Test claim owners with ten real processes

Cause: claim owners act only with more than 7 members, and no test had as many processes. Change: TestBookingsThroughClaimOwners finds the claim owners by their metrics, pauses one and kills one while the store loses replies, and compares ledgers with answers. Before: no such test. Ruled out: a smaller bound on members for tests, which production would then have too.

--- a/launcher/faults_test.go
+++ b/launcher/faults_test.go
@@ -6,12 +6,14 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"celeryhead.dev/celeryhead/claimer"
 	"celeryhead.dev/celeryhead/composer"
 	"celeryhead.dev/celeryhead/emulator"
 	"celeryhead.dev/celeryhead/launcher"
@@ -44,6 +46,69 @@
 	s.checkOnce(stop())
 }
 
+// Guards P8 and P9 in a fleet with claim owners: replies of the store are lost, one claim owner is killed, one is paused, and
+// callers send again at other instances.
+func TestBookingsThroughClaimOwners(t *testing.T) {
+	s := start(t, launcher.Config{Instances: 10})
+	stop := s.callers(8, func(r *rand.Rand, caller, count int) []sending {
+		return s.book(r, fmt.Sprintf("owned-%d-%d", caller, count), 5)
+	})
+	s.settle()
+	owners := s.claimOwners()
+	faults(s, emulator.Faults{LoseReplies: true})
+	pause(500 * time.Millisecond)
+	owners[0].Process.Signal(syscall.SIGSTOP)
+	pause(time.Second)
+	faults(s, emulator.Faults{DelayMs: 40})
+	owners[1].Process.Kill()
+	pause(3 * time.Second)
+	owners[0].Process.Signal(syscall.SIGCONT)
+	pause(takeover)
+	faults(s, emulator.Faults{})
+	quiet := time.Now()
+	pause(watch)
+	alive := func(a sending) bool { return a.instance != owners[1].Name }
+	all := stop()
+	s.expect("after the faults", during(all, quiet, time.Now()), alive, whole)
+	s.checkOnce(all)
+}
+
+// claimOwners returns the instances that write claims themselves while the others send theirs, and fails the test unless
+// there are as many as there may be.
+func (s *system) claimOwners() []*launcher.Instance {
+	s.t.Helper()
+	var before []string
+	for _, i := range s.Instances {
+		before = append(before, s.claimsSent(i))
+	}
+	pause(2 * time.Second)
+	var owners []*launcher.Instance
+	for k, i := range s.Instances {
+		if s.claimsSent(i) == before[k] {
+			owners = append(owners, i)
+		}
+	}
+	if len(owners) != claimer.MaxOwners {
+		s.t.Fatalf("%d of %d instances send no claims to others, want %d", len(owners), len(s.Instances), claimer.MaxOwners)
+	}
+	return owners
+}
+
+// claimsSent returns the metric of the writes that an instance sent to claim owners.
+func (s *system) claimsSent(i *launcher.Instance) string {
+	s.t.Helper()
+	p, err := s.client.Get("http://" + i.Metrics.String() + "/metrics")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = p.Body.Close() }()
+	b, err := io.ReadAll(p.Body)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return regexp.MustCompile(`(?m)^celeryhead_claims_sent_total .*$`).FindString(string(b))
+}
+
 func faults(s *system, f emulator.Faults) {
 	if err := s.SetFaults(s.t.Context(), s.TableAddress, f); err != nil {
 		s.t.Fatal(err)
