--- a/launcher/faults_test.go
+++ b/launcher/faults_test.go
@@ -260,10 +260,21 @@
 	if bad > 0 {
 		t.Errorf("%d of %d requests had no whole answer", bad, len(all))
 	}
-	t.Logf("%d requests", len(all))
+	t.Logf("%d requests; drains took %v", len(all), s.drains())
 	s.runs()
 }
 
+// drains returns how long the graceful shutdowns took, in seconds, by instance.
+func (s *system) drains() []string {
+	var r []string
+	for _, i := range s.Instances {
+		for _, m := range regexp.MustCompile(`"drain_seconds":([0-9.]+)`).FindAllStringSubmatch(s.Log(i.Name), -1) {
+			r = append(r, m[1])
+		}
+	}
+	return r
+}
+
 // Guards against a request that crashes one target after another, and against other requests that are refused for it.
 func TestCrashingRequestIsRefused(t *testing.T) {
 	s := start(t, launcher.Config{CrashPath: "/permits/crash"})
