Use one exchange in the tests of package certifier

Cause: the tests of the renewer repeated the pipe, handshake and byte of the tests before. Before: twice. After: once, with the server's state for those that need it. Ruled out: a hook on the TLS settings, which was longer than the repetition.

--- a/certifier/certifier_test.go
+++ b/certifier/certifier_test.go
@@ -100,6 +100,12 @@
 
 // exchange reports whether the client read the server's byte.
 func exchange(t *testing.T, server, client *tls.Config) bool {
+	t.Helper()
+	return exchangeWith(t, server, client, nil)
+}
+
+// exchangeWith also returns the server's side of the connection in state, unless that is nil.
+func exchangeWith(t *testing.T, server, client *tls.Config, state *tls.ConnectionState) bool {
 	t.Helper()
 	s, c := net.Pipe()
 	done := make(chan struct{})
@@ -110,6 +116,9 @@
 		if err := k.Handshake(); err != nil {
 			return
 		}
+		if state != nil {
+			*state = k.ConnectionState()
+		}
 		_, _ = k.Write([]byte{1})
 	}()
 	k := tls.Client(c, client)
--- a/certifier/renewer_test.go
+++ b/certifier/renewer_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"crypto/tls"
-	"io"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -153,24 +151,7 @@
 // connect reports whether a client reads a byte of a server; state is that of the server's side.
 func connect(t *testing.T, server, client *certifier.Renewer, state *tls.ConnectionState) bool {
 	t.Helper()
-	s, c := net.Pipe()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		defer func() { _ = s.Close() }()
-		k := tls.Server(s, server.Server(certifier.Peer))
-		if err := k.Handshake(); err != nil {
-			return
-		}
-		if state != nil {
-			*state = k.ConnectionState()
-		}
-		_, _ = k.Write([]byte{1})
-	}()
-	o := client.Client().Clone()
-	o.ServerName = loopback.String()
-	_, err := io.ReadFull(tls.Client(c, o), make([]byte, 1))
-	_ = c.Close()
-	<-done
-	return err == nil
+	c := client.Client().Clone()
+	c.ServerName = loopback.String()
+	return exchangeWith(t, server.Server(certifier.Peer), c, state)
 }
