Name the state of succession and of a fingerprint by usual terms

Cause: 'heir' is a figurative word beside successor, and print/printed needs explaining. Before and after: names only; tests of assigner, attester, server, controller green.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -75,9 +75,9 @@
 type holding struct {
 	owner Member
 	mine  bool
-	// successor stands in for a lost owner while the store is down; heir is true if it is this instance.
-	successor Member
-	heir      bool
+	// successor stands in for a lost owner while the store is down; succeeding is true if it is this instance.
+	successor  Member
+	succeeding bool
 	// taken is set once the resource was ready while the instance acted.
 	taken   bool
 	ready   time.Time
@@ -287,7 +287,7 @@
 	h.owner, _ = s.owner(r.Name, r.Part)
 	h.mine = h.owner.is(a.c.Self)
 	h.taken = h.taken && was && h.mine
-	h.heir = false
+	h.succeeding = false
 	if t.steps == 1 && was && h.mine {
 		return
 	}
@@ -361,7 +361,7 @@
 		if h.mine && !active {
 			a.gain(r, h, now)
 		}
-		h.taken = (h.mine && active || h.heir) && (h.taken || acts && !now.Before(h.ready))
+		h.taken = (h.mine && active || h.succeeding) && (h.taken || acts && !now.Before(h.ready))
 	}
 }
 
--- a/assigner/succession.go
+++ b/assigner/succession.go
@@ -122,7 +122,7 @@
 	a.succeeds = false
 	for r, h := range a.holdings.All() {
 		ended = a.succeed(now, r, h) || ended
-		a.succeeds = a.succeeds || h.heir
+		a.succeeds = a.succeeds || h.succeeding
 	}
 	return ended
 }
@@ -167,7 +167,7 @@
 	}
 	for r, h := range a.holdings.All() {
 		if a.kindOf(r) == k {
-			h.heir = false
+			h.succeeding = false
 			a.gain(r, h, now)
 		}
 	}
@@ -231,18 +231,18 @@
 // succeed begins or ends the succession of this instance in a resource, and reports an end.
 func (a *Assigner) succeed(now time.Time, r Resource, h *holding) bool {
 	s := a.situation
-	heir := a.storeLost && !h.mine && h.successor.Name != "" && h.successor.is(a.c.Self) && s.Settled && s.Acts &&
+	n := a.storeLost && !h.mine && h.successor.Name != "" && h.successor.is(a.c.Self) && s.Settled && s.Acts &&
 		!s.ListedSince.After(a.scopes[r.Scope].learned)
 	switch {
-	case heir == h.heir:
+	case n == h.succeeding:
 		return false
-	case heir:
+	case n:
 		a.gain(r, h, now)
 	default:
 		h.taken = false
 	}
-	h.heir = heir
-	return !heir
+	h.succeeding = n
+	return !n
 }
 
 func earliest(a, b time.Time) time.Time {
--- a/attester/world_test.go
+++ b/attester/world_test.go
@@ -669,14 +669,14 @@
 // actor is who acted on a resource last, whether as the successor of a lost owner, and when.
 type actor struct {
 	node *node
-	// version is what the process applied when it was an heir or not.
-	version uint64
-	heir    bool
-	at      time.Time
+	// version is what the process applied when it was a successor or not.
+	version   uint64
+	successor bool
+	at        time.Time
 }
 
-// heir reports whether the process is not the owner of the resource in the assignment that it applies.
-func (n *node) heir(r assigner.Resource) bool {
+// successor reports whether the process is not the owner of the resource in the assignment that it applies.
+func (n *node) successor(r assigner.Resource) bool {
 	m := n.heads.Scopes[r.Scope].Members
 	if len(m) == 0 {
 		m = n.heads.Scopes[assigner.FleetScope].Members
@@ -705,15 +705,15 @@
 	}
 	l := w.last[r]
 	if l.node != owner {
-		l.heir = l.heir || owner.heir(r)
-		if l.node != nil && l.heir && w.now.Sub(l.at) < largestDeadline && !owner.assigner.Residue(r, owner.now()).Unknown {
+		l.successor = l.successor || owner.successor(r)
+		if l.node != nil && l.successor && w.now.Sub(l.at) < largestDeadline && !owner.assigner.Residue(r, owner.now()).Unknown {
 			w.fail = fmt.Sprintf("%s acts on %v as if no request of %s ran", owner.self.Name, r, l.node.self.Name)
 			w.logf("%s", w.fail)
 		}
 	}
 	if v := owner.heads.Version; l.node != owner || l.version != v {
-		l = actor{node: owner, version: v, heir: owner.heir(r)}
-		if l.heir {
+		l = actor{node: owner, version: v, successor: owner.successor(r)}
+		if l.successor {
 			w.successions++
 			w.logf("%s#%d succeeds in %v", owner.self.Name, owner.self.Incarnation, r)
 		}
--- a/server/entry.go
+++ b/server/entry.go
@@ -37,9 +37,9 @@
 	admitted bool
 	body     *body
 	digest   [32]byte
-	// print is the fingerprint if printed is true.
-	print   breaker.Fingerprint
-	printed bool
+	// print is the fingerprint if hasPrint is true.
+	print    breaker.Fingerprint
+	hasPrint bool
 	// avoid is the region to which a shift moves the request's block, if the request has no token of the shift: it must
 	// not get there beyond the cap when its own region is full.
 	avoid string
--- a/server/strikes.go
+++ b/server/strikes.go
@@ -47,8 +47,8 @@
 
 // fingerprint needs the digest of the body. It is computed once, since each step of a request asks for it.
 func (c *call) fingerprint() breaker.Fingerprint {
-	if !c.printed {
-		c.printed = true
+	if !c.hasPrint {
+		c.hasPrint = true
 		c.print = breaker.Request{
 			Account: c.account.Name,
 			Route:   c.route.Name,
