Wait in the test of a cut link until no assignment is due any more

Cause: an instance that joins is added 3 s after the assignment before, so the last of them may be written after the 5 s that settle waits, and the test would take it for a move. After: the link is cut once nothing was written for 7 s. Ruled out: a number of writes that is allowed, which would hide a move.

--- a/launcher/cut_test.go
+++ b/launcher/cut_test.go
@@ -352,6 +352,7 @@
 			s := start(t, launcher.Config{Through: n.through})
 			stop := s.mixed()
 			s.settle()
+			s.unchanged()
 			a, b := s.region("almaty")[0].Name, s.region("astana")[0].Name
 			link := func(p launcher.Path) bool { return p.From == a && p.To == b || !c.one && p.From == b && p.To == a }
 			before := s.written()
@@ -372,6 +373,19 @@
 	}
 }
 
+// unchanged waits until the assignments hold all instances: those that join are added at intervals of the freshness, so
+// that nothing more comes once none was written for two of them.
+func (s *system) unchanged() {
+	s.t.Helper()
+	n, since := s.written(), time.Now()
+	s.eventually(settling, func() bool {
+		if k := s.written(); k != n {
+			n, since = k, time.Now()
+		}
+		return time.Since(since) > 2*freshness+time.Second
+	})
+}
+
 // written returns how many assignments the instances have written.
 func (s *system) written() int {
 	n := 0
