Wait in the test of claim owners until all instances are members

Cause: with 7 members or fewer every instance writes its claims itself, and the last ones may join after settle, so the test could fail before it began. After: it waits for 7 claim owners within the time in which a deployment settles, and fails otherwise. Ruled out: counting the members in the logs, which say nothing of who sends claims.

--- a/launcher/faults_test.go
+++ b/launcher/faults_test.go
@@ -73,24 +73,25 @@
 	s.checkOnce(all)
 }
 
-// claimOwners returns the instances that write claims themselves while the others send theirs, and fails the test unless
-// there are as many as there may be.
+// claimOwners waits until the fleet has as many claim owners as it may have, and returns them: the instances that write
+// claims themselves while the others send theirs.
 func (s *system) claimOwners() []*launcher.Instance {
 	s.t.Helper()
-	var before []string
-	for _, i := range s.Instances {
-		before = append(before, s.claimsSent(i))
-	}
-	pause(2 * time.Second)
 	var owners []*launcher.Instance
-	for k, i := range s.Instances {
-		if s.claimsSent(i) == before[k] {
-			owners = append(owners, i)
+	s.eventually(settling, func() bool {
+		var before []string
+		for _, i := range s.Instances {
+			before = append(before, s.claimsSent(i))
 		}
-	}
-	if len(owners) != claimer.MaxOwners {
-		s.t.Fatalf("%d of %d instances send no claims to others, want %d", len(owners), len(s.Instances), claimer.MaxOwners)
-	}
+		pause(2 * time.Second)
+		owners = nil
+		for k, i := range s.Instances {
+			if s.claimsSent(i) == before[k] {
+				owners = append(owners, i)
+			}
+		}
+		return len(owners) == claimer.MaxOwners
+	})
 	return owners
 }
 
