--- a/cmd/celeryheadd/main.go
+++ b/cmd/celeryheadd/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/integrii/flaggy"
@@ -14,6 +15,7 @@
 	"celeryhead.dev/celeryhead/certifier"
 	"celeryhead.dev/celeryhead/loader"
 	"celeryhead.dev/celeryhead/logger"
+	"celeryhead.dev/celeryhead/platform"
 	"celeryhead.dev/celeryhead/server"
 )
 
@@ -34,6 +36,11 @@
 }
 
 func run(settings, check string) error {
+	if check == "" && settings == "" {
+		if p := os.Getenv(platform.EnvironmentSettings); p != "" {
+			return runOnPlatform(p)
+		}
+	}
 	if check != "" {
 		s, err := loader.Load(check)
 		if err != nil {
@@ -61,3 +68,23 @@
 	defer stop()
 	return d.Run(ctx)
 }
+
+// logCloseLimit bounds the wait for the last log lines.
+const logCloseLimit = 200 * time.Millisecond
+
+// runOnPlatform runs an instance on the users' platform, whose settings name no log.
+func runOnPlatform(path string) error {
+	q := logger.NewQueue(os.Stdout)
+	defer q.Close(logCloseLimit)
+	c, err := platform.Load(path)
+	if err != nil {
+		return err
+	}
+	l, err := logger.New(logger.Config{Writer: q, Level: "info", Format: "json", Instance: c.Instance.Name})
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return platform.Run(ctx, path, l)
+}
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -81,15 +81,13 @@
 	ran       responder.Ran
 }
 
-func isShed(a *Answer) bool {
-	return a.Status == http.StatusServiceUnavailable && a.ran == responder.NotRun
-}
-
 // answerBody reads the body of an answer and ends the exchange.
 type answerBody struct {
 	x *exchange
 	p *http.Response
 	a *Answer
+	// keep is true if the connection may be used again after the answer.
+	keep bool
 
 	mu  sync.Mutex
 	err error
@@ -108,7 +106,7 @@
 	case errors.Is(err, io.EOF):
 		b.err = io.EOF
 		b.takeTrailer()
-		b.x.complete(!b.p.Close)
+		b.x.complete(b.keep)
 	default:
 		b.err = b.x.fail(err)
 	}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -18,6 +18,9 @@
 // maxShedBody limits how much of a shed answer is read to keep the connection, in bytes.
 const maxShedBody = 4 << 10
 
+// maxForeignBody limits how much of an answer to another request is read to find the next one, in bytes.
+const maxForeignBody = 64 << 10
+
 // exchange is one request and its answer on one connection.
 type exchange struct {
 	f      *Forwarder
@@ -38,6 +41,8 @@
 	answered   bool
 	inHeader   bool
 	headerLeft int
+	// foreign is true once an answer to another request came.
+	foreign bool
 
 	mu sync.Mutex
 	// aborted bars the first write.
@@ -84,7 +89,7 @@
 	if err != nil {
 		return nil, x.fail(err)
 	}
-	if isShed(a) {
+	if a.ran == responder.NotRun {
 		return nil, x.shed(a)
 	}
 	return a, nil
@@ -100,7 +105,7 @@
 	RemoveHopByHop(h)
 	// The caller's own server has answered Expect already.
 	h.Del("Expect")
-	h.Set(HeaderDeadline, FormatDeadline(x.call.Deadline))
+	x.f.config.Protocol.Prepare(h, x.call.Deadline, x.call.Deadline.Sub(x.f.config.Now()))
 	if _, ok := h["User-Agent"]; !ok {
 		// An empty value keeps Request.Write from adding its own.
 		h["User-Agent"] = []string{""}
@@ -224,7 +229,14 @@
 		case p.StatusCode == http.StatusSwitchingProtocols:
 			return nil, ErrSwitched
 		case p.StatusCode >= http.StatusOK:
-			return x.accept(p)
+			a, foreign, err := x.accept(r, p)
+			if !foreign {
+				return a, err
+			}
+			if err := x.skip(p); err != nil {
+				return nil, err
+			}
+			continue
 		}
 		if x.call.Informational != nil {
 			RemoveHopByHop(p.Header)
@@ -234,24 +246,43 @@
 	return nil, ErrInformational
 }
 
-func (x *exchange) accept(p *http.Response) (*Answer, error) {
-	if p.Body != http.NoBody && p.ContentLength < 0 && len(p.TransferEncoding) == 0 {
-		return nil, ErrUnframed
+// skip drops an answer that belongs to another request, with which the connection cannot be used again.
+func (x *exchange) skip(p *http.Response) error {
+	x.foreign = true
+	if _, err := io.CopyN(io.Discard, p.Body, maxForeignBody); !errors.Is(err, io.EOF) {
+		return errors.Join(ErrForeign, err)
+	}
+	return p.Body.Close()
+}
+
+// accept returns the answer that p begins; foreign is true if p belongs to another request.
+func (x *exchange) accept(r *http.Request, p *http.Response) (a *Answer, foreign bool, err error) {
+	a = &Answer{Status: p.StatusCode, ContentLength: p.ContentLength, Header: p.Header}
+	unframed := p.Body != http.NoBody && p.ContentLength < 0 && len(p.TransferEncoding) == 0
+	switch x.f.config.Protocol.Judge(r.Header, p.StatusCode, p.Header, unframed) {
+	case Foreign:
+		return nil, true, nil
+	case Invalid:
+		return nil, false, ErrInvalid
+	case Unframed:
+		return nil, false, ErrUnframed
+	case Shed:
+		a.ran = responder.NotRun
+	case Accepted:
 	}
-	a := &Answer{Status: p.StatusCode, ContentLength: p.ContentLength, Header: p.Header}
-	a.ran = responder.Ran(p.Header.Get(responder.HeaderRan))
 	RemoveHopByHop(a.Header)
+	keep := !p.Close && !x.foreign
 	if p.Body == http.NoBody {
 		a.Body = http.NoBody
-		x.complete(!p.Close)
-		return a, nil
+		x.complete(keep)
+		return a, false, nil
 	}
-	b := &answerBody{x: x, p: p, a: a}
+	b := &answerBody{x: x, p: p, a: a, keep: keep}
 	for k := range p.Trailer {
 		a.announced = append(a.announced, k)
 	}
 	a.Body = b
-	return a, nil
+	return a, false, nil
 }
 
 // shed reports an answer by which the server says that it did not run the request.
@@ -263,6 +294,7 @@
 		Reason:   responder.TargetShed,
 		Ran:      responder.NotRun,
 		BodyRead: x.bodyRead.Load(),
+		Status:   a.Status,
 		Header:   a.Header,
 		Err:      ErrShed,
 	}
@@ -365,7 +397,7 @@
 
 // isBroken reports whether err comes from the connection rather than from what the server sent over it.
 func isBroken(err error) bool {
-	for _, e := range []error{ErrUnsolicited, ErrUnframed, ErrSwitched, ErrInformational, ErrHeaderTooLarge, ErrDeadline} {
+	for _, e := range []error{ErrUnsolicited, ErrForeign, ErrInvalid, ErrUnframed, ErrSwitched, ErrInformational, ErrHeaderTooLarge, ErrDeadline} {
 		if errors.Is(err, e) {
 			return false
 		}
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -20,6 +20,10 @@
 	ErrUpgrade = merry.Sentinel("CONNECT and Upgrade are not forwarded")
 	// ErrUnsolicited means that the server sent bytes before the request.
 	ErrUnsolicited = merry.Sentinel("server sent bytes before the request")
+	// ErrForeign means that the server sent an answer to another request that is too long to skip.
+	ErrForeign = merry.Sentinel("answer belongs to another request")
+	// ErrInvalid means that the answer cannot come from the server that was asked.
+	ErrInvalid = merry.Sentinel("answer does not come from the server that was asked")
 	// ErrUnframed means that the end of the answer cannot be told from a broken connection.
 	ErrUnframed = merry.Sentinel("answer has neither a length nor chunks")
 	// ErrSwitched means that the server answered 101 to a request without Upgrade.
@@ -44,6 +48,8 @@
 	Silent bool
 	// BodyRead is true if a byte of the request's body was taken, so that the request can be sent elsewhere only with a new body.
 	BodyRead bool
+	// Status is the status of a shed answer, otherwise 0.
+	Status int
 	// Header is the header of a shed answer, without hop-by-hop fields.
 	Header http.Header
 	// Err is the cause.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -45,6 +45,8 @@
 	SilentAfter time.Duration
 	// MaxHeader limits the header of an answer, in bytes.
 	MaxHeader int
+	// Protocol is what the servers speak; the default is the project's own protocol.
+	Protocol Protocol
 	// Now is the clock of all deadlines; the default is timer.Now.
 	Now timer.Clock
 }
@@ -80,6 +82,9 @@
 	if c.Now == nil {
 		c.Now = timer.Now
 	}
+	if c.Protocol == nil {
+		c.Protocol = native{}
+	}
 	setDefault(&c.MaxConnections, DefaultMaxConnections)
 	setDefault(&c.MaxIdle, DefaultMaxIdle)
 	setDefault(&c.IdleLimit, DefaultIdleLimit)
--- /dev/null
+++ b/handler/forward.go
@@ -0,0 +1,225 @@
+package handler
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"celeryhead.dev/celeryhead/cataloger"
+	"celeryhead.dev/celeryhead/forwarder"
+	"celeryhead.dev/celeryhead/placer"
+	"celeryhead.dev/celeryhead/responder"
+)
+
+// bufferedAnswer is how much of an answer is read before the caller gets its first byte, in bytes; an answer that breaks
+// off within it can be had from another target.
+const bufferedAnswer = 128 << 10
+
+// maxTried bounds the targets that a request tries to reach.
+const maxTried = 6
+
+// attempt is the end of one sending to a target.
+type attempt struct {
+	answer *forwarder.Answer
+	// failure is set if there is no answer.
+	failure *forwarder.Failure
+	outcome placer.Outcome
+}
+
+// forward has a request run on a target. A request that may have run is sent again only if it is idempotent.
+func (s *Server) forward(ctx context.Context, c *call) (*forwarder.Answer, *responder.Refusal) {
+	s.budget.Count(c.arrival, c.service)
+	var last *attempt
+	for {
+		l, f := s.place(c)
+		if f != nil {
+			return s.giveUp(c, last, f)
+		}
+		if last != nil && last.answer != nil {
+			// The answer is an error of the former target; the next one may do better.
+			_ = last.answer.Body.Close()
+		}
+		c.lease = l
+		c.tried = append(c.tried, l.Target.Name)
+		last = s.send(ctx, c, l)
+		if last.failure == nil || last.failure.Ran != responder.NotRun {
+			c.mayHaveRun = true
+		}
+		if last.outcome != placer.Unreached {
+			c.sent++
+		}
+		if !s.again(ctx, c, last) {
+			return s.giveUp(c, last, nil)
+		}
+		s.meter.Retry()
+	}
+}
+
+// place chooses a target; the refusal says why none may have the request.
+func (s *Server) place(c *call) (*placer.Lease, *responder.Refusal) {
+	now := s.clock()
+	// The newest targets count, whatever the version by which the request was accepted.
+	p := s.book.Catalog().Pool(c.service)
+	if p == nil {
+		return nil, unavailable(responder.NoOwner, "the service is not configured any more")
+	}
+	return s.placer.Choose(now, p, placer.Work{
+		Route:     c.route,
+		Service:   c.service,
+		Object:    c.envelope.Object,
+		Regions:   c.regions,
+		Objective: c.arrival.Add(c.route.Objective),
+		Deadline:  c.deadline,
+		Tried:     c.tried,
+	})
+}
+
+// again reports whether a request may go to another target, and takes it from the budget of retries if so.
+func (s *Server) again(ctx context.Context, c *call, a *attempt) bool {
+	switch {
+	case a.answer != nil && a.outcome == placer.Answered, ctx.Err() != nil, !c.body.Whole():
+		return false
+	case c.mayHaveRun && !c.route.Idempotent:
+		return false
+	case c.sent >= max(c.route.MaxTargets, 1), len(c.tried) >= maxTried:
+		return false
+	case a.outcome == placer.Unreached:
+		// Nothing arrived anywhere.
+		return true
+	}
+	return s.budget.Take(s.clock(), c.service)
+}
+
+// giveUp returns the last target's answer, or what its failure means to the caller. f says why no further target may
+// have the request, if that was the reason.
+func (s *Server) giveUp(c *call, last *attempt, f *responder.Refusal) (*forwarder.Answer, *responder.Refusal) {
+	switch {
+	case last == nil:
+		return nil, f
+	case last.answer != nil:
+		return last.answer, nil
+	case !c.mayHaveRun && f != nil:
+		return nil, f
+	}
+	return nil, s.refusalOf(c, last.failure)
+}
+
+// refusalOf returns what the caller of a request without an answer is told.
+func (s *Server) refusalOf(c *call, x *forwarder.Failure) *responder.Refusal {
+	var own *responder.Refusal
+	switch {
+	case c.mayHaveRun && x.Reason == responder.DeadlineExceeded:
+		return &responder.Refusal{Status: http.StatusGatewayTimeout, Reason: x.Reason, Ran: responder.Unknown, Message: "the deadline passed"}
+	case c.mayHaveRun:
+		return &responder.Refusal{Status: http.StatusBadGateway, Reason: responder.TargetFailed, Ran: responder.Unknown, Message: "the target gave no whole answer"}
+	case errors.As(x.Err, &own):
+		return own
+	case x.Reason == responder.BadRequest:
+		return refusal(http.StatusBadRequest, x.Reason, "the request cannot be forwarded")
+	}
+	f := unavailable(x.Reason, "no target took the request")
+	f.RetryAfter = shedRetryAfter
+	return f
+}
+
+// send has one target run the request and ends the lease when the answer is there.
+func (s *Server) send(ctx context.Context, c *call, l *placer.Lease) *attempt {
+	r := *c.request
+	r.Header = c.request.Header.Clone()
+	s.protocol.Address(r.Header, l.Target, c.accountName())
+	r.Body = c.body.Open()
+	x, err := s.targets.Do(ctx, forwarder.Call{
+		Address:  l.Target.Address,
+		Request:  &r,
+		Deadline: c.deadline,
+		Before:   func() error { return s.mayRun(c, l.Target) },
+	})
+	if err != nil {
+		return s.failed(ctx, c, l, err)
+	}
+	if o, ok := s.protocol.Load(x.Header); ok {
+		s.placer.Told(s.clock(), l, o)
+	}
+	if err := buffer(x); err != nil {
+		return s.failed(ctx, c, l, err)
+	}
+	a := &attempt{answer: x, outcome: placer.Answered}
+	if x.Status >= http.StatusInternalServerError {
+		a.outcome = placer.Failed
+	}
+	s.placer.End(s.clock(), l, a.outcome)
+	return a
+}
+
+// buffer reads the beginning of an answer, so that one that breaks off early reaches no caller.
+func buffer(x *forwarder.Answer) error {
+	b, err := io.ReadAll(io.LimitReader(x.Body, bufferedAnswer))
+	if err != nil {
+		_ = x.Body.Close()
+		return err
+	}
+	rest := x.Body
+	x.Body = struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(bytes.NewReader(b), rest), rest}
+	return nil
+}
+
+// mayRun is asked just before the first byte goes to a target: what the request was accepted by may not hold any more.
+func (s *Server) mayRun(c *call, t *cataloger.Target) error {
+	k := s.book.Catalog()
+	if n, ok := k.Target(t.Service, t.Name); !ok || n.Started != t.Started {
+		return unavailable(responder.NoOwner, "the target left before the request was sent")
+	}
+	if c.account == nil || k == c.catalog {
+		return nil
+	}
+	if a, ok := k.Account(c.key); !ok || a.Name != c.account.Name {
+		return refusal(http.StatusUnauthorized, responder.KeyInvalid, "the key was withdrawn")
+	}
+	return nil
+}
+
+// failed ends the lease of a request without an answer.
+func (s *Server) failed(ctx context.Context, c *call, l *placer.Lease, err error) *attempt {
+	var x *forwarder.Failure
+	if !errors.As(err, &x) {
+		x = &forwarder.Failure{Reason: responder.TargetFailed, Ran: responder.Unknown, Err: err}
+	}
+	now := s.clock()
+	a := &attempt{failure: x, outcome: s.outcome(ctx, c, x)}
+	s.placer.End(now, l, a.outcome)
+	if x.Status != 0 {
+		if o, ok := s.protocol.Load(x.Header); ok {
+			s.placer.Told(now, l, o)
+		}
+		if s.protocol.Moved(x.Status) {
+			s.placer.Lose(now, l.Target)
+		}
+	}
+	s.log.AttemptFailed(c.envelope.ID, l.Target.Name, now.Sub(c.arrival), err)
+	if x.Broken {
+		go s.crashed(c, l.Target) //nolint:gosec // The probe outlives the request.
+	}
+	return a
+}
+
+// outcome classifies a failure for the placer.
+func (s *Server) outcome(ctx context.Context, c *call, x *forwarder.Failure) placer.Outcome {
+	switch {
+	case errors.Is(x.Err, forwarder.ErrShed):
+		return placer.Shed
+	case x.Ran == responder.NotRun && x.Reason == responder.TargetUnreachable:
+		return placer.Unreached
+	case x.Ran == responder.NotRun:
+		return placer.Canceled
+	case x.Silent, !s.clock().Before(c.deadline):
+		return placer.Silent
+	case ctx.Err() != nil:
+		return placer.Canceled
+	}
+	return placer.Broken
+}
--- /dev/null
+++ b/handler/protocol.go
@@ -0,0 +1,37 @@
+package handler
+
+import (
+	"net/http"
+	"time"
+
+	"celeryhead.dev/celeryhead/cataloger"
+	"celeryhead.dev/celeryhead/forwarder"
+	"celeryhead.dev/celeryhead/placer"
+	"celeryhead.dev/celeryhead/responder"
+)
+
+// Envelope is what a caller says about its request beside method, path and body.
+type Envelope struct {
+	ID string
+	// Object is what the request is about; empty if the caller does not say.
+	Object string
+	// Key is the caller's key; empty if it shows none.
+	Key string
+	// Left is how long the caller waits; 0 if it does not say.
+	Left time.Duration
+}
+
+// Protocol is what callers and targets speak beside HTTP.
+type Protocol interface {
+	forwarder.Protocol
+	// Envelope reads what a caller says.
+	Envelope(r *http.Request) Envelope
+	// Address replaces the fields of an outgoing header that only this system sets.
+	Address(h http.Header, target *cataloger.Target, account string)
+	// Load reads the load that a target tells; ok is false if it tells none.
+	Load(h http.Header) (l placer.Load, ok bool)
+	// Moved reports whether a shed answer says that another target has the address.
+	Moved(status int) bool
+	// Refuse answers a caller in place of a target.
+	Refuse(w http.ResponseWriter, f *responder.Refusal)
+}
--- /dev/null
+++ b/handler/request.go
@@ -0,0 +1,206 @@
+package handler
+
+import (
+	"context"
+	"crypto/sha256"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"celeryhead.dev/celeryhead/authenticator"
+	"celeryhead.dev/celeryhead/cataloger"
+	"celeryhead.dev/celeryhead/forwarder"
+	"celeryhead.dev/celeryhead/logger"
+	"celeryhead.dev/celeryhead/meter"
+	"celeryhead.dev/celeryhead/placer"
+	"celeryhead.dev/celeryhead/responder"
+	"celeryhead.dev/celeryhead/spooler"
+)
+
+// call is one request on its way through the instance.
+type call struct {
+	envelope Envelope
+	request  *http.Request
+	catalog  *cataloger.Catalog
+	route    *cataloger.Route
+	// account is nil on routes that need no key.
+	account *cataloger.Account
+	key     authenticator.Digest
+	service string
+	// regions limits where the request runs; empty allows all.
+	regions  []string
+	body     *spooler.Body
+	arrival  time.Time
+	deadline time.Time
+	// admitted is true while the request holds a token of its account.
+	admitted bool
+	// lease is that of the last target.
+	lease *placer.Lease
+	// tried are the targets that were tried; sent is the number of them that had a byte of the request.
+	tried []string
+	sent  int
+	// mayHaveRun is true once a target may have run the request.
+	mayHaveRun bool
+	status     int
+}
+
+func (c *call) accountName() string {
+	if c.account == nil {
+		return ""
+	}
+	return c.account.Name
+}
+
+// enter serves a request of a caller.
+func (s *Server) enter(w http.ResponseWriter, r *http.Request) {
+	c := &call{arrival: s.clock(), envelope: s.protocol.Envelope(r)}
+	var f *responder.Refusal
+	defer func() { s.observe(c, f) }()
+	a, f := s.serve(w, r, c)
+	if f != nil {
+		c.status = f.Status
+		s.protocol.Refuse(w, f)
+		return
+	}
+	// A panic of Copy closes the caller's connection; the line then tells no status.
+	forwarder.Copy(w, a)
+	c.status = a.Status
+}
+
+// serve returns the answer of a target, or why there is none.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, c *call) (*forwarder.Answer, *responder.Refusal) {
+	if f := s.accept(w, r, c); f != nil {
+		return nil, f
+	}
+	ctx := r.Context()
+	if f := s.blocked(c); f != nil {
+		return nil, f
+	}
+	if f := s.admit(ctx, c); f != nil {
+		return nil, f
+	}
+	a, f := s.forward(ctx, c)
+	if f != nil && f.Ran == responder.NotRun && c.admitted {
+		s.tokens.shares.Return(s.clock(), c.account.Name)
+	}
+	return a, f
+}
+
+// accept finds route and account of a request and reads its body.
+func (s *Server) accept(w http.ResponseWriter, r *http.Request, c *call) *responder.Refusal {
+	c.catalog = s.book.Catalog()
+	if c.catalog.Version == 0 {
+		f := unavailable(responder.Stale, "this instance knows no configuration yet; use another one")
+		f.RetryAfter = staleRetryAfter
+		return f
+	}
+	path := sentPath(r)
+	var ok bool
+	if c.route, ok = c.catalog.Find(r.Host, path); !ok {
+		return refusal(http.StatusNotFound, responder.NoRoute, "no route has this host and path")
+	}
+	if f := c.authenticate(); f != nil {
+		return f
+	}
+	c.regions = c.route.Regions
+	if c.account != nil {
+		c.regions = cataloger.Intersect(c.regions, c.account.Regions)
+	}
+	c.deadline = c.arrival.Add(c.route.Timeout)
+	if d := c.arrival.Add(c.envelope.Left); c.envelope.Left > 0 && d.Before(c.deadline) {
+		c.deadline = d
+	}
+	c.request = outgoing(r, path)
+	var f *responder.Refusal
+	c.body, f = spooler.Read(w, r, spooler.Limits{Left: c.deadline.Sub(s.clock()), Bytes: c.catalog.Limits.BodyBytes})
+	if f != nil {
+		return f
+	}
+	c.request.ContentLength = c.body.Length
+	c.service = s.splits.next(c.route)
+	return nil
+}
+
+// authenticate finds the account whose key the request shows.
+func (c *call) authenticate() *responder.Refusal {
+	if c.route.Open || !c.catalog.NeedsKeys() {
+		return nil
+	}
+	if c.envelope.Key == "" {
+		return refusal(http.StatusUnauthorized, responder.KeyMissing, "this route needs a key")
+	}
+	c.key = sha256.Sum256([]byte(c.envelope.Key))
+	var ok bool
+	if c.account, ok = c.catalog.Account(c.key); !ok {
+		return refusal(http.StatusUnauthorized, responder.KeyInvalid, "the key is not valid")
+	}
+	return nil
+}
+
+// admit takes a token of the account.
+func (s *Server) admit(ctx context.Context, c *call) *responder.Refusal {
+	if c.account == nil {
+		return nil
+	}
+	f := s.take(ctx, c.account.Name)
+	c.admitted = f == nil && c.account.Rate > 0
+	return f
+}
+
+// outgoing returns the request as it is forwarded; its path and query are those that the caller sent, byte by byte.
+func outgoing(r *http.Request, path string) *http.Request {
+	u := &url.URL{Opaque: path, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
+	return &http.Request{Method: r.Method, URL: u, Host: r.Host, Header: r.Header, ContentLength: r.ContentLength, Trailer: r.Trailer}
+}
+
+// sentPath returns the path as the caller sent it.
+func sentPath(r *http.Request) string {
+	if p, _, _ := strings.Cut(r.RequestURI, "?"); strings.HasPrefix(p, "/") {
+		return p
+	}
+	return r.URL.EscapedPath()
+}
+
+// observe counts and logs a request.
+func (s *Server) observe(c *call, f *responder.Refusal) {
+	now := s.clock()
+	e := logger.Ended{
+		ID:       c.envelope.ID,
+		Account:  c.accountName(),
+		Object:   c.envelope.Object,
+		Attempts: c.sent,
+		Status:   c.status,
+		Left:     c.envelope.Left,
+		Duration: now.Sub(c.arrival),
+	}
+	if c.catalog != nil {
+		e.ConfigVersion = c.catalog.Version
+	}
+	if c.route != nil {
+		e.Route = c.route.Name
+	}
+	if c.lease != nil {
+		e.Target, e.Wait, e.Run, e.Known = c.lease.Target.Name, c.lease.Wait, c.lease.Run, c.lease.Known
+	}
+	if f != nil {
+		e.Reason, e.Ran = string(f.Reason), string(f.Ran)
+	}
+	s.log.RequestEnded(e)
+	s.meter.Observe(meter.Request{Route: e.Route, Account: e.Account, Duration: e.Duration, Refusal: f, Admitted: c.admitted}, now)
+}
+
+// staleRetryAfter is when an instance without a configuration is expected to know one.
+const staleRetryAfter = 300 * time.Millisecond
+
+// shedRetryAfter is told to callers whose request no target took; a slot is free again about then.
+const shedRetryAfter = 200 * time.Millisecond
+
+// refusal returns the refusal of a request that no target had.
+func refusal(status int, r responder.Reason, message string) *responder.Refusal {
+	return &responder.Refusal{Status: status, Reason: r, Ran: responder.NotRun, Message: message}
+}
+
+func unavailable(r responder.Reason, message string) *responder.Refusal {
+	return refusal(http.StatusServiceUnavailable, r, message)
+}
--- /dev/null
+++ b/handler/rows.go
@@ -0,0 +1,207 @@
+package handler
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"celeryhead.dev/celeryhead/cataloger"
+	"celeryhead.dev/celeryhead/replicator"
+	"celeryhead.dev/celeryhead/sharer"
+	"celeryhead.dev/celeryhead/timer"
+)
+
+const (
+	// tableInstances is the table of the instances that share the limits of the fleet.
+	tableInstances = "instances"
+	// instancesWait is the long poll of that table, which changes only when instances are added or removed.
+	instancesWait = 15 * time.Second
+	// lapseLife is how long after an outage of the store rows that lapsed in it may come back, as the platform states.
+	lapseLife = 2 * time.Second
+	// idleRowLife is how long an instance is silent before its row is removed by another one.
+	idleRowLife = 10 * time.Minute
+	// sweepTimeout bounds a write to the table of instances.
+	writeTimeout = time.Second
+	// registerPause is the pause after a failed registration.
+	registerPause = 500 * time.Millisecond
+)
+
+// registration is a row of the table of instances.
+type registration struct {
+	Address       netip.Addr `json:"address"`
+	Region        string     `json:"region"`
+	FailureDomain string     `json:"failure_domain"`
+
+	version uint64
+}
+
+// Configure takes over a configuration; an older one is ignored.
+func (s *Server) Configure(c cataloger.Configuration) {
+	if !s.book.Configure(c) {
+		return
+	}
+	s.log.ConfigAdopted(c.Version, "store")
+	s.divide()
+	s.checkReady()
+}
+
+// Evacuate replaces the failure domains whose targets get nothing.
+func (s *Server) Evacuate(domains map[string]bool) {
+	s.book.Evacuate(domains)
+	s.log.Evacuated(slices.Sorted(maps.Keys(domains)))
+}
+
+// ListTargets replaces the targets by name.
+func (s *Server) ListTargets(ts map[string]cataloger.Target) {
+	now := s.clock()
+	s.mu.Lock()
+	s.roster.List(ts, s.lapsing(now))
+	s.listed = true
+	all := s.roster.Targets()
+	s.mu.Unlock()
+	s.book.Assign(all)
+	leaving, cold := 0, 0
+	for _, t := range ts {
+		if t.Leaving {
+			leaving++
+		}
+		if now.Before(t.ColdUntil) {
+			cold++
+		}
+	}
+	s.log.TargetsListed(len(ts), leaving, cold)
+	s.checkReady()
+}
+
+// lapsing reports whether rows may be missing only because the store was away.
+func (s *Server) lapsing(now time.Time) bool {
+	r := s.rows.Returned(now)
+	return !r.IsZero() && now.Sub(r) < lapseLife
+}
+
+// lapse drops targets that did not come back after an outage.
+func (s *Server) lapse(now time.Time) {
+	if s.lapsing(now) {
+		return
+	}
+	s.mu.Lock()
+	changed := s.roster.Lapse()
+	all := s.roster.Targets()
+	s.mu.Unlock()
+	if changed {
+		s.book.Assign(all)
+	}
+}
+
+// listInstances takes over the table of instances.
+func (s *Server) listInstances(rows []replicator.Row) {
+	rs := make(map[string]registration, len(rows))
+	as := make([]netip.Addr, 0, len(rows))
+	for _, r := range rows {
+		var g registration
+		if err := json.Unmarshal(r.Value, &g); err != nil || !g.Address.IsValid() {
+			s.log.EntryRejected(tableInstances, r.Key, r.Version, err)
+			continue
+		}
+		g.version = r.Version
+		rs[r.Key] = g
+		as = append(as, g.Address)
+	}
+	s.mu.Lock()
+	s.registered = rs
+	s.mu.Unlock()
+	s.members.List(as)
+	s.gate.Adopt(slices.Sorted(maps.Keys(rs)))
+	s.divide()
+	s.log.InstancesListed(len(rs))
+}
+
+// instances is the number of instances among which the limits of the fleet are divided.
+func (s *Server) instances() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// Until the table is known, more instances are assumed than a fleet has in each failure domain today.
+	if s.registered == nil {
+		return 2 * len(s.settings.Regions)
+	}
+	return max(len(s.registered), 1)
+}
+
+// divide divides the limits of the fleet anew.
+func (s *Server) divide() {
+	n := s.instances()
+	l := map[string]sharer.Limit{}
+	s.book.Catalog().Accounts(func(a *cataloger.Account) { l[a.Name] = sharer.Limit{Rate: a.Rate, Burst: a.Burst} })
+	s.tokens.shares.Adopt(s.clock(), l, n)
+	s.budget.Adopt(s.limits.Load().Retries, n)
+}
+
+// register writes this instance's row unless it is there already.
+func (s *Server) register(ctx context.Context) {
+	own := registration{Address: s.settings.Address, Region: s.settings.Region, FailureDomain: s.settings.FailureDomain}
+	b, err := json.Marshal(own)
+	if err != nil {
+		s.log.RegisterFailed(err)
+		return
+	}
+	for ctx.Err() == nil {
+		if known, there := s.registeredAs(own); there {
+			s.log.Registered()
+			return
+		} else if known {
+			c, cancel := context.WithTimeout(ctx, writeTimeout)
+			err := s.store.Put(c, tableInstances, s.settings.Name, b)
+			cancel()
+			if err == nil {
+				s.log.Registered()
+				return
+			}
+			s.log.RegisterFailed(err)
+		}
+		if timer.Sleep(ctx, registerPause) != nil {
+			return
+		}
+	}
+}
+
+// registeredAs reports whether the table is known, and whether it has this instance's row.
+func (s *Server) registeredAs(own registration) (known, there bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.registered[s.settings.Name]
+	r.version = 0
+	return s.registered != nil, ok && r == own
+}
+
+// sweep removes the rows of instances that were silent for long; the instance with the first name that is heard does.
+func (s *Server) sweep(ctx context.Context, now time.Time) {
+	if s.rows.Failing() || now.Sub(time.Unix(0, s.started)) < idleRowLife {
+		return
+	}
+	for _, m := range s.members.Alive(now) {
+		if m.Name < s.settings.Name {
+			return
+		}
+	}
+	s.mu.Lock()
+	rs := maps.Clone(s.registered)
+	s.mu.Unlock()
+	for n, r := range rs {
+		if n == s.settings.Name {
+			continue
+		}
+		if _, heard := s.members.Silent(r.Address, now); heard {
+			continue
+		}
+		c, cancel := context.WithTimeout(ctx, writeTimeout)
+		err := s.store.Remove(c, tableInstances, n, r.version)
+		cancel()
+		if err != nil {
+			s.log.RegisterFailed(err)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/handler/server.go
@@ -0,0 +1,294 @@
+package handler
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"celeryhead.dev/celeryhead/breaker"
+	"celeryhead.dev/celeryhead/cataloger"
+	"celeryhead.dev/celeryhead/forwarder"
+	"celeryhead.dev/celeryhead/gossiper"
+	"celeryhead.dev/celeryhead/logger"
+	"celeryhead.dev/celeryhead/meter"
+	"celeryhead.dev/celeryhead/placer"
+	"celeryhead.dev/celeryhead/replicator"
+	"celeryhead.dev/celeryhead/sharer"
+	"celeryhead.dev/celeryhead/timer"
+)
+
+const (
+	// headerTimeout bounds how long a caller may take to send a request's header.
+	headerTimeout = 10 * time.Second
+	// idleTimeout closes connections of callers that stay unused; it exceeds the pauses of callers that keep connections.
+	idleTimeout = 2 * time.Minute
+	// headerBytes bounds a request's header; the configuration may set a lower limit.
+	headerBytes = 1 << 20
+	// targetIdle is how long a connection to a target may be unused; targets close theirs after some seconds, and a
+	// request that crosses the close may be lost.
+	targetIdle = 4 * time.Second
+	// targetDial bounds the opening of a connection; between the farthest regions it takes 110 ms.
+	targetDial = 400 * time.Millisecond
+	// targetConnections and targetIdleConnections bound the connections to one target.
+	targetConnections     = 64
+	targetIdleConnections = 16
+	// tickInterval is the pause between the runs of the systems that follow the tables.
+	tickInterval = 250 * time.Millisecond
+	// accountHistograms is the number of accounts with latencies of their own.
+	accountHistograms = 256
+)
+
+// Store is the platform's store.
+type Store interface {
+	replicator.Source
+	// Put writes a row.
+	Put(ctx context.Context, table, key string, value []byte) error
+	// Remove removes a row if it still has a version.
+	Remove(ctx context.Context, table, key string, version uint64) error
+}
+
+// Listener is an address with what is served there beside the callers' requests.
+type Listener struct {
+	Name    string
+	Address netip.AddrPort
+	Handler http.Handler
+}
+
+// Config configures a Server.
+type Config struct {
+	Settings Settings
+	Store    Store
+	Protocol Protocol
+	// Tables are the tables of the store with configuration and targets; what they hold reaches the server by Configure,
+	// Evacuate and ListTargets.
+	Tables []replicator.Table
+	// Listeners serve what only the platform asks for.
+	Listeners []Listener
+	Log       *logger.Logger
+}
+
+// Server is one instance.
+type Server struct {
+	settings  Settings
+	protocol  Protocol
+	store     Store
+	log       *logger.Logger
+	clock     timer.Clock
+	started   int64
+	listeners []Listener
+
+	book    *cataloger.Book
+	placer  *placer.Placer
+	targets *forwarder.Forwarder
+	rows    *replicator.Replicator
+	members *gossiper.Members
+	gossip  *gossiper.Gossiper
+	peers   peers
+	tokens  tokens
+	budget  *sharer.Budget
+	gate    *sharer.Gate
+	splits  *splits
+	strikes strikes
+	meter   *meter.Meter
+
+	limits atomic.Pointer[Limits]
+
+	mu sync.Mutex
+	// roster and listed are changed by the tables and the ticks.
+	roster     cataloger.Roster
+	listed     bool
+	registered map[string]registration
+
+	ready    atomic.Bool
+	leaving  atomic.Bool
+	inFlight atomic.Int64
+}
+
+// New returns a server that does not listen yet.
+func New(c Config) (*Server, error) {
+	s := &Server{
+		settings:  c.Settings,
+		protocol:  c.Protocol,
+		store:     c.Store,
+		log:       c.Log,
+		clock:     timer.Now,
+		started:   time.Now().UnixNano(),
+		listeners: c.Listeners,
+		book:      cataloger.NewBook(),
+		gate:      sharer.NewGate(c.Settings.Name),
+		budget:    sharer.NewBudget(c.Settings.Limits.Retries),
+		splits:    newSplits(),
+		meter:     meter.New(meter.Config{AccountHistograms: accountHistograms}),
+	}
+	s.limits.Store(&c.Settings.Limits)
+	s.tokens.shares = sharer.NewShares()
+	s.strikes.breaker = breaker.New(breaker.Config{})
+	s.targets = forwarder.New(forwarder.Config{
+		Protocol:       c.Protocol,
+		MaxConnections: targetConnections,
+		MaxIdle:        targetIdleConnections,
+		IdleLimit:      targetIdle,
+		DialTimeout:    targetDial,
+	})
+	s.peers = newPeers()
+	s.placer = placer.New(placer.Config{Region: c.Settings.Region, Trip: s.trip, Cold: s.gate})
+	s.members = gossiper.NewMembers(s.self(), c.Settings.Seeds)
+	s.rows = replicator.New(replicator.Config{
+		Source: c.Store,
+		Peers:  s,
+		Tables: append(c.Tables, replicator.Table{Name: tableInstances, Wait: instancesWait, Changed: s.listInstances}),
+		Log:    c.Log,
+	})
+	var err error
+	s.gossip, err = gossiper.Listen(gossiper.Config{
+		Listen:  c.Settings.Peers,
+		Members: s.members,
+		Hooks: gossiper.Hooks{
+			Self:    s.self,
+			State:   s.state,
+			Heard:   s.hear,
+			Give:    func(w map[string]int) map[string]int { return s.tokens.shares.Give(s.clock(), w) },
+			Receive: func(g map[string]int) { s.tokens.shares.Receive(s.clock(), g) },
+		},
+		Log: c.Log,
+	})
+	return s, err
+}
+
+// Limit replaces the limits.
+func (s *Server) Limit(l Limits) {
+	s.limits.Store(&l)
+	s.divide()
+}
+
+// Run serves until ctx ends, then leaves without cutting requests.
+func (s *Server) Run(ctx context.Context) error {
+	callers := s.httpServer(s.counted(http.HandlerFunc(s.enter)))
+	servers := []*http.Server{callers}
+	addresses := []Listener{{Name: "callers", Address: s.settings.Callers}, {Name: "peers", Address: s.settings.Peers, Handler: s.peersHandler()}}
+	if s.settings.Metrics.IsValid() {
+		addresses = append(addresses, Listener{Name: "metrics", Address: s.settings.Metrics, Handler: s.metricsHandler()})
+	}
+	addresses = append(addresses, s.listeners...)
+	for _, l := range addresses[1:] {
+		servers = append(servers, s.httpServer(l.Handler))
+	}
+	failed := make(chan error, len(servers))
+	for i, l := range addresses {
+		k, err := (&net.ListenConfig{}).Listen(ctx, "tcp", l.Address.String())
+		if err != nil {
+			s.log.ListenerFailed(l.Name, err)
+			return err
+		}
+		go func() {
+			if err := servers[i].Serve(k); !errors.Is(err, http.ErrServerClosed) {
+				s.log.ListenerFailed(l.Name, err)
+				failed <- err
+			}
+		}()
+	}
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var g sync.WaitGroup
+	for _, f := range []func(context.Context){s.rows.Run, s.gossip.Run, s.register, s.runTicks} {
+		g.Go(func() { f(work) })
+	}
+	s.log.Started(s.settings.Callers, s.settings.Peers, netip.AddrPort{}, uint64(s.started)) //nolint:gosec // The time is after 1970.
+	var err error
+	select {
+	case <-ctx.Done():
+		s.drain(callers)
+	case err = <-failed:
+	}
+	cancel()
+	g.Wait()
+	for _, h := range servers {
+		_ = h.Close()
+	}
+	return err
+}
+
+func (s *Server) httpServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerBytes,
+		// net/http writes only of broken connections of strangers.
+		ErrorLog: log.New(io.Discard, "", 0),
+	}
+}
+
+func (s *Server) peersHandler() http.Handler {
+	r := mux.NewRouter()
+	r.Handle(replicator.PathRows, s.rows).Methods(http.MethodGet)
+	return r
+}
+
+func (s *Server) metricsHandler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		s.meter.Write(w, meter.State{InFlight: s.inFlight.Load(), ConfigVersion: s.book.Catalog().Version})
+	}).Methods(http.MethodGet)
+	return r
+}
+
+// trip is the time to a region and back; within a region it is next to nothing.
+func (s *Server) trip(region string) time.Duration {
+	if region == s.settings.Region {
+		return 0
+	}
+	return farTrip
+}
+
+// farTrip is the time to another region and back as the platform states it for the nearer of its deployments.
+const farTrip = 40 * time.Millisecond
+
+// runTicks runs the systems that follow the tables and the clock.
+func (s *Server) runTicks(ctx context.Context) {
+	timer.Poll(ctx, tickInterval, func(context.Context) {
+		now := s.clock()
+		s.extendShares(now)
+		s.lapse(now)
+		s.checkReady()
+		s.sweep(ctx, now)
+		s.targets.Tick()
+		s.placer.Keep(func(service, name string) bool { _, ok := s.book.Catalog().Target(service, name); return ok })
+		if len(s.tokens.shares.Wanted(now)) > 0 {
+			s.askForTokens()
+		}
+	})
+}
+
+// Ready reports whether callers may be sent here.
+func (s *Server) Ready() bool {
+	return s.ready.Load()
+}
+
+func (s *Server) checkReady() {
+	s.mu.Lock()
+	listed := s.listed
+	s.mu.Unlock()
+	ready, reason := true, "configuration and targets are known"
+	switch {
+	case s.leaving.Load():
+		ready, reason = false, "leaving"
+	case s.book.Catalog().Version == 0:
+		ready, reason = false, "no configuration is known"
+	case !listed:
+		ready, reason = false, "no targets are known"
+	}
+	if s.ready.Swap(ready) != ready {
+		s.log.ReadyChanged(ready, reason)
+		s.gossip.Announce()
+	}
+}
--- a/logger/events.go
+++ b/logger/events.go
@@ -43,6 +43,22 @@
 	storeUp            = register(6002, log.InfoLevel, "store answers again")
 	listDown           = register(6003, log.WarnLevel, "instance list does not answer")
 	listUp             = register(6004, log.InfoLevel, "instance list answers again")
+	historyLost        = register(2008, log.WarnLevel, "history of a table was dropped; the table is read as a whole")
+	peerCopyFailed     = register(2009, log.WarnLevel, "rows could not be had from a peer")
+	entryRejected      = register(2010, log.WarnLevel, "row of the store is not usable")
+	targetsListed      = register(2011, log.InfoLevel, "targets changed")
+	evacuated          = register(2012, log.InfoLevel, "evacuated failure domains changed")
+	memberHeard        = register(3006, log.InfoLevel, "instance heard")
+	memberSilent       = register(3007, log.WarnLevel, "instance fell silent")
+	registered         = register(3008, log.InfoLevel, "instance registered in the store")
+	registerFailed     = register(3009, log.WarnLevel, "instance could not be registered in the store")
+	instancesListed    = register(3010, log.InfoLevel, "listed instances changed")
+	datagramRefused    = register(3011, log.WarnLevel, "datagram not sent or not usable")
+	requestEnded       = register(4101, log.InfoLevel, "request ended")
+	attemptFailed      = register(4102, log.InfoLevel, "attempt at a target failed")
+	readyChanged       = register(1009, log.InfoLevel, "readiness changed")
+	settingsReloaded   = register(1010, log.InfoLevel, "settings reloaded")
+	settingsRejected   = register(1011, log.ErrorLevel, "settings are not usable; the former ones stay in use")
 	shiftStepped       = register(7001, log.InfoLevel, "shift advanced a step")
 	shiftHeld          = register(7002, log.WarnLevel, "shift held at its step")
 )
@@ -231,3 +247,120 @@
 func (l *Logger) ShiftHeld(name, reason string) {
 	l.emit(shiftHeld, log.Fields{"shift": name, "reason": reason})
 }
+
+// HistoryLost reports that the store dropped the history that a copy follows.
+func (l *Logger) HistoryLost(table string) {
+	l.emit(historyLost, log.Fields{"table": table})
+}
+
+// PeerCopyFailed reports that a peer gave no rows.
+func (l *Logger) PeerCopyFailed(table string, err error) {
+	l.emit(peerCopyFailed, log.Fields{"table": table, "error": err.Error()})
+}
+
+// EntryRejected reports a row that names nothing that can be used.
+func (l *Logger) EntryRejected(table, key string, version uint64, err error) {
+	l.emit(entryRejected, log.Fields{"table": table, "key": key, "version": version, "error": err.Error()})
+}
+
+// TargetsListed reports the targets of the newest rows: how many there are, and how many of them leave or are cold.
+func (l *Logger) TargetsListed(targets, leaving, cold int) {
+	l.emit(targetsListed, log.Fields{"targets": targets, "leaving": leaving, "cold": cold})
+}
+
+// Evacuated reports the failure domains whose targets get nothing.
+func (l *Logger) Evacuated(domains []string) {
+	l.emit(evacuated, log.Fields{"failure_domains": domains})
+}
+
+// MemberHeard reports a new instance, a restart, a return or a change of readiness.
+func (l *Logger) MemberHeard(name string, a netip.Addr, ready bool) {
+	l.emit(memberHeard, log.Fields{"member": name, "address": a, "ready": ready})
+}
+
+// MemberSilent reports an instance of which nothing was heard for some time.
+func (l *Logger) MemberSilent(name string, a netip.Addr) {
+	l.emit(memberSilent, log.Fields{"member": name, "address": a})
+}
+
+// Registered reports that the store's list of instances names this one.
+func (l *Logger) Registered() {
+	l.emit(registered, nil)
+}
+
+// RegisterFailed reports a failed write to the list of instances; it is tried again.
+func (l *Logger) RegisterFailed(err error) {
+	l.emit(registerFailed, log.Fields{"error": err.Error()})
+}
+
+// InstancesListed reports how many instances share the limits of the fleet.
+func (l *Logger) InstancesListed(n int) {
+	l.emit(instancesListed, log.Fields{"instances": n})
+}
+
+// Ended is what a request's last line tells.
+type Ended struct {
+	ID, Route, Account, Object string
+	ConfigVersion              uint64
+	// Target had the request last; empty if none had it.
+	Target string
+	// Attempts is the number of targets that had it.
+	Attempts int
+	// Status is that of the answer; 0 if the caller's connection was closed.
+	Status int
+	// Reason and Ran are those of a refusal; empty for a target's answer.
+	Reason, Ran string
+	// Wait and Run are the estimates by which the last target was chosen.
+	Wait, Run time.Duration
+	// Known is true if the target was taken to know the object.
+	Known    bool
+	Left     time.Duration
+	Duration time.Duration
+}
+
+// RequestEnded reports the end of a request and the inputs that decided it.
+func (l *Logger) RequestEnded(e Ended) {
+	f := log.Fields{
+		"request_id":     e.ID,
+		"route":          e.Route,
+		"account":        e.Account,
+		"object":         e.Object,
+		"config_version": e.ConfigVersion,
+		"attempts":       e.Attempts,
+		"status":         e.Status,
+		"seconds":        seconds(e.Duration),
+		"left_seconds":   seconds(e.Left),
+	}
+	if e.Target != "" {
+		f["target"], f["wait_seconds"], f["run_seconds"], f["known"] = e.Target, seconds(e.Wait), seconds(e.Run), e.Known
+	}
+	if e.Reason != "" {
+		f["reason"], f["ran"] = e.Reason, e.Ran
+	}
+	l.emit(requestEnded, f)
+}
+
+// AttemptFailed reports an attempt at a target that gave no answer for the caller.
+func (l *Logger) AttemptFailed(id, target string, d time.Duration, err error) {
+	l.emit(attemptFailed, log.Fields{"request_id": id, "target": target, "seconds": seconds(d), "error": err.Error()})
+}
+
+// ReadyChanged reports whether callers are sent to this instance.
+func (l *Logger) ReadyChanged(ready bool, reason string) {
+	l.emit(readyChanged, log.Fields{"ready": ready, "reason": reason})
+}
+
+// SettingsReloaded reports settings that were read again.
+func (l *Logger) SettingsReloaded(changed bool) {
+	l.emit(settingsReloaded, log.Fields{"changed": changed})
+}
+
+// SettingsRejected reports settings that were read again and not taken over.
+func (l *Logger) SettingsRejected(err error) {
+	l.emit(settingsRejected, log.Fields{"error": err.Error()})
+}
+
+// DatagramRefused reports a datagram that could not be sent or was not usable.
+func (l *Logger) DatagramRefused(peer string, err error) {
+	l.emit(datagramRefused, log.Fields{"peer": peer, "error": err.Error()})
+}
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,312 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"celeryhead.dev/celeryhead/cataloger"
+	"celeryhead.dev/celeryhead/responder"
+)
+
+const (
+	// rankStep is the part of an object's unknown work by which each further place in the object's order of targets
+	// counts as later, so that instances that know nothing yet choose the same targets.
+	rankStep = 0.04
+	// strangeCost is the factor by which work on a target that does not know the object counts, since it occupies the
+	// slot longer than it would elsewhere.
+	strangeCost = 1.3
+	// coldSlowness is how much longer a cold target works.
+	coldSlowness = 2
+	// minRetryAfter and maxRetryAfter bound the wait that a rejected caller is told.
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = time.Second
+	// lostPause is how long a target gets nothing after its address was found to be another's; its row is gone by then.
+	lostPause = 10 * time.Second
+	// maxOrders bounds the remembered orders of targets.
+	maxOrders = 4096
+)
+
+// Config configures a Placer.
+type Config struct {
+	// Region is that of the instance.
+	Region string
+	// Trip returns the time to a region and back.
+	Trip func(region string) time.Duration
+	// Cold decides about a request to a cold target: whether this instance sends to it at all, and takes one if it may.
+	Cold Gate
+}
+
+// Gate limits what cold targets get from all instances together.
+type Gate interface {
+	Sends(target string) bool
+	Take(now time.Time, target string, rate float64) bool
+}
+
+// Work is a request to place.
+type Work struct {
+	Route   *cataloger.Route
+	Service string
+	// Object is what the request is about; empty if it is not known.
+	Object string
+	// Regions limits where it may run; empty allows all.
+	Regions []string
+	// Objective is when an answer stops being of full use, Deadline when it stops being of any.
+	Objective, Deadline time.Time
+	// Tried are the targets that had the request already.
+	Tried []string
+}
+
+// Lease is a request on a target.
+type Lease struct {
+	Target *cataloger.Target
+	// Wait and Run are the estimates by which the target was chosen.
+	Wait, Run time.Duration
+	// Known is true if the target was taken to know the object.
+	Known bool
+
+	work  Work
+	start time.Time
+	ended bool
+	// alone is true if a slot was free at the start as far as known.
+	alone bool
+}
+
+// Placer holds what is known of the targets; it is safe for concurrent use.
+type Placer struct {
+	config Config
+
+	mu      sync.Mutex
+	targets map[string]*target
+	paces   map[paceKey]*pace
+	orders  map[orderKey]order
+}
+
+type orderKey struct{ service, object string }
+
+type order struct {
+	pool    *cataloger.Pool
+	targets []*cataloger.Target
+}
+
+// New returns a placer that knows nothing.
+func New(c Config) *Placer {
+	return &Placer{config: c, targets: map[string]*target{}, paces: map[paceKey]*pace{}, orders: map[orderKey]order{}}
+}
+
+// candidate is a target with its estimate.
+type candidate struct {
+	target *cataloger.Target
+	state  *target
+	wait   time.Duration
+	run    time.Duration
+	// cost orders the candidates; it is the time until the answer with the charges for strange objects and faults.
+	cost  time.Duration
+	known bool
+}
+
+// Choose places a request, or returns why it is rejected; the lease must be ended.
+func (p *Placer) Choose(now time.Time, pool *cataloger.Pool, w Work) (*Lease, *responder.Refusal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cs := p.candidates(now, pool, w)
+	slices.SortStableFunc(cs, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
+	for _, c := range cs {
+		if f := p.reject(now, w, c); f != nil {
+			return nil, f
+		}
+		if now.Before(c.target.ColdUntil) && !p.config.Cold.Take(now, c.target.Name, pool.ColdRate) {
+			continue
+		}
+		return p.start(now, w, c), nil
+	}
+	return nil, noTarget()
+}
+
+// candidates estimates all targets that may have the request.
+func (p *Placer) candidates(now time.Time, pool *cataloger.Pool, w Work) []candidate {
+	e := p.pace(w)
+	ts := p.order(pool, w)
+	cs := make([]candidate, 0, len(ts))
+	rank := 0
+	for _, t := range ts {
+		if len(w.Regions) > 0 && !slices.Contains(w.Regions, t.Region) || slices.Contains(w.Tried, t.Name) {
+			continue
+		}
+		s := p.state(t)
+		cold := now.Before(t.ColdUntil)
+		if cold && !p.config.Cold.Sends(t.Name) || !s.open(now) {
+			rank++
+			continue
+		}
+		c := candidate{target: t, state: s, known: w.Object == "" || s.objects.has(objectKey(w))}
+		c.run = time.Duration(float64(e.work(c.known)) * s.slowness(now))
+		if cold {
+			c.run *= coldSlowness
+		}
+		c.wait = s.wait(now, t.Slots, p.mean(w.Service))
+		c.cost = c.wait + c.run + p.config.Trip(t.Region) + s.charge(now, e)
+		if !c.known {
+			c.cost += time.Duration(float64(c.run)*(strangeCost-1)) + time.Duration(float64(rank)*rankStep*float64(e.strange.value()))
+		}
+		cs = append(cs, c)
+		rank++
+	}
+	return cs
+}
+
+// reject returns a refusal if the best candidate cannot answer in time.
+func (p *Placer) reject(now time.Time, w Work, c candidate) *responder.Refusal {
+	end := now.Add(c.wait + c.run + p.config.Trip(c.target.Region)/2)
+	switch {
+	case end.After(w.Deadline):
+		return tooLate(end.Sub(w.Deadline))
+	case c.wait > 0 && end.After(w.Objective):
+		return tooLate(end.Sub(w.Objective))
+	}
+	return nil
+}
+
+func tooLate(excess time.Duration) *responder.Refusal {
+	return &responder.Refusal{
+		Status:     503,
+		Reason:     responder.NoSlot,
+		Ran:        responder.NotRun,
+		Message:    "all targets have queues that end too late for this request",
+		RetryAfter: min(max(excess, minRetryAfter), maxRetryAfter),
+	}
+}
+
+func noTarget() *responder.Refusal {
+	return &responder.Refusal{
+		Status:     503,
+		Reason:     responder.NoOwner,
+		Ran:        responder.NotRun,
+		Message:    "no target may have this request at present",
+		RetryAfter: maxRetryAfter / 4,
+	}
+}
+
+func (p *Placer) start(now time.Time, w Work, c candidate) *Lease {
+	c.state.inFlight++
+	c.state.used = now
+	return &Lease{
+		Target: c.target,
+		Wait:   c.wait,
+		Run:    c.run,
+		Known:  c.known,
+		work:   w,
+		start:  now,
+		alone:  c.wait == 0,
+	}
+}
+
+// order returns the targets of a pool in the object's own order, which all instances share.
+func (p *Placer) order(pool *cataloger.Pool, w Work) []*cataloger.Target {
+	k := orderKey{service: w.Service, object: objectKey(w)}
+	if o, ok := p.orders[k]; ok && o.pool == pool {
+		return o.targets
+	}
+	if len(p.orders) >= maxOrders {
+		clear(p.orders)
+	}
+	type scored struct {
+		target *cataloger.Target
+		score  uint64
+	}
+	s := make([]scored, len(pool.Targets))
+	for i, t := range pool.Targets {
+		s[i] = scored{target: t, score: xxhash.Sum64String(k.object + "\x00" + t.Name)}
+	}
+	slices.SortFunc(s, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	ts := make([]*cataloger.Target, len(s))
+	for i := range s {
+		ts[i] = s[i].target
+	}
+	p.orders[k] = order{pool: pool, targets: ts}
+	return ts
+}
+
+// objectKey names an object of a route; routes have objects of their own.
+func objectKey(w Work) string {
+	return w.Route.Prefix + "\x00" + w.Object
+}
+
+// Told records the load that a target told with its answer.
+func (p *Placer) Told(now time.Time, l *Lease, o Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state(l.Target).tell(now, o)
+}
+
+// InFlight returns the number of requests of this instance on each target that has some.
+func (p *Placer) InFlight() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := map[string]int{}
+	for n, s := range p.targets {
+		if s.inFlight > 0 {
+			m[n] = s.inFlight
+		}
+	}
+	return m
+}
+
+// End ends a lease; a second call does nothing.
+func (p *Placer) End(now time.Time, l *Lease, o Outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.ended {
+		return
+	}
+	l.ended = true
+	s := p.state(l.Target)
+	s.inFlight--
+	s.end(now, o)
+	if o != Answered {
+		return
+	}
+	d := now.Sub(l.start) - p.config.Trip(l.Target.Region)
+	if l.alone {
+		p.observe(now, l, s, d)
+	}
+	p.meanOf(l.work.Service).add(min(d, l.Wait+4*l.Run) - l.Wait)
+	s.objects.add(objectKey(l.work))
+}
+
+// observe learns from the time that a request took while no other one waited.
+func (p *Placer) observe(now time.Time, l *Lease, s *target, d time.Duration) {
+	e := p.pace(l.work)
+	known := l.Known
+	if !known && d < e.middle() {
+		// Another instance's request made the object known.
+		known = true
+	}
+	expected := e.work(known)
+	if now.Before(l.Target.ColdUntil) || l.start.Before(l.Target.ColdUntil) {
+		return
+	}
+	s.ratio.add(float64(d) / float64(max(expected, time.Millisecond)))
+	e.learn(known, d)
+}
+
+// Lose records that another target has the address of a target, which gets nothing until its row changes.
+func (p *Placer) Lose(now time.Time, t *cataloger.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state(t).pausedTo = now.Add(lostPause)
+}
+
+// Keep drops what is known of targets that are not in the catalog any more.
+func (p *Placer) Keep(has func(service, name string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for n, s := range p.targets {
+		if s.inFlight == 0 && !has(s.service, n) {
+			delete(p.targets, n)
+		}
+	}
+}
--- /dev/null
+++ b/replicator/copy.go
@@ -0,0 +1,154 @@
+package replicator
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// TombstoneLife is how long a copy remembers a removed row; a peer that is further behind gets the whole copy.
+const TombstoneLife = time.Minute
+
+// Row is a row of a table.
+type Row struct {
+	Key   string
+	Value []byte
+	// Version is that of the last change; the store counts versions over all tables.
+	Version uint64
+	Removed bool
+}
+
+// Change is what a source tells about a table.
+type Change struct {
+	Rows []Row
+	// Version is the newest one that the source knew.
+	Version uint64
+	// Whole is true if rows that are not listed do not exist.
+	Whole bool
+}
+
+// Copy is a copy of one table; it is safe for concurrent use.
+type Copy struct {
+	mu   sync.Mutex
+	rows map[string]Row
+	// followed is the version from which the table is followed; content is the version of the newest row.
+	followed, content uint64
+	// forgotten is the version of the newest tombstone that was dropped.
+	forgotten uint64
+	removed   map[string]time.Time
+	known     bool
+}
+
+// NewCopy returns an empty copy.
+func NewCopy() *Copy {
+	return &Copy{rows: map[string]Row{}, removed: map[string]time.Time{}}
+}
+
+// Apply merges a change and reports whether a row changed or the table became known.
+func (c *Copy) Apply(now time.Time, h Change) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	changed := !c.known && h.Whole
+	c.known = c.known || h.Whole
+	for _, r := range h.Rows {
+		changed = c.put(now, r) || changed
+	}
+	if h.Whole {
+		changed = c.removeOthers(now, h) || changed
+	}
+	c.followed = max(c.followed, h.Version)
+	c.content = max(c.content, c.newest())
+	c.forget(now)
+	return changed
+}
+
+func (c *Copy) put(now time.Time, r Row) bool {
+	o, ok := c.rows[r.Key]
+	if ok && o.Version >= r.Version {
+		return false
+	}
+	if r.Removed && !ok && r.Version <= c.forgotten {
+		return false
+	}
+	c.rows[r.Key] = r
+	delete(c.removed, r.Key)
+	if r.Removed {
+		c.removed[r.Key] = now
+	}
+	return true
+}
+
+// removeOthers removes the rows that a whole change does not list and that are not newer than it.
+func (c *Copy) removeOthers(now time.Time, h Change) bool {
+	listed := make(map[string]bool, len(h.Rows))
+	for _, r := range h.Rows {
+		listed[r.Key] = true
+	}
+	changed := false
+	for k, r := range c.rows {
+		if listed[k] || r.Removed || r.Version > h.Version {
+			continue
+		}
+		changed = c.put(now, Row{Key: k, Version: max(h.Version, r.Version+1), Removed: true}) || changed
+	}
+	return changed
+}
+
+func (c *Copy) newest() uint64 {
+	var v uint64
+	for _, r := range c.rows {
+		v = max(v, r.Version)
+	}
+	return v
+}
+
+func (c *Copy) forget(now time.Time) {
+	for k, t := range c.removed {
+		if now.Sub(t) > TombstoneLife {
+			c.forgotten = max(c.forgotten, c.rows[k].Version)
+			delete(c.removed, k)
+			delete(c.rows, k)
+		}
+	}
+}
+
+// Rows returns the rows that exist, by key, and whether the table is known.
+func (c *Copy) Rows() ([]Row, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rs := make([]Row, 0, len(c.rows))
+	for _, r := range c.rows {
+		if !r.Removed {
+			rs = append(rs, r)
+		}
+	}
+	slices.SortFunc(rs, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
+	return rs, c.known
+}
+
+// Since returns the change after a version, or the whole copy if removals after it were forgotten; ok is false while
+// the table is not known.
+func (c *Copy) Since(after uint64) (h Change, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h.Version = c.content
+	h.Whole = after == 0 || after < c.forgotten
+	for r := range maps.Values(c.rows) {
+		if r.Version > after || h.Whole && !r.Removed {
+			h.Rows = append(h.Rows, r)
+		}
+	}
+	return h, c.known
+}
+
+// Versions returns the version to follow from and that of the newest row; both are 0 while the table is not known.
+func (c *Copy) Versions() (followed, content uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.known {
+		return 0, 0
+	}
+	return c.followed, c.content
+}
--- /dev/null
+++ b/replicator/replicator.go
@@ -0,0 +1,334 @@
+package replicator
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"celeryhead.dev/celeryhead/logger"
+	"celeryhead.dev/celeryhead/timer"
+)
+
+// ErrCompacted means that the store has dropped the history after the version asked for.
+var ErrCompacted = merry.Sentinel("history is no longer available")
+
+// Times of the calls to the store.
+const (
+	// callTimeout bounds a call beyond its long poll; the platform states 4 ms for an answer, links add up to 110 ms.
+	callTimeout = 600 * time.Millisecond
+	// retryPause is the pause after a failed call; each call is charged to the platform's limits, refused ones too.
+	retryPause = 300 * time.Millisecond
+	// otherPause is the pause of the tables that wait for the end of an outage, for failures of a single call.
+	otherPause = time.Second
+	// behindPause is how long a copy may be behind a peer before the peer is asked; usually the store's own answer is on
+	// its way.
+	behindPause = 200 * time.Millisecond
+	// peerTimeout bounds a call to a peer.
+	peerTimeout = 500 * time.Millisecond
+)
+
+// Source answers for tables.
+type Source interface {
+	// Read returns the whole table.
+	Read(ctx context.Context, table string) (Change, error)
+	// Follow returns the rows changed after a version, waiting for at most wait until there are any; the error is
+	// ErrCompacted if they are not known any more.
+	Follow(ctx context.Context, table string, after uint64, wait time.Duration) (Change, error)
+}
+
+// Peers asks other instances.
+type Peers interface {
+	// Newer returns the change of a table after a version from the peer that knows most of it.
+	Newer(ctx context.Context, table string, after uint64) (Change, error)
+}
+
+// Table is a table to keep.
+type Table struct {
+	Name string
+	// Wait is the length of a long poll.
+	Wait time.Duration
+	// Changed is called after each change, with the rows that exist.
+	Changed func([]Row)
+}
+
+// Config configures a Replicator.
+type Config struct {
+	Source Source
+	Peers  Peers
+	// Tables begins with the table whose calls notice an outage; the calls of the others are repeated when it has ended,
+	// so that their long polls may be long.
+	Tables []Table
+	Log    *logger.Logger
+	Clock  timer.Clock
+}
+
+// Replicator keeps the tables; it is safe for concurrent use.
+type Replicator struct {
+	config Config
+	tables map[string]*table
+
+	mu sync.Mutex
+	// failing is the start of the present outage as seen from here, or zero.
+	failing time.Time
+	// returned is the end of the last outage, or zero.
+	returned time.Time
+	contact  time.Time
+	// resumed is closed when an outage ends.
+	resumed chan struct{}
+}
+
+type table struct {
+	Table
+	copy  *Copy
+	first bool
+
+	mu      sync.Mutex
+	applied sync.Mutex
+	// peerContent is the newest version of a row of which a peer told, and since when the copy is behind it.
+	peerContent uint64
+	behind      time.Time
+}
+
+// New returns a replicator with empty copies.
+func New(c Config) *Replicator {
+	if c.Clock == nil {
+		c.Clock = timer.Now
+	}
+	r := &Replicator{config: c, tables: map[string]*table{}, resumed: make(chan struct{})}
+	for i, t := range c.Tables {
+		r.tables[t.Name] = &table{Table: t, copy: NewCopy(), first: i == 0}
+	}
+	return r
+}
+
+// Run keeps the tables until ctx ends.
+func (r *Replicator) Run(ctx context.Context) {
+	var g sync.WaitGroup
+	for _, t := range r.tables {
+		g.Go(func() { r.follow(ctx, t) })
+		g.Go(func() { r.catchUp(ctx, t) })
+	}
+	g.Wait()
+}
+
+// follow asks the store for changes, one call at a time.
+func (r *Replicator) follow(ctx context.Context, t *table) {
+	whole := true
+	for ctx.Err() == nil {
+		resumed := r.outage()
+		h, err := r.call(ctx, t, whole, resumed)
+		switch {
+		case err == nil:
+			whole = false
+			r.answered(t.first)
+			r.apply(t, h)
+			continue
+		case errors.Is(err, ErrCompacted):
+			r.config.Log.HistoryLost(t.Name)
+			whole = true
+			continue
+		case ctx.Err() != nil:
+			return
+		}
+		if t.first {
+			r.failed(err)
+		}
+		if !r.pause(ctx, t, resumed) {
+			return
+		}
+	}
+}
+
+// pause waits before the next call; a table that is not the first one waits for the end of an outage.
+func (r *Replicator) pause(ctx context.Context, t *table, resumed <-chan struct{}) bool {
+	limit := retryPause
+	if !t.first {
+		limit = otherPause
+	}
+	k := time.NewTimer(limit)
+	defer k.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-resumed:
+	case <-k.C:
+	}
+	return true
+}
+
+func (r *Replicator) call(ctx context.Context, t *table, whole bool, resumed <-chan struct{}) (Change, error) {
+	wait := t.Wait
+	if t.first && r.Failing() {
+		// While the store fails, a short call shows its return soonest.
+		wait = 0
+	}
+	after, _ := t.copy.Versions()
+	whole = whole || after == 0
+	if whole {
+		wait = 0
+	}
+	c, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	if !t.first {
+		done := make(chan struct{})
+		defer close(done)
+		go func() {
+			select {
+			case <-resumed:
+				cancel()
+			case <-done:
+			}
+		}()
+	}
+	if whole {
+		return r.config.Source.Read(c, t.Name)
+	}
+	return r.config.Source.Follow(c, t.Name, after, wait)
+}
+
+// catchUp asks a peer while the store fails or the peer is ahead.
+func (r *Replicator) catchUp(ctx context.Context, t *table) {
+	k := time.NewTicker(behindPause)
+	defer k.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.C:
+		}
+		if r.config.Peers == nil || !r.asksPeer(t) {
+			continue
+		}
+		_, content := t.copy.Versions()
+		c, cancel := context.WithTimeout(ctx, peerTimeout)
+		h, err := r.config.Peers.Newer(c, t.Name, content)
+		cancel()
+		if err != nil {
+			r.config.Log.PeerCopyFailed(t.Name, err)
+			if timer.Sleep(ctx, retryPause) != nil {
+				return
+			}
+			continue
+		}
+		// The store's history is followed from the version that the store itself told.
+		if followed, _ := t.copy.Versions(); followed != 0 {
+			h.Version = followed
+		}
+		r.apply(t, h)
+	}
+}
+
+// asksPeer reports whether the copy is behind a peer for longer than the store's own answer should take.
+func (r *Replicator) asksPeer(t *table) bool {
+	_, content := t.copy.Versions()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.peerContent <= content {
+		t.behind = time.Time{}
+		return false
+	}
+	if t.behind.IsZero() {
+		t.behind = r.config.Clock()
+	}
+	return r.Failing() || r.config.Clock().Sub(t.behind) >= behindPause
+}
+
+func (r *Replicator) apply(t *table, h Change) {
+	t.applied.Lock()
+	defer t.applied.Unlock()
+	if !t.copy.Apply(r.config.Clock(), h) {
+		return
+	}
+	if rs, known := t.copy.Rows(); known {
+		t.Changed(rs)
+	}
+}
+
+// Heard records the version of the newest row that a peer has of a table.
+func (r *Replicator) Heard(name string, content uint64) {
+	t := r.tables[name]
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	t.peerContent = max(t.peerContent, content)
+	t.mu.Unlock()
+}
+
+// Contents returns the version of the newest row of each table.
+func (r *Replicator) Contents() map[string]uint64 {
+	m := make(map[string]uint64, len(r.tables))
+	for n, t := range r.tables {
+		_, m[n] = t.copy.Versions()
+	}
+	return m
+}
+
+// Since returns the change of a table after a version for a peer; ok is false while this instance does not know it.
+func (r *Replicator) Since(name string, after uint64) (h Change, ok bool) {
+	t := r.tables[name]
+	if t == nil {
+		return Change{}, false
+	}
+	return t.copy.Since(after)
+}
+
+// outage returns a channel that is closed at the end of the present or next outage.
+func (r *Replicator) outage() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.resumed
+}
+
+func (r *Replicator) answered(first bool) {
+	now := r.config.Clock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.contact = now
+	if r.failing.IsZero() || !first {
+		return
+	}
+	r.config.Log.StoreUp(now.Sub(r.failing))
+	r.failing, r.returned = time.Time{}, now
+	close(r.resumed)
+	r.resumed = make(chan struct{})
+}
+
+func (r *Replicator) failed(err error) {
+	now := r.config.Clock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.failing.IsZero() {
+		return
+	}
+	r.failing = now
+	r.config.Log.StoreDown(err)
+}
+
+// Failing reports whether the last call to the store failed.
+func (r *Replicator) Failing() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.failing.IsZero()
+}
+
+// Returned returns when the store answered again after its last outage as seen from here, now while it fails, and
+// zero if it never failed.
+func (r *Replicator) Returned(now time.Time) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.failing.IsZero() {
+		return now
+	}
+	return r.returned
+}
+
+// Contact returns when the store last answered.
+func (r *Replicator) Contact() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.contact
+}
--- a/server/callers.go
+++ b/server/callers.go
@@ -13,6 +13,7 @@
 	"github.com/gorilla/mux"
 
 	"celeryhead.dev/celeryhead/responder"
+	"celeryhead.dev/celeryhead/spooler"
 )
 
 // discardLog drops what net/http writes about broken connections of strangers.
@@ -53,7 +54,7 @@
 		if s.leaving.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		limitWrites(w, time.Now())
+		spooler.LimitWrites(w, time.Now())
 		h.ServeHTTP(w, r)
 	})
 }
--- a/server/choosers.go
+++ b/server/choosers.go
@@ -116,7 +116,7 @@
 	if len(tried) == 0 {
 		h.Attempt()
 	}
-	o, ok := h.Choose(now, len(k.body.head)+answerBytes, c.excluded(k, tried)...)
+	o, ok := h.Choose(now, k.body.Buffered()+answerBytes, c.excluded(k, tried)...)
 	if !ok {
 		return owner{}, false
 	}
--- a/server/entry.go
+++ b/server/entry.go
@@ -17,6 +17,7 @@
 	"celeryhead.dev/celeryhead/meter"
 	"celeryhead.dev/celeryhead/responder"
 	"celeryhead.dev/celeryhead/router"
+	"celeryhead.dev/celeryhead/spooler"
 )
 
 // internalPrefix begins the headers that only the system itself sets.
@@ -35,7 +36,7 @@
 	caller netip.Addr
 	// admitted is true once the request has taken a token of its account.
 	admitted bool
-	body     *body
+	body     *spooler.Body
 	digest   [32]byte
 	// print is the fingerprint if hasPrint is true.
 	print    breaker.Fingerprint
@@ -142,11 +143,11 @@
 	if err := authenticator.Strip(c.request.Header, c.request.URL); err != nil {
 		return c, badRequest(err.Error())
 	}
-	if c.body, f = s.readBody(w, r, c.deadline); f != nil {
+	if c.body, f = spooler.Read(w, r, s.bodyLimits(c.deadline)); f != nil {
 		return c, f
 	}
-	c.request.ContentLength = c.body.length
-	c.digest = c.body.digest()
+	c.request.ContentLength = c.body.Length
+	c.digest = c.body.Digest()
 	return c, nil
 }
 
@@ -211,3 +212,7 @@
 	}
 	return o
 }
+
+func (s *Server) bodyLimits(deadline time.Time) spooler.Limits {
+	return spooler.Limits{Left: deadline.Sub(s.clock()), Bytes: s.settings.Limits.BodyBytes}
+}
--- a/server/export_test.go
+++ b/server/export_test.go
@@ -15,6 +15,7 @@
 	"celeryhead.dev/celeryhead/composer"
 	"celeryhead.dev/celeryhead/controller"
 	"celeryhead.dev/celeryhead/responder"
+	"celeryhead.dev/celeryhead/spooler"
 	"celeryhead.dev/celeryhead/timer"
 )
 
@@ -47,12 +48,12 @@
 func ReadBody(limit int64, w http.ResponseWriter, r *http.Request) (Body, *responder.Refusal) {
 	s := &Server{clock: timer.Now}
 	s.settings.Limits.BodyBytes = limit
-	b, f := s.readBody(w, r, timer.Now().Add(time.Minute))
+	b, f := spooler.Read(w, r, s.bodyLimits(timer.Now().Add(time.Minute)))
 	if f != nil {
 		return Body{}, f
 	}
-	text, err := io.ReadAll(b.open())
-	return Body{Text: string(text), Whole: b.whole(), Digest: b.digest(), Err: err}, nil
+	text, err := io.ReadAll(b.Open())
+	return Body{Text: string(text), Whole: b.Whole(), Digest: b.Digest(), Err: err}, nil
 }
 
 // RunAt runs a request of an open route in a pool of one target for each address, all owned by this instance.
@@ -69,7 +70,7 @@
 	defer o.stop()
 	o.adopt(hs)
 	r := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/"}, Header: http.Header{}}
-	c := &call{request: r, route: composer.Route{Pool: p.Name, Open: true}, deadline: s.clock().Add(time.Minute), region: s.self.Region, body: &body{}}
+	c := &call{request: r, route: composer.Route{Pool: p.Name, Open: true}, deadline: s.clock().Add(time.Minute), region: s.self.Region, body: &spooler.Body{}}
 	_, f := s.run(context.Background(), c)
 	return f
 }
--- a/server/forward.go
+++ b/server/forward.go
@@ -24,7 +24,7 @@
 func (s *Server) forward(ctx context.Context, c *call) (*forwarder.Answer, *responder.Refusal) {
 	for pause := firstOwnerPause; ; pause = min(2*pause, lastOwnerPause) {
 		a, f := s.forwardOnce(ctx, c)
-		if f == nil || !s.choosers.waits(c, f, s.clock()) || !c.body.whole() {
+		if f == nil || !s.choosers.waits(c, f, s.clock()) || !c.body.Whole() {
 			return a, f
 		}
 		if c.deadline.Sub(s.clock()) < 2*pause || !sleep(ctx, pause) {
@@ -54,7 +54,7 @@
 			return nil, last
 		}
 		a, f := s.sendTo(ctx, c, o)
-		if f == nil || f.Ran != responder.NotRun || !mayRetry(f) || !c.body.whole() || ctx.Err() != nil {
+		if f == nil || f.Ran != responder.NotRun || !mayRetry(f) || !c.body.Whole() || ctx.Err() != nil {
 			return a, f
 		}
 		last = f
@@ -105,7 +105,7 @@
 	u := *c.request.URL
 	u.Path, u.RawPath, u.RawQuery = path, "", ""
 	r.URL = &u
-	r.Body = c.body.open()
+	r.Body = c.body.Open()
 	a, err := s.peers.Do(ctx, forwarder.Call{Address: o.address, Request: &r, Deadline: c.deadline})
 	if err != nil {
 		return nil, s.hopFailed(c, o, err)
--- a/server/owner.go
+++ b/server/owner.go
@@ -17,6 +17,7 @@
 	"celeryhead.dev/celeryhead/balancer"
 	"celeryhead.dev/celeryhead/forwarder"
 	"celeryhead.dev/celeryhead/responder"
+	"celeryhead.dev/celeryhead/spooler"
 )
 
 // Headers of a request that one instance forwards to another.
@@ -95,7 +96,7 @@
 
 func (s *Server) sendTarget(ctx context.Context, c *call, target string, t netip.AddrPort) (*forwarder.Answer, error) {
 	r := *c.request
-	r.Body = c.body.open()
+	r.Body = c.body.Open()
 	a, err := s.targets.Do(ctx, forwarder.Call{
 		Address:  t,
 		Request:  &r,
@@ -112,7 +113,7 @@
 // unreached reports whether a request that failed reached no target and can be sent again.
 func unreached(ctx context.Context, c *call, err error) bool {
 	var x *forwarder.Failure
-	if !errors.As(err, &x) || ctx.Err() != nil || x.BodyRead && !c.body.whole() {
+	if !errors.As(err, &x) || ctx.Err() != nil || x.BodyRead && !c.body.Whole() {
 		return false
 	}
 	return x.Ran == responder.NotRun && x.Reason == responder.TargetUnreachable
@@ -291,10 +292,10 @@
 	c.request = outgoing(r)
 	c.request.URL = u
 	var f *responder.Refusal
-	if c.body, f = s.readBody(w, r, c.deadline); f != nil {
+	if c.body, f = spooler.Read(w, r, s.bodyLimits(c.deadline)); f != nil {
 		return nil, f
 	}
-	c.request.ContentLength = c.body.length
-	c.digest = c.body.digest()
+	c.request.ContentLength = c.body.Length
+	c.digest = c.body.Digest()
 	return c, nil
 }
--- a/server/refusals.go
+++ b/server/refusals.go
@@ -46,10 +46,6 @@
 	return notRun(http.StatusBadRequest, responder.IdempotencyKeyMissing, "this route needs an Idempotency-Key of at most 255 bytes")
 }
 
-func bodyTooLarge() *responder.Refusal {
-	return notRun(http.StatusRequestEntityTooLarge, responder.BodyTooLarge, "the body is larger than this instance accepts")
-}
-
 func stale() *responder.Refusal {
 	f := notRun(http.StatusServiceUnavailable, responder.Stale,
 		"this instance cannot tell at present whether its configuration is the newest; use another one")
--- a/server/body.go
+++ b/spooler/spooler.go
@@ -1,4 +1,4 @@
-package server
+package spooler
 
 import (
 	"bytes"
@@ -13,16 +13,16 @@
 	"celeryhead.dev/celeryhead/responder"
 )
 
-// bufferedBytes is how much of a body is read before the request is forwarded; such bodies can be sent to another owner.
-const bufferedBytes = 64 << 10
+// BufferedBytes is how much of a body is read before the request is forwarded; such bodies can be sent to another owner.
+const BufferedBytes = 64 << 10
 
-// body is the body of a request: its buffered beginning, then the rest from the caller.
-type body struct {
+// Body is the body of a request: its buffered beginning, then the rest from the caller.
+type Body struct {
 	head    []byte
 	rest    io.Reader
 	trailer http.Header
-	// length is that of the request, or -1.
-	length int64
+	// Length is that of the request in bytes, or -1.
+	Length int64
 	// read ends the limit on reads.
 	read func()
 }
@@ -30,8 +30,8 @@
 // connectionSlack is how long after the deadline of a request its caller may take the rest of the answer.
 const connectionSlack = 5 * time.Second
 
-// limitWrites ends writes to a caller that has gone silent; the limit stays with the connection until the next request.
-func limitWrites(w http.ResponseWriter, deadline time.Time) {
+// LimitWrites ends writes to a caller that has gone silent; the limit stays with the connection until the next request.
+func LimitWrites(w http.ResponseWriter, deadline time.Time) {
 	// Writers without deadlines are no connections.
 	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(connectionSlack))
 }
@@ -46,35 +46,43 @@
 	return func() { _ = k.SetReadDeadline(time.Time{}) }
 }
 
-// readBody reads the beginning of a body, so that a slow caller does not occupy a slot with a small one.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) (*body, *responder.Refusal) {
-	b := &body{trailer: r.Trailer, length: r.ContentLength, read: func() {}}
-	d := time.Now().Add(deadline.Sub(s.clock()))
-	limitWrites(w, d)
+// Limits bounds the reading of a body.
+type Limits struct {
+	// Left is the time until the deadline of the request.
+	Left time.Duration
+	// Bytes is the largest body that is accepted; 0 accepts all.
+	Bytes int64
+}
+
+// Read reads the beginning of a body, so that a slow caller does not occupy a slot with a small one.
+func Read(w http.ResponseWriter, r *http.Request, l Limits) (*Body, *responder.Refusal) {
+	b := &Body{trailer: r.Trailer, Length: r.ContentLength, read: func() {}}
+	d := time.Now().Add(l.Left)
+	LimitWrites(w, d)
 	if r.ContentLength == 0 {
 		return b, nil
 	}
 	b.read = limitReads(w, d)
 	in := io.Reader(r.Body)
-	if m := s.settings.Limits.BodyBytes; m > 0 {
+	if m := l.Bytes; m > 0 {
 		if r.ContentLength > m {
 			return nil, bodyTooLarge()
 		}
 		in = http.MaxBytesReader(w, r.Body, m)
 	}
 	var err error
-	b.head, err = io.ReadAll(io.LimitReader(in, bufferedBytes+1))
+	b.head, err = io.ReadAll(io.LimitReader(in, BufferedBytes+1))
 	if err != nil {
 		return nil, bodyRefusal(err)
 	}
-	if len(b.head) > bufferedBytes {
+	if len(b.head) > BufferedBytes {
 		b.rest = in
 	} else {
 		b.read()
 		authenticator.StripHeader(b.trailer)
 	}
-	if b.whole() && len(b.trailer) == 0 {
-		b.length = int64(len(b.head))
+	if b.Whole() && len(b.trailer) == 0 {
+		b.Length = int64(len(b.head))
 	}
 	return b, nil
 }
@@ -87,32 +95,32 @@
 	return badRequest("the body could not be read")
 }
 
-// whole reports whether the body is buffered as a whole and can be sent again.
-func (b *body) whole() bool {
+// Whole reports whether the body is buffered as a whole and can be sent again.
+func (b *Body) Whole() bool {
 	return b.rest == nil
 }
 
-// open returns a reader of the body; a body that is not whole can be opened once.
-func (b *body) open() io.ReadCloser {
-	return &bodyReader{body: b, head: bytes.NewReader(b.head)}
+// Open returns a reader of the body; a body that is not whole can be opened once.
+func (b *Body) Open() io.ReadCloser {
+	return &reader{body: b, head: bytes.NewReader(b.head)}
 }
 
-// digest covers the buffered beginning and the length.
-func (b *body) digest() [sha256.Size]byte {
+// Digest covers the buffered beginning and the length.
+func (b *Body) Digest() [sha256.Size]byte {
 	h := sha256.New()
 	_, _ = h.Write(b.head)
-	_ = binary.Write(h, binary.BigEndian, b.length)
+	_ = binary.Write(h, binary.BigEndian, b.Length)
 	return [sha256.Size]byte(h.Sum(nil))
 }
 
-// bodyReader reads a body for one sending.
-type bodyReader struct {
-	body *body
+// reader reads a body for one sending.
+type reader struct {
+	body *Body
 	head *bytes.Reader
 }
 
 // Read returns the buffered beginning, then the rest.
-func (r *bodyReader) Read(p []byte) (int, error) {
+func (r *reader) Read(p []byte) (int, error) {
 	if r.head.Len() > 0 || r.body.rest == nil {
 		return r.head.Read(p)
 	}
@@ -125,6 +133,23 @@
 }
 
 // Close does nothing: the caller's server closes the body.
-func (r *bodyReader) Close() error {
+func (r *reader) Close() error {
 	return nil
 }
+
+// Buffered returns the number of bytes that are buffered.
+func (b *Body) Buffered() int {
+	return len(b.head)
+}
+
+func bodyTooLarge() *responder.Refusal {
+	return badBody(http.StatusRequestEntityTooLarge, responder.BodyTooLarge, "the body is larger than this instance accepts")
+}
+
+func badRequest(message string) *responder.Refusal {
+	return badBody(http.StatusBadRequest, responder.BadRequest, message)
+}
+
+func badBody(status int, r responder.Reason, message string) *responder.Refusal {
+	return &responder.Refusal{Status: status, Reason: r, Ran: responder.NotRun, Message: message}
+}
