--- a/cataloger/book.go
+++ b/cataloger/book.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -77,6 +78,8 @@
 		accounts: map[authenticator.Digest]*Account{},
 		closed:   len(k.Accounts) > 0,
 		services: map[string]*Pool{},
+		places:   map[netip.Addr]string{},
+		names:    map[string]bool{},
 	}
 	for i := range k.Routes {
 		r := &k.Routes[i]
@@ -106,5 +109,7 @@
 			continue
 		}
 		p.Targets = append(p.Targets, &t)
+		c.places[t.Address.Addr()] = t.Region
+		c.names[n] = true
 	}
 }
--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -108,6 +108,9 @@
 	accounts map[authenticator.Digest]*Account
 	closed   bool
 	services map[string]*Pool
+	// places maps the addresses of targets to their regions, and names their names.
+	places map[netip.Addr]string
+	names  map[string]bool
 }
 
 // Pool is a service with the targets that may be used.
@@ -185,6 +188,16 @@
 	return p.Targets[i], true
 }
 
+// Has reports whether a usable target has a name.
+func (c *Catalog) Has(name string) bool {
+	return c.names[name]
+}
+
+// RegionOf returns the region of the target at an address, or an empty one.
+func (c *Catalog) RegionOf(a netip.Addr) string {
+	return c.places[a]
+}
+
 // Counts returns the numbers of routes, accounts and usable targets.
 func (c *Catalog) Counts() (routes, accounts, targets int) {
 	for _, rs := range c.hosts {
--- a/handler/rows.go
+++ b/handler/rows.go
@@ -114,20 +114,16 @@
 	s.registered = rs
 	s.mu.Unlock()
 	s.members.List(as)
-	s.gate.Adopt(slices.Sorted(maps.Keys(rs)))
+	s.gate.Adopt(s.instances())
 	s.divide()
 	s.log.InstancesListed(len(rs))
 }
 
-// instances is the number of instances among which the limits of the fleet are divided.
-func (s *Server) instances() int {
+// instances are the names of the instances among which the limits of the fleet are divided.
+func (s *Server) instances() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	// Until the table is known, more instances are assumed than a fleet has in each failure domain today.
-	if s.registered == nil {
-		return 2 * len(s.settings.Regions)
-	}
-	return max(len(s.registered), 1)
+	return slices.Sorted(maps.Keys(s.registered))
 }
 
 // divide divides the limits of the fleet anew.
@@ -136,7 +132,7 @@
 	l := map[string]sharer.Limit{}
 	s.book.Catalog().Accounts(func(a *cataloger.Account) { l[a.Name] = sharer.Limit{Rate: a.Rate, Burst: a.Burst} })
 	s.tokens.shares.Adopt(s.clock(), l, n)
-	s.budget.Adopt(s.limits.Load().Retries, n)
+	s.budget.Adopt(s.limits.Load().Retries, len(n))
 }
 
 // register writes this instance's row unless it is there already.
--- a/handler/server.go
+++ b/handler/server.go
@@ -97,6 +97,7 @@
 	budget  *sharer.Budget
 	gate    *sharer.Gate
 	splits  *splits
+	trips   trips
 	strikes strikes
 	meter   *meter.Meter
 
@@ -127,20 +128,23 @@
 		gate:      sharer.NewGate(c.Settings.Name),
 		budget:    sharer.NewBudget(c.Settings.Limits.Retries),
 		splits:    newSplits(),
+		trips:     trips{regions: map[string]*trip{}},
 		meter:     meter.New(meter.Config{AccountHistograms: accountHistograms}),
 	}
 	s.limits.Store(&c.Settings.Limits)
-	s.tokens.shares = sharer.NewShares()
+	s.tokens.shares = sharer.NewShares(c.Settings.Name)
+	s.tokens.asked = map[string][]<-chan struct{}{}
 	s.strikes.breaker = breaker.New(breaker.Config{})
 	s.targets = forwarder.New(forwarder.Config{
 		Protocol:       c.Protocol,
+		Dial:           s.dial,
 		MaxConnections: targetConnections,
 		MaxIdle:        targetIdleConnections,
 		IdleLimit:      targetIdle,
 		DialTimeout:    targetDial,
 	})
 	s.peers = newPeers()
-	s.placer = placer.New(placer.Config{Region: c.Settings.Region, Trip: s.trip, Cold: s.gate})
+	s.placer = placer.New(placer.Config{Region: c.Settings.Region, Trip: s.trips.to, Cold: s.gate})
 	s.members = gossiper.NewMembers(s.self(), c.Settings.Seeds)
 	s.rows = replicator.New(replicator.Config{
 		Source: c.Store,
@@ -242,17 +246,6 @@
 	return r
 }
 
-// trip is the time to a region and back; within a region it is next to nothing.
-func (s *Server) trip(region string) time.Duration {
-	if region == s.settings.Region {
-		return 0
-	}
-	return farTrip
-}
-
-// farTrip is the time to another region and back as the platform states it for the nearer of its deployments.
-const farTrip = 40 * time.Millisecond
-
 // runTicks runs the systems that follow the tables and the clock.
 func (s *Server) runTicks(ctx context.Context) {
 	timer.Poll(ctx, tickInterval, func(context.Context) {
@@ -262,10 +255,10 @@
 		s.checkReady()
 		s.sweep(ctx, now)
 		s.targets.Tick()
-		s.placer.Keep(func(service, name string) bool { _, ok := s.book.Catalog().Target(service, name); return ok })
-		if len(s.tokens.shares.Wanted(now)) > 0 {
-			s.askForTokens()
-		}
+		k := s.book.Catalog()
+		s.placer.Keep(k.Has)
+		s.gate.Keep(k.Has)
+		s.askForTokens("")
 	})
 }
 
@@ -276,7 +269,7 @@
 
 func (s *Server) checkReady() {
 	s.mu.Lock()
-	listed := s.listed
+	listed, registered := s.listed, s.registered != nil
 	s.mu.Unlock()
 	ready, reason := true, "configuration and targets are known"
 	switch {
@@ -286,6 +279,8 @@
 		ready, reason = false, "no configuration is known"
 	case !listed:
 		ready, reason = false, "no targets are known"
+	case !registered:
+		ready, reason = false, "the instances that share the limits are not known"
 	}
 	if s.ready.Swap(ready) != ready {
 		s.log.ReadyChanged(ready, reason)
--- a/handler/tokens.go
+++ b/handler/tokens.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
+	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,8 +14,6 @@
 )
 
 const (
-	// askPause is the shortest time between asks to others for tokens.
-	askPause = 50 * time.Millisecond
 	// askWait bounds the wait of a request for tokens of another instance; the way between regions and back takes up to
 	// 110 ms.
 	askWait = 150 * time.Millisecond
@@ -29,12 +28,10 @@
 type tokens struct {
 	shares *sharer.Shares
 
-	mu    sync.Mutex
-	asked time.Time
-	// answer is closed once the last ask was answered.
-	answer <-chan struct{}
-	// fruitless is true if the last answer brought no token that was wanted.
-	next int
+	mu sync.Mutex
+	// asked holds the answers to the last asks for each account.
+	asked map[string][]<-chan struct{}
+	turn  int
 }
 
 // take takes a token of an account for a request; the refusal tells when one will be there.
@@ -42,9 +39,9 @@
 	if s.tokens.shares.Take(s.clock(), account) {
 		return nil
 	}
-	if c := s.askForTokens(); c != nil {
-		t := time.NewTimer(askWait)
-		defer t.Stop()
+	t := time.NewTimer(askWait)
+	defer t.Stop()
+	for _, c := range s.askForTokens(account) {
 		select {
 		case <-c:
 		case <-t.C:
@@ -63,39 +60,63 @@
 	}
 }
 
-// askForTokens asks another instance for tokens of all accounts that run low; nil means that nobody is asked now.
-func (s *Server) askForTokens() <-chan struct{} {
+// askForTokens asks other instances for tokens of all accounts that run low, and returns the answers under way for one.
+func (s *Server) askForTokens(account string) []<-chan struct{} {
 	now := s.clock()
 	s.tokens.mu.Lock()
 	defer s.tokens.mu.Unlock()
-	if now.Sub(s.tokens.asked) < askPause {
-		return s.tokens.answer
+	w := s.tokens.shares.Wanted(now)
+	if len(w) == 0 {
+		return s.tokens.asked[account]
 	}
+	s.tokens.turn++
 	ms := s.members.Alive(now)
-	if len(ms) == 0 {
-		return nil
+	asks := map[netip.Addr]map[string]int{}
+	accounts := map[netip.Addr][]string{}
+	for n, k := range w {
+		s.tokens.asked[n] = nil
+		for _, a := range s.lenders(n, ms) {
+			if asks[a] == nil {
+				asks[a] = map[string]int{}
+			}
+			asks[a][n] = k
+			accounts[a] = append(accounts[a], n)
+		}
 	}
-	w := s.tokens.shares.Wanted(now)
-	if len(w) == 0 {
-		return nil
+	for a, k := range asks {
+		c := s.gossip.Ask(a, k)
+		for _, n := range accounts[a] {
+			s.tokens.asked[n] = append(s.tokens.asked[n], c)
+		}
 	}
-	s.tokens.asked = now
-	s.tokens.answer = s.gossip.Ask(s.pickLender(ms).Address, w)
-	return s.tokens.answer
+	return s.tokens.asked[account]
 }
 
-// pickLender takes the instances in turn, so that a request that asks again asks another one.
-func (s *Server) pickLender(ms []gossiper.Member) gossiper.Member {
-	if s.tokens.next == 0 {
-		s.tokens.next = rand.IntN(len(ms)) //nolint:gosec // No secret.
+// lenders returns the instances to ask for tokens of an account: in turn those with a part of it, the nearest first.
+func (s *Server) lenders(account string, ms []gossiper.Member) []netip.Addr {
+	var near, far []netip.Addr
+	hs := s.tokens.shares.Holders(account)
+	for _, m := range ms {
+		switch {
+		case !slices.Contains(hs, m.Name):
+		case m.Region == s.settings.Region:
+			near = append(near, m.Address)
+		default:
+			far = append(far, m.Address)
+		}
+	}
+	var r []netip.Addr
+	for _, as := range [][]netip.Addr{near, far} {
+		if len(as) > 0 {
+			r = append(r, as[s.tokens.turn%len(as)])
+		}
 	}
-	s.tokens.next++
-	return ms[s.tokens.next%len(ms)]
+	return r
 }
 
 // extendShares lets the shares fill while this instance reaches the store or most of the instances that it lists.
 func (s *Server) extendShares(now time.Time) {
-	if c := s.rows.Contact(); !c.IsZero() && now.Sub(c) < outageLimit || 2*(len(s.members.Alive(now))+1) > s.instances() {
+	if c := s.rows.Contact(); !c.IsZero() && now.Sub(c) < outageLimit || 2*(len(s.members.Alive(now))+1) > len(s.instances()) {
 		s.tokens.shares.Extend(now, now.Add(shareLife))
 	}
 }
--- a/placer/pace.go
+++ b/placer/pace.go
@@ -56,6 +56,18 @@
 	return e.strange.value()
 }
 
+// othersKnow are the chances that other instances made an object known to the first targets of its order.
+var othersKnow = [...]float64{0.7, 0.3}
+
+// expected returns the work for an object on the target at a place of the object's order.
+func (e *pace) expected(known bool, rank int) time.Duration {
+	if known || rank >= len(othersKnow) {
+		return e.work(known)
+	}
+	p := othersKnow[rank]
+	return time.Duration(p*float64(e.known.value()) + (1-p)*float64(e.strange.value()))
+}
+
 // middle divides the times of known objects from those of strange ones.
 func (e *pace) middle() time.Duration {
 	return (e.known.value() + e.strange.value()) / 2
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -143,7 +143,7 @@
 			continue
 		}
 		c := candidate{target: t, state: s, known: w.Object == "" || s.objects.has(objectKey(w))}
-		c.run = time.Duration(float64(e.work(c.known)) * s.slowness(now))
+		c.run = time.Duration(float64(e.expected(c.known, rank)) * s.slowness(now))
 		if cold {
 			c.run *= coldSlowness
 		}
@@ -193,6 +193,8 @@
 func (p *Placer) start(now time.Time, w Work, c candidate) *Lease {
 	c.state.inFlight++
 	c.state.used = now
+	// Requests for the object that follow run after this one.
+	c.state.objects.add(objectKey(w))
 	return &Lease{
 		Target: c.target,
 		Wait:   c.wait,
@@ -266,6 +268,9 @@
 	s := p.state(l.Target)
 	s.inFlight--
 	s.end(now, o)
+	if o == Unreached || o == Shed {
+		s.objects.remove(objectKey(l.work))
+	}
 	if o != Answered {
 		return
 	}
@@ -274,7 +279,6 @@
 		p.observe(now, l, s, d)
 	}
 	p.meanOf(l.work.Service).add(min(d, l.Wait+4*l.Run) - l.Wait)
-	s.objects.add(objectKey(l.work))
 }
 
 // observe learns from the time that a request took while no other one waited.
@@ -301,11 +305,11 @@
 }
 
 // Keep drops what is known of targets that are not in the catalog any more.
-func (p *Placer) Keep(has func(service, name string) bool) {
+func (p *Placer) Keep(has func(name string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for n, s := range p.targets {
-		if s.inFlight == 0 && !has(s.service, n) {
+		if s.inFlight == 0 && !has(n) {
 			delete(p.targets, n)
 		}
 	}
--- a/placer/target.go
+++ b/placer/target.go
@@ -166,6 +166,13 @@
 	return o.at[k] != nil
 }
 
+func (o *objects) remove(k string) {
+	if e := o.at[k]; e != nil {
+		o.order.Remove(e)
+		delete(o.at, k)
+	}
+}
+
 func (o *objects) add(k string) {
 	if o.at == nil {
 		o.order, o.at = list.New(), map[string]*list.Element{}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -50,6 +50,8 @@
 	Name string
 	// Wait is the length of a long poll.
 	Wait time.Duration
+	// Pause is the pause after a change, so that changes in quick succession cost one call.
+	Pause time.Duration
 	// Changed is called after each change, with the rows that exist.
 	Changed func([]Row)
 }
@@ -125,6 +127,9 @@
 			whole = false
 			r.answered(t.first)
 			r.apply(t, h)
+			if len(h.Rows) > 0 && t.Pause > 0 && timer.Sleep(ctx, t.Pause) != nil {
+				return
+			}
 			continue
 		case errors.Is(err, ErrCompacted):
 			r.config.Log.HistoryLost(t.Name)
--- a/sharer/gate.go
+++ b/sharer/gate.go
@@ -1,11 +1,10 @@
 package sharer
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // gateBurst is the number of requests that a cold target gets at once; the rate that the platform states for cold
@@ -18,7 +17,9 @@
 
 	mu        sync.Mutex
 	instances []string
-	targets   map[string]*drip
+	// senders remembers the sender of each target until the instances change.
+	senders map[string]string
+	targets map[string]*drip
 }
 
 type drip struct {
@@ -28,7 +29,7 @@
 
 // NewGate returns a gate of an instance that knows no instances yet, so that nothing passes.
 func NewGate(self string) *Gate {
-	return &Gate{self: self, targets: map[string]*drip{}}
+	return &Gate{self: self, senders: map[string]string{}, targets: map[string]*drip{}}
 }
 
 // Adopt replaces the names of the instances that may be senders.
@@ -36,6 +37,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.instances = slices.Clone(instances)
+	clear(g.senders)
 }
 
 // Sends reports whether this instance is the one that sends to a cold target.
@@ -67,25 +69,23 @@
 	return true
 }
 
-// Forget drops what is kept of targets that are not cold any more.
-func (g *Gate) Forget(cold func(target string) bool) {
+// Keep drops what is kept of targets that do not exist any more.
+func (g *Gate) Keep(exists func(target string) bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for n := range g.targets {
-		if !cold(n) {
-			delete(g.targets, n)
-		}
-	}
+	maps.DeleteFunc(g.targets, func(n string, _ *drip) bool { return !exists(n) })
+	maps.DeleteFunc(g.senders, func(n, _ string) bool { return !exists(n) })
 }
 
-// sender returns the instance with the highest hash of target and instance; mu is held.
+// sender returns the instance that may send to a target, or an empty name while none is known; mu is held.
 func (g *Gate) sender(target string) string {
-	var best string
-	var high uint64
-	for _, n := range g.instances {
-		if h := xxhash.Sum64String(target + "\x00" + n); best == "" || h > high {
-			best, high = n, h
-		}
+	if len(g.instances) == 0 {
+		return ""
+	}
+	n, ok := g.senders[target]
+	if !ok {
+		n = highest(target, g.instances, 1)[0]
+		g.senders[target] = n
 	}
-	return best
+	return n
 }
--- a/sharer/shares.go
+++ b/sharer/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -13,6 +14,9 @@
 	inUse = 2 * time.Second
 	// keepShare is the part of its tokens that an instance keeps when it is asked.
 	keepShare = 0.5
+	// firstQuiet and lastQuiet bound the pause between asks for an account of which nobody has tokens.
+	firstQuiet = 50 * time.Millisecond
+	lastQuiet  = 800 * time.Millisecond
 )
 
 // Limit is the allowance of an account over all instances together.
@@ -25,43 +29,48 @@
 
 // Shares holds this instance's parts of the accounts' buckets; it is safe for concurrent use.
 type Shares struct {
+	self string
+
 	mu       sync.Mutex
 	accounts map[string]*share
-	parts    int
 	// until is when the parts end unless they are extended.
 	until time.Time
 }
 
 type share struct {
-	limit  Limit
+	limit Limit
+	// holders are the instances with a part; an account has at most one for each token of its burst.
+	holders []string
+	// held is true if this instance is one of them.
+	held   bool
 	tokens float64
 	filled time.Time
 	used   time.Time
-	// wants counts the requests that found no token since the last ask.
-	wants int
+	// quietTo is until when others are not asked, after asks that brought nothing; quiet is the length of that pause.
+	quietTo time.Time
+	quiet   time.Duration
 }
 
-// NewShares returns shares without accounts.
-func NewShares() *Shares {
-	return &Shares{accounts: map[string]*share{}, parts: 1}
+// NewShares returns the shares of an instance without accounts.
+func NewShares(self string) *Shares {
+	return &Shares{self: self, accounts: map[string]*share{}}
 }
 
-// Adopt replaces the accounts and the number of parts; new parts start empty, because a former process of this
-// instance may have used what they held.
-func (s *Shares) Adopt(now time.Time, limits map[string]Limit, parts int) {
+// Adopt replaces the accounts and the instances among which they are divided; new parts start empty, because a former
+// process of this instance may have used what they held.
+func (s *Shares) Adopt(now time.Time, limits map[string]Limit, instances []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, a := range s.accounts {
-		s.fill(a, now)
-	}
-	s.parts = max(parts, 1)
 	for n, l := range limits {
 		a := s.accounts[n]
 		if a == nil {
 			a = &share{filled: now}
 			s.accounts[n] = a
 		}
+		s.fill(a, now)
 		a.limit = l
+		a.holders = highest(n, instances, max(int(l.Burst), 1))
+		a.held = slices.Contains(a.holders, s.self)
 		a.tokens = min(a.tokens, s.size(a))
 	}
 	for n := range s.accounts {
@@ -71,6 +80,16 @@
 	}
 }
 
+// Holders returns the instances that have a part of an account.
+func (s *Shares) Holders(account string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a := s.accounts[account]; a != nil {
+		return a.holders
+	}
+	return nil
+}
+
 // Extend lets the parts fill until a time; an instance that others may have given up stops filling its parts.
 func (s *Shares) Extend(now, until time.Time) {
 	s.mu.Lock()
@@ -83,9 +102,12 @@
 	s.until = until
 }
 
-// size is the largest number of tokens in a part; a part holds at least one, or no request would ever pass.
+// size is the largest number of tokens in a part.
 func (s *Shares) size(a *share) float64 {
-	return max(a.limit.Burst/float64(s.parts), 1)
+	if !a.held {
+		return 0
+	}
+	return a.limit.Burst / float64(len(a.holders))
 }
 
 // fill adds what came since the last call, as far as the part had not ended; mu is held.
@@ -94,8 +116,10 @@
 	if s.until.Before(end) {
 		end = s.until
 	}
-	if d := end.Sub(a.filled); d > 0 {
-		a.tokens = min(s.size(a), a.tokens+a.limit.Rate/float64(s.parts)*d.Seconds())
+	if d := end.Sub(a.filled); d > 0 && a.held {
+		n := a.tokens + a.limit.Rate/float64(len(a.holders))*d.Seconds()
+		// Tokens of others may exceed the part; they stay.
+		a.tokens = max(a.tokens, min(s.size(a), n))
 	}
 	a.filled = now
 }
@@ -114,14 +138,13 @@
 	s.fill(a, now)
 	a.used = now
 	if a.tokens < 1 {
-		a.wants++
 		return false
 	}
 	a.tokens--
 	return true
 }
 
-// Wait returns how long until the part of an account has a token by itself.
+// Wait returns about how long it takes the account to earn a token.
 func (s *Shares) Wait(now time.Time, account string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -133,43 +156,33 @@
 	if a.tokens >= 1 {
 		return 0
 	}
-	return time.Duration((1 - a.tokens) * float64(s.parts) / a.limit.Rate * float64(time.Second))
+	return time.Duration((1 - min(a.tokens, 0.5)) / a.limit.Rate * float64(time.Second))
 }
 
-// Wanted returns the tokens to ask others for: what the parts in use have room for, of accounts that run low.
+// Wanted returns the tokens to ask others for: what the parts in use have room for, of accounts that run low. An
+// account counts as asked for; until others give some, it is asked for at growing pauses.
 func (s *Shares) Wanted(now time.Time) map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w := map[string]int{}
 	for n, a := range s.accounts {
-		if a.limit.Rate <= 0 || now.Sub(a.used) > inUse {
+		if a.limit.Rate <= 0 || now.Sub(a.used) > inUse || now.Before(a.quietTo) {
 			continue
 		}
 		s.fill(a, now)
-		if a.tokens >= s.size(a)*lowShare {
+		if a.tokens >= max(s.size(a)*lowShare, 1) {
 			continue
 		}
-		if k := int(s.size(a) - a.tokens); k > 0 {
-			w[n] = k
-		}
-		a.wants = 0
+		// An instance without a part asks for what one request needs, so that tokens do not pile up outside the parts.
+		w[n] = max(int(s.size(a)-a.tokens), 1)
+		a.quiet = min(max(2*a.quiet, firstQuiet), lastQuiet)
+		a.quietTo = now.Add(a.quiet)
 	}
 	return w
 }
 
-// Short returns the accounts of which a request found no token since the last call of Wanted.
-func (s *Shares) Short() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, a := range s.accounts {
-		if a.wants > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// Give takes up to the wanted tokens out of this instance's parts, which keep a part of what they hold.
+// Give takes up to the wanted tokens out of this instance's parts. Half of what an account in use holds stays here, but
+// a whole token is given by whoever has one, since the other instance has a request that waits for it.
 func (s *Shares) Give(now time.Time, wanted map[string]int) map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -180,10 +193,11 @@
 			continue
 		}
 		s.fill(a, now)
-		v := min(k, int(math.Floor(a.tokens*(1-keepShare))))
-		if now.Sub(a.used) > inUse {
-			v = min(k, int(math.Floor(a.tokens)))
+		v := int(a.tokens)
+		if now.Sub(a.used) <= inUse && v > 1 {
+			v = int(math.Ceil(a.tokens * (1 - keepShare)))
 		}
+		v = min(k, v)
 		if v > 0 {
 			a.tokens -= float64(v)
 			g[n] = v
@@ -192,7 +206,7 @@
 	return g
 }
 
-// Receive adds tokens that another instance gave; what does not fit into a part is dropped.
+// Receive adds tokens that another instance gave.
 func (s *Shares) Receive(now time.Time, given map[string]int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -202,7 +216,8 @@
 			continue
 		}
 		s.fill(a, now)
-		a.tokens = min(s.size(a), a.tokens+float64(k))
+		a.tokens += float64(k)
+		a.quiet, a.quietTo = 0, time.Time{}
 	}
 }
 
@@ -215,5 +230,5 @@
 		return
 	}
 	s.fill(a, now)
-	a.tokens = min(s.size(a), a.tokens+1)
+	a.tokens++
 }
