Divide small accounts among few instances, and borrow tokens when a request waits

Ruled out: lost datagrams (a trial showed all asks answered, in 1 to 50 ms). Change: parts of at least 4 tokens, one in each region as far as the burst goes; tokens are asked for when a request waits.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -193,7 +193,7 @@
 
 func (g *Gossiper) take(d datagram) {
 	now := g.config.Clock()
-	if g.config.Members.Hear(d.From, now) {
+	if d.State != nil && g.config.Members.Hear(d.From, now) {
 		g.config.Log.MemberHeard(d.From.Name, d.From.Address, d.From.Ready)
 	}
 	for _, h := range d.Heard {
@@ -205,7 +205,7 @@
 		g.config.Hooks.Heard(d.From, *d.State)
 	}
 	if len(d.Ask) > 0 {
-		g.send(d.From.Address, datagram{From: g.config.Hooks.Self(), Give: g.config.Hooks.Give(d.Ask), ID: d.ID})
+		g.send(d.From.Address, datagram{From: g.sender(), Give: g.config.Hooks.Give(d.Ask), ID: d.ID})
 		return
 	}
 	if d.ID != 0 {
@@ -221,10 +221,15 @@
 	id := g.next
 	g.asked[id] = a
 	g.mu.Unlock()
-	g.send(to, datagram{From: g.config.Hooks.Self(), Ask: wanted, ID: id})
+	g.send(to, datagram{From: g.sender(), Ask: wanted, ID: id})
 	return a.done
 }
 
+// sender names this instance where its state does not matter.
+func (g *Gossiper) sender() Member {
+	return Member{Address: g.config.Hooks.Self().Address}
+}
+
 // settle takes over the tokens of an answer, once.
 func (g *Gossiper) settle(d datagram) {
 	g.mu.Lock()
--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -15,12 +15,12 @@
 
 // Member is what an instance says of itself.
 type Member struct {
-	Name          string     `json:"n"`
+	Name          string     `json:"n,omitempty"`
 	Address       netip.Addr `json:"a"`
-	Region        string     `json:"r"`
-	FailureDomain string     `json:"z"`
+	Region        string     `json:"r,omitempty"`
+	FailureDomain string     `json:"z,omitempty"`
 	// Started is the start of the process in nanoseconds since 1970.
-	Started int64 `json:"s"`
+	Started int64 `json:"s,omitempty"`
 	// Ready instances serve callers.
 	Ready bool `json:"u,omitempty"`
 }
--- a/handler/request.go
+++ b/handler/request.go
@@ -82,7 +82,7 @@
 	}
 	a, f := s.forward(ctx, c)
 	if f != nil && f.Ran == responder.NotRun && c.admitted {
-		s.tokens.shares.Return(s.clock(), c.account.Name)
+		s.shares.Return(s.clock(), c.account.Name)
 	}
 	return a, f
 }
@@ -185,6 +185,9 @@
 	}
 	if f != nil {
 		e.Reason, e.Ran = string(f.Reason), string(f.Ran)
+		if f.Reason == responder.RateExceeded {
+			e.Rate, e.Burst = c.account.Rate, c.account.Burst
+		}
 	}
 	s.log.RequestEnded(e)
 	s.meter.Observe(meter.Request{Route: e.Route, Account: e.Account, Duration: e.Duration, Refusal: f, Admitted: c.admitted}, now)
--- a/handler/rows.go
+++ b/handler/rows.go
@@ -114,16 +114,20 @@
 	s.registered = rs
 	s.mu.Unlock()
 	s.members.List(as)
-	s.gate.Adopt(s.instances())
+	s.gate.Adopt(slices.Sorted(maps.Keys(rs)))
 	s.divide()
 	s.log.InstancesListed(len(rs))
 }
 
-// instances are the names of the instances among which the limits of the fleet are divided.
-func (s *Server) instances() []string {
+// instances are those among which the limits of the fleet are divided.
+func (s *Server) instances() []sharer.Instance {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Sorted(maps.Keys(s.registered))
+	is := make([]sharer.Instance, 0, len(s.registered))
+	for _, n := range slices.Sorted(maps.Keys(s.registered)) {
+		is = append(is, sharer.Instance{Name: n, Region: s.registered[n].Region})
+	}
+	return is
 }
 
 // divide divides the limits of the fleet anew.
@@ -131,7 +135,7 @@
 	n := s.instances()
 	l := map[string]sharer.Limit{}
 	s.book.Catalog().Accounts(func(a *cataloger.Account) { l[a.Name] = sharer.Limit{Rate: a.Rate, Burst: a.Burst} })
-	s.tokens.shares.Adopt(s.clock(), l, n)
+	s.shares.Adopt(s.clock(), l, n)
 	s.budget.Adopt(s.limits.Load().Retries, len(n))
 }
 
--- a/handler/server.go
+++ b/handler/server.go
@@ -93,7 +93,7 @@
 	members *gossiper.Members
 	gossip  *gossiper.Gossiper
 	peers   peers
-	tokens  tokens
+	shares  *sharer.Shares
 	budget  *sharer.Budget
 	gate    *sharer.Gate
 	splits  *splits
@@ -132,8 +132,7 @@
 		meter:     meter.New(meter.Config{AccountHistograms: accountHistograms}),
 	}
 	s.limits.Store(&c.Settings.Limits)
-	s.tokens.shares = sharer.NewShares(c.Settings.Name)
-	s.tokens.asked = map[string][]<-chan struct{}{}
+	s.shares = sharer.NewShares(c.Settings.Name)
 	s.strikes.breaker = breaker.New(breaker.Config{})
 	s.targets = forwarder.New(forwarder.Config{
 		Protocol:       c.Protocol,
@@ -160,8 +159,8 @@
 			Self:    s.self,
 			State:   s.state,
 			Heard:   s.hear,
-			Give:    func(w map[string]int) map[string]int { return s.tokens.shares.Give(s.clock(), w) },
-			Receive: func(g map[string]int) { s.tokens.shares.Receive(s.clock(), g) },
+			Give:    func(w map[string]int) map[string]int { return s.shares.Give(s.clock(), w) },
+			Receive: func(g map[string]int) { s.shares.Receive(s.clock(), g) },
 		},
 		Log: c.Log,
 	})
@@ -258,7 +257,6 @@
 		k := s.book.Catalog()
 		s.placer.Keep(k.Has)
 		s.gate.Keep(k.Has)
-		s.askForTokens("")
 	})
 }
 
--- a/handler/tokens.go
+++ b/handler/tokens.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"slices"
-	"sync"
 	"time"
 
-	"celeryhead.dev/celeryhead/gossiper"
 	"celeryhead.dev/celeryhead/responder"
-	"celeryhead.dev/celeryhead/sharer"
 )
 
 const (
@@ -24,91 +22,60 @@
 	maxOverRateWait = 2 * time.Second
 )
 
-// tokens takes tokens of accounts, asking other instances when this one's share runs low.
-type tokens struct {
-	shares *sharer.Shares
-
-	mu sync.Mutex
-	// asked holds the answers to the last asks for each account.
-	asked map[string][]<-chan struct{}
-	turn  int
-}
-
-// take takes a token of an account for a request; the refusal tells when one will be there.
+// take takes a token of an account for a request, from this instance's share or from another's; the refusal tells when
+// one will be there.
 func (s *Server) take(ctx context.Context, account string) *responder.Refusal {
-	if s.tokens.shares.Take(s.clock(), account) {
+	if s.shares.Take(s.clock(), account) || s.borrow(ctx, account) {
 		return nil
 	}
-	t := time.NewTimer(askWait)
-	defer t.Stop()
-	for _, c := range s.askForTokens(account) {
-		select {
-		case <-c:
-		case <-t.C:
-		case <-ctx.Done():
-		}
-		if s.tokens.shares.Take(s.clock(), account) {
-			return nil
-		}
-	}
 	return &responder.Refusal{
 		Status:     http.StatusTooManyRequests,
 		Reason:     responder.RateExceeded,
 		Ran:        responder.NotRun,
 		Message:    "the account is over its rate",
-		RetryAfter: min(s.tokens.shares.Wait(s.clock(), account), maxOverRateWait),
+		RetryAfter: min(s.shares.Wait(s.clock(), account), maxOverRateWait),
 	}
 }
 
-// askForTokens asks other instances for tokens of all accounts that run low, and returns the answers under way for one.
-func (s *Server) askForTokens(account string) []<-chan struct{} {
-	now := s.clock()
-	s.tokens.mu.Lock()
-	defer s.tokens.mu.Unlock()
-	w := s.tokens.shares.Wanted(now)
-	if len(w) == 0 {
-		return s.tokens.asked[account]
-	}
-	s.tokens.turn++
-	ms := s.members.Alive(now)
-	asks := map[netip.Addr]map[string]int{}
-	accounts := map[netip.Addr][]string{}
-	for n, k := range w {
-		s.tokens.asked[n] = nil
-		for _, a := range s.lenders(n, ms) {
-			if asks[a] == nil {
-				asks[a] = map[string]int{}
-			}
-			asks[a][n] = k
-			accounts[a] = append(accounts[a], n)
+// borrow asks others for tokens, one after the other, and reports whether the request has one.
+func (s *Server) borrow(ctx context.Context, account string) bool {
+	c, cancel := context.WithTimeout(ctx, askWait)
+	defer cancel()
+	for _, a := range s.lenders(account) {
+		n := s.shares.Need(s.clock(), account)
+		if n == 0 {
+			return false
 		}
-	}
-	for a, k := range asks {
-		c := s.gossip.Ask(a, k)
-		for _, n := range accounts[a] {
-			s.tokens.asked[n] = append(s.tokens.asked[n], c)
+		select {
+		case <-s.gossip.Ask(a, map[string]int{account: n}):
+		case <-c.Done():
+			return false
+		}
+		if s.shares.Take(s.clock(), account) {
+			return true
 		}
 	}
-	return s.tokens.asked[account]
+	s.shares.Fruitless(s.clock(), account)
+	return false
 }
 
-// lenders returns the instances to ask for tokens of an account: in turn those with a part of it, the nearest first.
-func (s *Server) lenders(account string, ms []gossiper.Member) []netip.Addr {
-	var near, far []netip.Addr
-	hs := s.tokens.shares.Holders(account)
+// lenders returns the instances to ask for tokens of an account: those with a part of it, of each region one at random,
+// the own region first.
+func (s *Server) lenders(account string) []netip.Addr {
+	hs := s.shares.Holders(account)
+	ms := s.members.Alive(s.clock())
+	rand.Shuffle(len(ms), func(i, j int) { ms[i], ms[j] = ms[j], ms[i] }) //nolint:gosec // No secret.
+	var r []netip.Addr
+	seen := map[string]bool{}
 	for _, m := range ms {
-		switch {
-		case !slices.Contains(hs, m.Name):
-		case m.Region == s.settings.Region:
-			near = append(near, m.Address)
-		default:
-			far = append(far, m.Address)
+		if seen[m.Region] || !slices.Contains(hs, m.Name) {
+			continue
 		}
-	}
-	var r []netip.Addr
-	for _, as := range [][]netip.Addr{near, far} {
-		if len(as) > 0 {
-			r = append(r, as[s.tokens.turn%len(as)])
+		seen[m.Region] = true
+		if m.Region == s.settings.Region {
+			r = slices.Insert(r, 0, m.Address)
+		} else {
+			r = append(r, m.Address)
 		}
 	}
 	return r
@@ -117,7 +84,7 @@
 // extendShares lets the shares fill while this instance reaches the store or most of the instances that it lists.
 func (s *Server) extendShares(now time.Time) {
 	if c := s.rows.Contact(); !c.IsZero() && now.Sub(c) < outageLimit || 2*(len(s.members.Alive(now))+1) > len(s.instances()) {
-		s.tokens.shares.Extend(now, now.Add(shareLife))
+		s.shares.Extend(now, now.Add(shareLife))
 	}
 }
 
--- a/logger/events.go
+++ b/logger/events.go
@@ -310,6 +310,8 @@
 	Status int
 	// Reason and Ran are those of a refusal; empty for a target's answer.
 	Reason, Ran string
+	// Rate and Burst are the account's allowance; told with a refusal for it.
+	Rate, Burst float64
 	// Wait and Run are the estimates by which the last target was chosen.
 	Wait, Run time.Duration
 	// Known is true if the target was taken to know the object.
@@ -337,6 +339,9 @@
 	if e.Reason != "" {
 		f["reason"], f["ran"] = e.Reason, e.Ran
 	}
+	if e.Rate > 0 {
+		f["rate"], f["burst"] = e.Rate, e.Burst
+	}
 	l.emit(requestEnded, f)
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -19,6 +19,12 @@
 	// strangeCost is the factor by which work on a target that does not know the object counts, since it occupies the
 	// slot longer than it would elsewhere.
 	strangeCost = 1.3
+	// farCharge is the part of the objective by which another region counts as farther than it is: links between regions
+	// are narrow and shared.
+	farCharge = 0.15
+	// introduceAfter is how long a target that joined later waits for its first request before the instance that sends to
+	// it while it is cold gives it one.
+	introduceAfter = 500 * time.Millisecond
 	// coldSlowness is how much longer a cold target works.
 	coldSlowness = 2
 	// minRetryAfter and maxRetryAfter bound the wait that a rejected caller is told.
@@ -83,6 +89,8 @@
 	targets map[string]*target
 	paces   map[paceKey]*pace
 	orders  map[orderKey]order
+	// begun is when the first request came.
+	begun time.Time
 }
 
 type orderKey struct{ service, object string }
@@ -112,6 +120,9 @@
 func (p *Placer) Choose(now time.Time, pool *cataloger.Pool, w Work) (*Lease, *responder.Refusal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.begun.IsZero() {
+		p.begun = now
+	}
 	cs := p.candidates(now, pool, w)
 	slices.SortStableFunc(cs, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
 	for _, c := range cs {
@@ -136,7 +147,7 @@
 		if len(w.Regions) > 0 && !slices.Contains(w.Regions, t.Region) || slices.Contains(w.Tried, t.Name) {
 			continue
 		}
-		s := p.state(t)
+		s := p.state(now, t)
 		cold := now.Before(t.ColdUntil)
 		if cold && !p.config.Cold.Sends(t.Name) || !s.open(now) {
 			rank++
@@ -149,9 +160,15 @@
 		}
 		c.wait = s.wait(now, t.Slots, p.mean(w.Service))
 		c.cost = c.wait + c.run + p.config.Trip(t.Region) + s.charge(now, e)
+		if t.Region != p.config.Region {
+			c.cost += time.Duration(farCharge * float64(w.Route.Objective))
+		}
 		if !c.known {
 			c.cost += time.Duration(float64(c.run)*(strangeCost-1)) + time.Duration(float64(rank)*rankStep*float64(e.strange.value()))
 		}
+		if s.unused(now) && c.wait == 0 && w.Route.Idempotent && p.config.Cold.Sends(t.Name) {
+			c.cost = 0
+		}
 		cs = append(cs, c)
 		rank++
 	}
@@ -241,7 +258,7 @@
 func (p *Placer) Told(now time.Time, l *Lease, o Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state(l.Target).tell(now, o)
+	p.state(now, l.Target).tell(now, o)
 }
 
 // InFlight returns the number of requests of this instance on each target that has some.
@@ -265,7 +282,7 @@
 		return
 	}
 	l.ended = true
-	s := p.state(l.Target)
+	s := p.state(now, l.Target)
 	s.inFlight--
 	s.end(now, o)
 	if o == Unreached || o == Shed {
@@ -301,7 +318,7 @@
 func (p *Placer) Lose(now time.Time, t *cataloger.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state(t).pausedTo = now.Add(lostPause)
+	p.state(now, t).pausedTo = now.Add(lostPause)
 }
 
 // Keep drops what is known of targets that are not in the catalog any more.
--- a/placer/target.go
+++ b/placer/target.go
@@ -59,20 +59,22 @@
 	started  int64
 	inFlight int
 	// others is the load of other instances when it was last told.
-	others     float64
-	othersAt   time.Time
-	ratio      mean
-	ratioAt    time.Time
-	faults     float64
-	row        int
-	pausedTo   time.Time
-	trial      bool
-	used       time.Time
+	others   float64
+	othersAt time.Time
+	ratio    mean
+	ratioAt  time.Time
+	faults   float64
+	row      int
+	pausedTo time.Time
+	trial    bool
+	used     time.Time
+	// joined is when the target was found after others were in use; zero for the first ones.
+	joined     time.Time
 	objects    objects
 	shedStreak int
 }
 
-func (p *Placer) state(t *cataloger.Target) *target {
+func (p *Placer) state(now time.Time, t *cataloger.Target) *target {
 	s := p.targets[t.Name]
 	if s == nil || s.started != t.Started {
 		n := 0
@@ -80,6 +82,9 @@
 			n = s.inFlight
 		}
 		s = &target{service: t.Service, started: t.Started, inFlight: n, ratio: mean{weight: slownessWeight, at: 1}}
+		if now.After(p.begun) {
+			s.joined = now
+		}
 		p.targets[t.Name] = s
 	}
 	return s
@@ -93,6 +98,11 @@
 	return !s.trial || s.inFlight == 0
 }
 
+// unused reports whether the target joined some time ago and had no request of this instance since.
+func (s *target) unused(now time.Time) bool {
+	return s.used.IsZero() && !s.joined.IsZero() && now.Sub(s.joined) > introduceAfter
+}
+
 // load is the number of requests on the target as far as known.
 func (s *target) load(now time.Time) float64 {
 	o := s.others
--- a/sharer/rendezvous.go
+++ b/sharer/rendezvous.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,3 +25,31 @@
 	}
 	return r
 }
+
+// Instance is an instance among which limits are divided.
+type Instance struct {
+	Name, Region string
+}
+
+// holders returns the instances with a part of an account: one in each region as far as the burst goes, then as many
+// as leave each at least partTokens.
+func holders(account string, instances []Instance, burst float64) []string {
+	regions := map[string][]string{}
+	for _, i := range instances {
+		regions[i.Region] = append(regions[i.Region], i.Name)
+	}
+	n := max(min(len(regions), int(burst)), int(burst/partTokens), 1)
+	for r, names := range regions {
+		regions[r] = highest(account, names, len(names))
+	}
+	var hs []string
+	order := highest(account, slices.Sorted(maps.Keys(regions)), len(regions))
+	for round := 0; len(hs) < min(n, len(instances)); round++ {
+		for _, r := range order {
+			if round < len(regions[r]) && len(hs) < n {
+				hs = append(hs, regions[r][round])
+			}
+		}
+	}
+	return hs
+}
--- a/sharer/shares.go
+++ b/sharer/shares.go
@@ -8,15 +8,19 @@
 )
 
 const (
-	// lowShare is the part of its burst below which an instance asks others for tokens of an account in use.
-	lowShare = 0.5
 	// inUse is how long after its last request an account counts as in use.
 	inUse = 2 * time.Second
-	// keepShare is the part of its tokens that an instance keeps when it is asked.
+	// keepShare is the part of the tokens of an account in use that an instance keeps when it is asked.
 	keepShare = 0.5
-	// firstQuiet and lastQuiet bound the pause between asks for an account of which nobody has tokens.
+	// firstQuiet and lastQuiet bound the pause after asks for an account of which nobody had tokens.
 	firstQuiet = 50 * time.Millisecond
 	lastQuiet  = 800 * time.Millisecond
+	// partTokens is the least size of a part; smaller parts would often be empty while others are full.
+	partTokens = 4
+	// aheadTime is the time for whose requests an instance without a token asks at once.
+	aheadTime = 500 * time.Millisecond
+	// rateLife is the time over which an instance averages its own requests of an account.
+	rateLife = 2 * time.Second
 )
 
 // Limit is the allowance of an account over all instances together.
@@ -39,13 +43,15 @@
 
 type share struct {
 	limit Limit
-	// holders are the instances with a part; an account has at most one for each token of its burst.
+	// holders are the instances with a part.
 	holders []string
 	// held is true if this instance is one of them.
 	held   bool
 	tokens float64
 	filled time.Time
 	used   time.Time
+	// rate is about how many requests a second this instance has.
+	rate float64
 	// quietTo is until when others are not asked, after asks that brought nothing; quiet is the length of that pause.
 	quietTo time.Time
 	quiet   time.Duration
@@ -58,7 +64,7 @@
 
 // Adopt replaces the accounts and the instances among which they are divided; new parts start empty, because a former
 // process of this instance may have used what they held.
-func (s *Shares) Adopt(now time.Time, limits map[string]Limit, instances []string) {
+func (s *Shares) Adopt(now time.Time, limits map[string]Limit, instances []Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for n, l := range limits {
@@ -69,7 +75,7 @@
 		}
 		s.fill(a, now)
 		a.limit = l
-		a.holders = highest(n, instances, max(int(l.Burst), 1))
+		a.holders = holders(n, instances, l.Burst)
 		a.held = slices.Contains(a.holders, s.self)
 		a.tokens = min(a.tokens, s.size(a))
 	}
@@ -136,11 +142,12 @@
 		return true
 	}
 	s.fill(a, now)
-	a.used = now
 	if a.tokens < 1 {
 		return false
 	}
 	a.tokens--
+	a.rate = a.rate*math.Exp(-float64(now.Sub(a.used))/float64(rateLife)) + 1/rateLife.Seconds()
+	a.used = now
 	return true
 }
 
@@ -159,26 +166,25 @@
 	return time.Duration((1 - min(a.tokens, 0.5)) / a.limit.Rate * float64(time.Second))
 }
 
-// Wanted returns the tokens to ask others for: what the parts in use have room for, of accounts that run low. An
-// account counts as asked for; until others give some, it is asked for at growing pauses.
-func (s *Shares) Wanted(now time.Time) map[string]int {
+// Need returns how many tokens of an account to ask another instance for; 0 means that the others had none lately.
+func (s *Shares) Need(now time.Time, account string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w := map[string]int{}
-	for n, a := range s.accounts {
-		if a.limit.Rate <= 0 || now.Sub(a.used) > inUse || now.Before(a.quietTo) {
-			continue
-		}
-		s.fill(a, now)
-		if a.tokens >= max(s.size(a)*lowShare, 1) {
-			continue
-		}
-		// An instance without a part asks for what one request needs, so that tokens do not pile up outside the parts.
-		w[n] = max(int(s.size(a)-a.tokens), 1)
+	a := s.accounts[account]
+	if a == nil || now.Before(a.quietTo) {
+		return 0
+	}
+	return 1 + int(a.rate*aheadTime.Seconds())
+}
+
+// Fruitless records that no instance that was asked had a token of an account.
+func (s *Shares) Fruitless(now time.Time, account string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a := s.accounts[account]; a != nil {
 		a.quiet = min(max(2*a.quiet, firstQuiet), lastQuiet)
 		a.quietTo = now.Add(a.quiet)
 	}
-	return w
 }
 
 // Give takes up to the wanted tokens out of this instance's parts. Half of what an account in use holds stays here, but
