--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -41,6 +41,9 @@
 type State struct {
 	// Contents are the versions of the newest rows of the store's tables.
 	Contents map[string]uint64 `json:"v"`
+	// ContactMilliseconds is how long ago the store last answered an instance, as far as the sender knows; negative if
+	// it never did.
+	ContactMilliseconds int64 `json:"c"`
 	// InFlight is the number of requests at each target; instances of other regions are not told.
 	InFlight map[string]int `json:"l,omitempty"`
 	Strikes  []Strike       `json:"x,omitempty"`
@@ -129,7 +132,7 @@
 	}
 	g.expire(now)
 	s := g.config.Hooks.State()
-	far := State{Contents: s.Contents, Strikes: s.Strikes}
+	far := State{Contents: s.Contents, ContactMilliseconds: s.ContactMilliseconds, Strikes: s.Strikes}
 	self := g.config.Hooks.Self()
 	near := map[netip.Addr]bool{}
 	for _, m := range g.config.Members.Alive(now) {
@@ -145,12 +148,15 @@
 	}
 }
 
-// Announce tells all living instances the present state at once.
-func (g *Gossiper) Announce() {
+// Announce tells the living instances of a region, or of all if it is empty, the present state at once.
+func (g *Gossiper) Announce(region string) {
 	s := g.config.Hooks.State()
-	d := datagram{From: g.config.Hooks.Self(), State: &State{Contents: s.Contents, Strikes: s.Strikes}}
+	s.InFlight = nil
+	d := datagram{From: g.config.Hooks.Self(), State: &s}
 	for _, m := range g.config.Members.Alive(g.config.Clock()) {
-		g.send(m.Address, d)
+		if region == "" || m.Region == region {
+			g.send(m.Address, d)
+		}
 	}
 }
 
--- a/handler/rows.go
+++ b/handler/rows.go
@@ -19,11 +19,13 @@
 	tableInstances = "instances"
 	// instancesWait is the long poll of that table, which changes only when instances are added or removed.
 	instancesWait = 15 * time.Second
+	// instancesPause is the pause after a change of it; all instances register at once when a fleet starts.
+	instancesPause = time.Second
 	// lapseLife is how long after an outage of the store rows that lapsed in it may come back, as the platform states.
 	lapseLife = 2 * time.Second
 	// idleRowLife is how long an instance is silent before its row is removed by another one.
 	idleRowLife = 10 * time.Minute
-	// sweepTimeout bounds a write to the table of instances.
+	// writeTimeout bounds a write to the table of instances.
 	writeTimeout = time.Second
 	// registerPause is the pause after a failed registration.
 	registerPause = 500 * time.Millisecond
--- a/handler/server.go
+++ b/handler/server.go
@@ -148,8 +148,14 @@
 	s.rows = replicator.New(replicator.Config{
 		Source: c.Store,
 		Peers:  s,
-		Tables: append(c.Tables, replicator.Table{Name: tableInstances, Wait: instancesWait, Changed: s.listInstances}),
-		Log:    c.Log,
+		Tables: s.announced(append(c.Tables, replicator.Table{
+			Name:    tableInstances,
+			Wait:    instancesWait,
+			Pause:   instancesPause,
+			Changed: s.listInstances,
+		})),
+		Follows: s.follows,
+		Log:     c.Log,
 	})
 	var err error
 	s.gossip, err = gossiper.Listen(gossiper.Config{
@@ -282,6 +288,6 @@
 	}
 	if s.ready.Swap(ready) != ready {
 		s.log.ReadyChanged(ready, reason)
-		s.gossip.Announce()
+		s.gossip.Announce("")
 	}
 }
--- a/handler/strikes.go
+++ b/handler/strikes.go
@@ -81,7 +81,7 @@
 	s.strikes.breaker.Strike(now, k)
 	s.strikes.mu.Unlock()
 	s.log.StrikeRecorded(c.accountName(), c.route.Name, t.Name)
-	s.gossip.Announce()
+	s.gossip.Announce("")
 	return true
 }
 
--- a/replicator/copy.go
+++ b/replicator/copy.go
@@ -143,6 +143,13 @@
 	return h, c.known
 }
 
+// Known reports whether the whole table was read from some source.
+func (c *Copy) Known() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.known
+}
+
 // Versions returns the version to follow from and that of the newest row; both are 0 while the table is not known.
 func (c *Copy) Versions() (followed, content uint64) {
 	c.mu.Lock()
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -20,7 +20,9 @@
 	// callTimeout bounds a call beyond its long poll; the platform states 4 ms for an answer, links add up to 110 ms.
 	callTimeout = 600 * time.Millisecond
 	// retryPause is the pause after a failed call; each call is charged to the platform's limits, refused ones too.
-	retryPause = 300 * time.Millisecond
+	retryPause = 400 * time.Millisecond
+	// followInterval is how often an instance that learns from others looks whether it has to call the store itself.
+	followInterval = 100 * time.Millisecond
 	// otherPause is the pause of the tables that wait for the end of an outage, for failures of a single call.
 	otherPause = time.Second
 	// behindPause is how long a copy may be behind a peer before the peer is asked; usually the store's own answer is on
@@ -63,8 +65,10 @@
 	// Tables begins with the table whose calls notice an outage; the calls of the others are repeated when it has ended,
 	// so that their long polls may be long.
 	Tables []Table
-	Log    *logger.Logger
-	Clock  timer.Clock
+	// Follows reports whether this instance calls the store; the others learn from those that do. Nil follows always.
+	Follows func() bool
+	Log     *logger.Logger
+	Clock   timer.Clock
 }
 
 // Replicator keeps the tables; it is safe for concurrent use.
@@ -86,6 +90,8 @@
 	Table
 	copy  *Copy
 	first bool
+	// wake is signaled when a peer was heard to be ahead.
+	wake chan struct{}
 
 	mu      sync.Mutex
 	applied sync.Mutex
@@ -101,7 +107,7 @@
 	}
 	r := &Replicator{config: c, tables: map[string]*table{}, resumed: make(chan struct{})}
 	for i, t := range c.Tables {
-		r.tables[t.Name] = &table{Table: t, copy: NewCopy(), first: i == 0}
+		r.tables[t.Name] = &table{Table: t, copy: NewCopy(), first: i == 0, wake: make(chan struct{}, 1)}
 	}
 	return r
 }
@@ -120,6 +126,12 @@
 func (r *Replicator) follow(ctx context.Context, t *table) {
 	whole := true
 	for ctx.Err() == nil {
+		if t.copy.Known() && !r.follows() {
+			if timer.Sleep(ctx, followInterval) != nil {
+				return
+			}
+			continue
+		}
 		resumed := r.outage()
 		h, err := r.call(ctx, t, whole, resumed)
 		switch {
@@ -147,6 +159,10 @@
 	}
 }
 
+func (r *Replicator) follows() bool {
+	return r.config.Follows == nil || r.config.Follows()
+}
+
 // pause waits before the next call; a table that is not the first one waits for the end of an outage.
 func (r *Replicator) pause(ctx context.Context, t *table, resumed <-chan struct{}) bool {
 	limit := retryPause
@@ -171,7 +187,7 @@
 		wait = 0
 	}
 	after, _ := t.copy.Versions()
-	whole = whole || after == 0
+	whole = whole || !t.copy.Known()
 	if whole {
 		wait = 0
 	}
@@ -203,6 +219,7 @@
 		case <-ctx.Done():
 			return
 		case <-k.C:
+		case <-t.wake:
 		}
 		if r.config.Peers == nil || !r.asksPeer(t) {
 			continue
@@ -219,8 +236,8 @@
 			continue
 		}
 		// The store's history is followed from the version that the store itself told.
-		if followed, _ := t.copy.Versions(); followed != 0 {
-			h.Version = followed
+		if t.copy.Known() {
+			h.Version, _ = t.copy.Versions()
 		}
 		r.apply(t, h)
 	}
@@ -238,7 +255,7 @@
 	if t.behind.IsZero() {
 		t.behind = r.config.Clock()
 	}
-	return r.Failing() || r.config.Clock().Sub(t.behind) >= behindPause
+	return r.Failing() || !r.follows() || r.config.Clock().Sub(t.behind) >= behindPause
 }
 
 func (r *Replicator) apply(t *table, h Change) {
@@ -259,8 +276,15 @@
 		return
 	}
 	t.mu.Lock()
+	ahead := content > t.peerContent
 	t.peerContent = max(t.peerContent, content)
 	t.mu.Unlock()
+	if ahead {
+		select {
+		case t.wake <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // Contents returns the version of the newest row of each table.
@@ -331,7 +355,7 @@
 	return r.returned
 }
 
-// Contact returns when the store last answered.
+// Contact returns when the store last answered this instance.
 func (r *Replicator) Contact() time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
