--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -21,6 +21,13 @@
 	// instances of fleets of up to ten in each round.
 	nearFanout = 5
 	farFanout  = 4
+	// loadInterval is the pause between what an instance tells of its requests in flight; placing gets worse the older
+	// that is, and 200 ms are less than most requests take.
+	loadInterval = 200 * time.Millisecond
+	// loadFanout bounds the instances that are told, and smallFleet is the number of others up to which those of other
+	// regions are told too.
+	loadFanout = 12
+	smallFleet = 10
 	// passedOn is the number of other instances of which a datagram tells.
 	passedOn = 2
 	// memberKeep is how long an instance of which nothing is heard is still tried.
@@ -43,10 +50,8 @@
 	Contents map[string]uint64 `json:"v"`
 	// ContactMilliseconds is how long ago the store last answered an instance, as far as the sender knows; negative if
 	// it never did.
-	ContactMilliseconds int64 `json:"c"`
-	// InFlight is the number of requests at each target; instances of other regions are not told.
-	InFlight map[string]int `json:"l,omitempty"`
-	Strikes  []Strike       `json:"x,omitempty"`
+	ContactMilliseconds int64    `json:"c"`
+	Strikes             []Strike `json:"x,omitempty"`
 }
 
 // datagram is what instances send each other; a field is empty if it does not apply.
@@ -54,6 +59,9 @@
 	From  Member    `json:"from"`
 	State *State    `json:"state,omitempty"`
 	Heard []heardOf `json:"heard,omitempty"`
+	// InFlight is the number of requests of the sender at each target.
+	InFlight map[string]int `json:"load,omitempty"`
+	Loaded   bool           `json:"loaded,omitempty"`
 	// Ask is the number of tokens wanted of each account, under an identifier that Give repeats.
 	Ask  map[string]int `json:"ask,omitempty"`
 	Give map[string]int `json:"give,omitempty"`
@@ -66,8 +74,12 @@
 	Self func() Member
 	// State returns what others are told.
 	State func() State
+	// InFlight returns the number of requests of this instance at each target.
+	InFlight func() map[string]int
 	// Heard is told what another instance said.
 	Heard func(Member, State)
+	// Load is told what another instance has in flight.
+	Load func(from netip.Addr, inFlight map[string]int)
 	// Give takes up to the wanted tokens from this instance's shares.
 	Give func(wanted map[string]int) map[string]int
 	// Receive adds tokens to this instance's shares.
@@ -117,6 +129,7 @@
 func (g *Gossiper) Run(ctx context.Context) {
 	var w sync.WaitGroup
 	w.Go(func() { g.receive(ctx) })
+	w.Go(func() { timer.Every(ctx, loadInterval, func(context.Context) { g.tellLoad() }) })
 	timer.Poll(ctx, Interval, func(context.Context) { g.round() })
 	if err := g.socket.Close(); err != nil {
 		g.config.Log.ListenerFailed("peers", err)
@@ -132,26 +145,28 @@
 	}
 	g.expire(now)
 	s := g.config.Hooks.State()
-	far := State{Contents: s.Contents, ContactMilliseconds: s.ContactMilliseconds, Strikes: s.Strikes}
-	self := g.config.Hooks.Self()
-	near := map[netip.Addr]bool{}
-	for _, m := range g.config.Members.Alive(now) {
-		near[m.Address] = m.Region == self.Region
-	}
-	heard := g.config.Members.sample(now, passedOn)
+	d := datagram{From: g.config.Hooks.Self(), State: &s, Heard: g.config.Members.sample(now, passedOn)}
 	for _, a := range g.config.Members.pick(now, nearFanout, farFanout) {
-		d := datagram{From: self, State: &far, Heard: heard}
-		if near[a] {
-			d.State = &s
-		}
 		g.send(a, d)
 	}
 }
 
+// tellLoad tells what this instance has in flight: the instances of its region, and all of a small fleet.
+func (g *Gossiper) tellLoad() {
+	ms := g.config.Members.Alive(g.config.Clock())
+	d := datagram{From: g.sender(), InFlight: g.config.Hooks.InFlight(), Loaded: true}
+	n := 0
+	for _, m := range ms {
+		if n < loadFanout && (m.Region == g.config.Members.self.Region || len(ms) < smallFleet) {
+			g.send(m.Address, d)
+			n++
+		}
+	}
+}
+
 // Announce tells the living instances of a region, or of all if it is empty, the present state at once.
 func (g *Gossiper) Announce(region string) {
 	s := g.config.Hooks.State()
-	s.InFlight = nil
 	d := datagram{From: g.config.Hooks.Self(), State: &s}
 	for _, m := range g.config.Members.Alive(g.config.Clock()) {
 		if region == "" || m.Region == region {
@@ -210,6 +225,9 @@
 	if d.State != nil {
 		g.config.Hooks.Heard(d.From, *d.State)
 	}
+	if d.Loaded {
+		g.config.Hooks.Load(d.From.Address, d.InFlight)
+	}
 	if len(d.Ask) > 0 {
 		g.send(d.From.Address, datagram{From: g.sender(), Give: g.config.Hooks.Give(d.Ask), ID: d.ID})
 		return
--- a/handler/peers.go
+++ b/handler/peers.go
@@ -64,7 +64,6 @@
 	return gossiper.State{
 		Contents:            s.rows.Contents(),
 		ContactMilliseconds: age,
-		InFlight:            s.placer.InFlight(),
 		Strikes:             s.recentStrikes(now),
 	}
 }
--- a/handler/server.go
+++ b/handler/server.go
@@ -162,11 +162,13 @@
 		Listen:  c.Settings.Peers,
 		Members: s.members,
 		Hooks: gossiper.Hooks{
-			Self:    s.self,
-			State:   s.state,
-			Heard:   s.hear,
-			Give:    func(w map[string]int) map[string]int { return s.shares.Give(s.clock(), w) },
-			Receive: func(g map[string]int) { s.shares.Receive(s.clock(), g) },
+			Self:     s.self,
+			State:    s.state,
+			InFlight: s.placer.InFlight,
+			Heard:    s.hear,
+			Load:     func(a netip.Addr, m map[string]int) { s.placer.Heard(s.clock(), a.String(), m) },
+			Give:     func(w map[string]int) map[string]int { return s.shares.Give(s.clock(), w) },
+			Receive:  func(g map[string]int) { s.shares.Receive(s.clock(), g) },
 		},
 		Log: c.Log,
 	})
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -64,6 +64,8 @@
 	Objective, Deadline time.Time
 	// Tried are the targets that had the request already.
 	Tried []string
+
+	key string
 }
 
 // Lease is a request on a target.
@@ -88,6 +90,7 @@
 	mu      sync.Mutex
 	targets map[string]*target
 	paces   map[paceKey]*pace
+	spares  map[string]*spare
 	orders  map[orderKey]order
 	// begun is when the first request came.
 	begun time.Time
@@ -102,7 +105,7 @@
 
 // New returns a placer that knows nothing.
 func New(c Config) *Placer {
-	return &Placer{config: c, targets: map[string]*target{}, paces: map[paceKey]*pace{}, orders: map[orderKey]order{}}
+	return &Placer{config: c, targets: map[string]*target{}, paces: map[paceKey]*pace{}, spares: map[string]*spare{}, orders: map[orderKey]order{}}
 }
 
 // candidate is a target with its estimate.
@@ -123,23 +126,62 @@
 	if p.begun.IsZero() {
 		p.begun = now
 	}
+	w.key = objectKey(w)
 	cs := p.candidates(now, pool, w)
-	slices.SortStableFunc(cs, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
-	for _, c := range cs {
+	for len(cs) > 0 {
+		i := p.best(now, w, cs)
+		c := cs[i]
 		if f := p.reject(now, w, c); f != nil {
 			return nil, f
 		}
-		if now.Before(c.target.ColdUntil) && !p.config.Cold.Take(now, c.target.Name, pool.ColdRate) {
-			continue
+		if !now.Before(c.target.ColdUntil) || p.config.Cold.Take(now, c.target.Name, pool.ColdRate) {
+			return p.start(now, w, c), nil
 		}
-		return p.start(now, w, c), nil
+		cs = slices.Delete(cs, i, i+1)
 	}
 	return nil, noTarget()
 }
 
+// best returns the index of the candidate with the least cost. If all targets that know the object are too busy to
+// answer in time, one with a free slot gets to know it as far as the service's spare time goes.
+func (p *Placer) best(now time.Time, w Work, cs []candidate) int {
+	best, known, free := 0, -1, -1
+	for i, c := range cs {
+		if c.cost < cs[best].cost {
+			best = i
+		}
+		if c.known && (known < 0 || c.cost < cs[known].cost) {
+			known = i
+		}
+		if !c.known && c.wait == 0 && (free < 0 || c.cost < cs[free].cost) {
+			free = i
+		}
+	}
+	switch {
+	case known < 0:
+		return best
+	case cs[best].known && !p.late(now, w, cs[known]):
+		return best
+	case free >= 0 && p.spareOf(w.Service).take(cs[free].run):
+		return free
+	}
+	return known
+}
+
+// late reports whether a candidate's answer would miss the objective because of its queue.
+func (p *Placer) late(now time.Time, w Work, c candidate) bool {
+	return c.wait > 0 && p.end(now, c).After(w.Objective)
+}
+
+// end is when a candidate's answer would be with the caller.
+func (p *Placer) end(now time.Time, c candidate) time.Time {
+	return now.Add(c.wait + c.run + p.config.Trip(c.target.Region))
+}
+
 // candidates estimates all targets that may have the request.
 func (p *Placer) candidates(now time.Time, pool *cataloger.Pool, w Work) []candidate {
 	e := p.pace(w)
+	mean := p.mean(w.Service)
 	ts := p.order(pool, w)
 	cs := make([]candidate, 0, len(ts))
 	rank := 0
@@ -153,13 +195,13 @@
 			rank++
 			continue
 		}
-		c := candidate{target: t, state: s, known: w.Object == "" || s.objects.has(objectKey(w))}
+		c := candidate{target: t, state: s, known: w.Object == "" || s.objects.has(w.key)}
 		c.run = time.Duration(float64(e.expected(c.known, rank)) * s.slowness(now))
 		if cold {
 			c.run *= coldSlowness
 		}
-		c.wait = s.wait(now, t.Slots, p.mean(w.Service))
-		c.cost = c.wait + c.run + p.config.Trip(t.Region) + s.charge(now, e)
+		c.wait = s.wait(now, t.Slots, mean)
+		c.cost = c.wait + c.run + p.config.Trip(t.Region) + s.charge(e)
 		if t.Region != p.config.Region {
 			c.cost += time.Duration(farCharge * float64(w.Route.Objective))
 		}
@@ -177,11 +219,11 @@
 
 // reject returns a refusal if the best candidate cannot answer in time.
 func (p *Placer) reject(now time.Time, w Work, c candidate) *responder.Refusal {
-	end := now.Add(c.wait + c.run + p.config.Trip(c.target.Region)/2)
+	end := p.end(now, c)
 	switch {
 	case end.After(w.Deadline):
 		return tooLate(end.Sub(w.Deadline))
-	case c.wait > 0 && end.After(w.Objective):
+	case p.late(now, w, c):
 		return tooLate(end.Sub(w.Objective))
 	}
 	return nil
@@ -211,7 +253,7 @@
 	c.state.inFlight++
 	c.state.used = now
 	// Requests for the object that follow run after this one.
-	c.state.objects.add(objectKey(w))
+	c.state.objects.add(w.key)
 	return &Lease{
 		Target: c.target,
 		Wait:   c.wait,
@@ -225,7 +267,7 @@
 
 // order returns the targets of a pool in the object's own order, which all instances share.
 func (p *Placer) order(pool *cataloger.Pool, w Work) []*cataloger.Target {
-	k := orderKey{service: w.Service, object: objectKey(w)}
+	k := orderKey{service: w.Service, object: w.key}
 	if o, ok := p.orders[k]; ok && o.pool == pool {
 		return o.targets
 	}
@@ -261,6 +303,22 @@
 	p.state(now, l.Target).tell(now, o)
 }
 
+// Heard takes over the number of requests that another instance has on each target.
+func (p *Placer) Heard(now time.Time, instance string, inFlight map[string]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for n, s := range p.targets {
+		if k := inFlight[n]; k > 0 {
+			if s.peers == nil {
+				s.peers = map[string]report{}
+			}
+			s.peers[instance] = report{inFlight: k, at: now}
+		} else {
+			delete(s.peers, instance)
+		}
+	}
+}
+
 // InFlight returns the number of requests of this instance on each target that has some.
 func (p *Placer) InFlight() map[string]int {
 	p.mu.Lock()
@@ -286,7 +344,7 @@
 	s.inFlight--
 	s.end(now, o)
 	if o == Unreached || o == Shed {
-		s.objects.remove(objectKey(l.work))
+		s.objects.remove(l.work.key)
 	}
 	if o != Answered {
 		return
@@ -296,6 +354,9 @@
 		p.observe(now, l, s, d)
 	}
 	p.meanOf(l.work.Service).add(min(d, l.Wait+4*l.Run) - l.Wait)
+	if l.Known {
+		p.spareOf(l.work.Service).add(l.Run)
+	}
 }
 
 // observe learns from the time that a request took while no other one waited.
--- a/placer/target.go
+++ b/placer/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"math"
 	"time"
 
 	"celeryhead.dev/celeryhead/cataloger"
@@ -13,8 +14,14 @@
 	lastPause  = 3 * time.Second
 	// shedPause is how long a target gets nothing after it rejected a request as full.
 	shedPause = 60 * time.Millisecond
-	// othersLife is the time in which the load of other instances that a target told loses its meaning.
-	othersLife = 600 * time.Millisecond
+	// toldLife is how long the load that a target told itself counts more than what is added up of it.
+	toldLife = 100 * time.Millisecond
+	// heardLife is how long what another instance told of its requests counts; it tells them five times a second.
+	heardLife = 600 * time.Millisecond
+	// restWeight is the weight of the newest answer in the load of instances that do not tell theirs, and restFade the
+	// time in which that load loses its meaning.
+	restWeight = 0.4
+	restFade   = 2 * time.Second
 	// faultWeight is the weight of the newest outcome in a target's rate of faults.
 	faultWeight = 0.2
 	// slownessWeight is the weight of the newest request in a target's slowness.
@@ -53,14 +60,23 @@
 	Running, Waiting, Slots int
 }
 
+// report is what another instance told of its requests on a target.
+type report struct {
+	inFlight int
+	at       time.Time
+}
+
 // target is what this instance knows of one target.
 type target struct {
 	service  string
 	started  int64
 	inFlight int
-	// others is the load of other instances when it was last told.
-	others   float64
-	othersAt time.Time
+	// told is the load of all other instances when the target last told its load.
+	told   float64
+	toldAt time.Time
+	// peers is what other instances told of their requests here; rest is a mean of what they left out.
+	peers    map[string]report
+	rest     float64
 	ratio    mean
 	ratioAt  time.Time
 	faults   float64
@@ -105,13 +121,29 @@
 
 // load is the number of requests on the target as far as known.
 func (s *target) load(now time.Time) float64 {
-	o := s.others
-	if d := now.Sub(s.othersAt); d >= othersLife {
-		o = 0
-	} else {
-		o *= 1 - float64(d)/float64(othersLife)
+	if now.Sub(s.toldAt) <= toldLife {
+		return float64(s.inFlight) + s.told
+	}
+	rest := s.rest * math.Exp(-float64(now.Sub(s.toldAt))/float64(restFade))
+	return float64(s.inFlight) + s.heard(now) + rest
+}
+
+// heard is the number of requests of the instances that tell theirs.
+func (s *target) heard(now time.Time) float64 {
+	n := 0
+	for _, h := range s.peers {
+		if now.Sub(h.at) <= heardLife {
+			n += h.inFlight
+		}
 	}
-	return float64(s.inFlight) + o
+	return float64(n)
+}
+
+func (s *target) tell(now time.Time, o Load) {
+	s.told = max(0, float64(o.Running+o.Waiting-s.inFlight))
+	rest := max(0, s.told-s.heard(now))
+	s.rest += (rest - s.rest) * max(restWeight, 1-math.Exp(-float64(now.Sub(s.toldAt))/float64(restFade)))
+	s.toldAt = now
 }
 
 // wait estimates the wait for a slot.
@@ -132,15 +164,10 @@
 }
 
 // charge is the time that the target's faults are expected to cost.
-func (s *target) charge(_ time.Time, e *pace) time.Duration {
+func (s *target) charge(e *pace) time.Duration {
 	return time.Duration(s.faults * 2 * float64(e.strange.value()))
 }
 
-func (s *target) tell(now time.Time, o Load) {
-	s.others = max(0, float64(o.Running+o.Waiting-s.inFlight))
-	s.othersAt = now
-}
-
 func (s *target) end(now time.Time, o Outcome) {
 	fault := 0.0
 	switch o {
--- /dev/null
+++ b/sharer/shares_test.go
@@ -0,0 +1,156 @@
+package sharer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"celeryhead.dev/celeryhead/sharer"
+)
+
+var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+// fleet is a number of instances that share one account.
+type fleet struct {
+	names  []sharer.Instance
+	shares []*sharer.Shares
+	limit  sharer.Limit
+}
+
+func newFleet(n int, l sharer.Limit, now time.Time) *fleet {
+	f := &fleet{limit: l}
+	for i := range n {
+		f.names = append(f.names, sharer.Instance{Name: fmt.Sprintf("instance-%d", i), Region: fmt.Sprintf("region-%d", i%3)})
+	}
+	for _, i := range f.names {
+		f.shares = append(f.shares, f.fresh(i.Name, now))
+	}
+	return f
+}
+
+// fresh returns the shares of a process that has just started.
+func (f *fleet) fresh(name string, now time.Time) *sharer.Shares {
+	s := sharer.NewShares(name)
+	s.Extend(now, now.Add(time.Hour))
+	s.Adopt(now, map[string]sharer.Limit{"bakery": f.limit}, f.names)
+	return s
+}
+
+// take takes a token at instance i, borrowing from the holders in turn as an instance does.
+func (f *fleet) take(now time.Time, i int, lost func() bool) bool {
+	s := f.shares[i]
+	if s.Take(now, "bakery") {
+		return true
+	}
+	for _, h := range s.Holders("bakery") {
+		k := s.Need(now, "bakery")
+		if k == 0 || h == f.names[i].Name {
+			continue
+		}
+		for j, n := range f.names {
+			if n.Name != h {
+				continue
+			}
+			if g := f.shares[j].Give(now, map[string]int{"bakery": k}); !lost() {
+				s.Receive(now, g)
+			}
+		}
+		if s.Take(now, "bakery") {
+			return true
+		}
+	}
+	s.Fruitless(now, "bakery")
+	return false
+}
+
+// Guards against an account that gets more than its rate and burst over all instances together, whatever instances
+// restart and whatever answers are lost.
+func TestSharesNeverExceedAllowance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "instances")
+		l := sharer.Limit{Rate: float64(rapid.IntRange(1, 60).Draw(t, "rate")), Burst: float64(rapid.IntRange(1, 60).Draw(t, "burst"))}
+		f := newFleet(n, l, start)
+		now, taken := start, 0
+		loss := rapid.Float64Range(0, 0.5).Draw(t, "loss")
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(r.IntN(50)) * time.Millisecond)
+			i := r.IntN(n)
+			switch r.IntN(40) {
+			case 0:
+				f.shares[i] = f.fresh(f.names[i].Name, now)
+			default:
+				if f.take(now, i, func() bool { return r.Float64() < loss }) {
+					taken++
+				}
+			}
+			if limit := l.Burst + l.Rate*now.Sub(start).Seconds(); float64(taken) > limit+1e-6 {
+				t.Fatalf("%d taken of %.2f after %v", taken, limit, now.Sub(start))
+			}
+		}
+	})
+}
+
+// Guards against refusing an account that stays under its rate because its tokens lie at other instances. The load is
+// that of a small account of a fleet of 34 instances: 14 requests a second allowed, 6 sent, at any instance.
+func TestSmallAccountIsServed(t *testing.T) {
+	f := newFleet(34, sharer.Limit{Rate: 14, Burst: 14}, start)
+	r := rand.New(rand.NewPCG(1, 1))
+	now, refused := start.Add(2*time.Second), 0
+	const requests = 600
+	for range requests {
+		now = now.Add(time.Duration(r.ExpFloat64() / 6 * float64(time.Second)))
+		if !f.take(now, r.IntN(34), func() bool { return false }) {
+			refused++
+		}
+	}
+	if refused > requests/100 {
+		t.Errorf("%d of %d requests refused; at most 1 in 100 may be", refused, requests)
+	}
+}
+
+// Guards against a restarted process that gives its account a second burst.
+func TestRestartStartsEmpty(t *testing.T) {
+	f := newFleet(1, sharer.Limit{Rate: 1, Burst: 50}, start)
+	now := start.Add(time.Minute)
+	if !f.shares[0].Take(now, "bakery") {
+		t.Fatal("a full share refuses")
+	}
+	if s := f.fresh("instance-0", now); s.Take(now, "bakery") {
+		t.Error("a restarted process has tokens")
+	}
+}
+
+// Guards against shares that fill on in an instance whose part others may have taken over.
+func TestSharesEndWithoutExtension(t *testing.T) {
+	s := sharer.NewShares("a")
+	s.Extend(start, start.Add(time.Second))
+	s.Adopt(start, map[string]sharer.Limit{"bakery": {Rate: 1, Burst: 100}}, []sharer.Instance{{Name: "a", Region: "r"}})
+	now, n := start.Add(time.Minute), 0
+	for s.Take(now, "bakery") {
+		n++
+	}
+	if n != 1 {
+		t.Errorf("%d tokens after an extension of 1 s at 1 a second", n)
+	}
+}
+
+// Guards against a limit that is lowered and does not bind the tokens that were there.
+func TestLoweredLimitBinds(t *testing.T) {
+	s := sharer.NewShares("a")
+	is := []sharer.Instance{{Name: "a", Region: "r"}}
+	s.Extend(start, start.Add(time.Hour))
+	s.Adopt(start, map[string]sharer.Limit{"bakery": {Rate: 100, Burst: 100}}, is)
+	now := start.Add(time.Minute)
+	s.Adopt(now, map[string]sharer.Limit{"bakery": {Rate: 2, Burst: 3}}, is)
+	n := 0
+	for s.Take(now, "bakery") {
+		n++
+	}
+	if n != 3 {
+		t.Errorf("%d tokens with a burst of 3", n)
+	}
+}
