--- a/placer/placer.go
+++ b/placer/placer.go
@@ -19,6 +19,10 @@
 	// strangeCost is the factor by which work on a target that does not know the object counts, since it occupies the
 	// slot longer than it would elsewhere.
 	strangeCost = 1.3
+	// roomShare is the part of the targets that have a free slot while a service is not overloaded.
+	roomShare = 0.1
+	// roomPatience is the part of the objective by which an answer may be late while the service is not overloaded.
+	roomPatience = 1.0
 	// farCharge is the part of the objective by which another region counts as farther than it is: links between regions
 	// are narrow and shared.
 	farCharge = 0.15
@@ -66,6 +70,8 @@
 	Tried []string
 
 	key string
+	// room is true if the service is not overloaded.
+	room bool
 }
 
 // Lease is a request on a target.
@@ -128,6 +134,7 @@
 	}
 	w.key = objectKey(w)
 	cs := p.candidates(now, pool, w)
+	w.room = hasRoom(cs)
 	for len(cs) > 0 {
 		i := p.best(now, w, cs)
 		c := cs[i]
@@ -142,6 +149,17 @@
 	return nil, noTarget()
 }
 
+// hasRoom reports whether enough targets have a free slot for the service not to be overloaded.
+func hasRoom(cs []candidate) bool {
+	n := 0
+	for _, c := range cs {
+		if c.wait == 0 {
+			n++
+		}
+	}
+	return float64(n) >= roomShare*float64(len(cs))
+}
+
 // best returns the index of the candidate with the least cost. If all targets that know the object are too busy to
 // answer in time, one with a free slot gets to know it as far as the service's spare time goes.
 func (p *Placer) best(now time.Time, w Work, cs []candidate) int {
@@ -168,9 +186,14 @@
 	return known
 }
 
-// late reports whether a candidate's answer would miss the objective because of its queue.
+// late reports whether a candidate's answer would miss the objective because of its queue. While the service
+// is not overloaded a later answer is better than none.
 func (p *Placer) late(now time.Time, w Work, c candidate) bool {
-	return c.wait > 0 && p.end(now, c).After(w.Objective)
+	patience := 0.0
+	if w.room {
+		patience = roomPatience
+	}
+	return c.wait > 0 && p.end(now, c).After(w.Objective.Add(time.Duration(patience*float64(w.Route.Objective))))
 }
 
 // end is when a candidate's answer would be with the caller.
