--- /dev/null
+++ b/cataloger/cataloger_test.go
@@ -0,0 +1,123 @@
+package cataloger_test
+
+import (
+	"crypto/sha256"
+	"maps"
+	"net/netip"
+	"slices"
+	"testing"
+
+	"celeryhead.dev/celeryhead/authenticator"
+	"celeryhead.dev/celeryhead/cataloger"
+)
+
+func configuration(version uint64) cataloger.Configuration {
+	return cataloger.Configuration{
+		Version: version,
+		Routes: []cataloger.Route{
+			{Name: "all", Host: "ice.example", Prefix: "/a/"},
+			{Name: "part", Host: "ice.example", Prefix: "/a/b/", Regions: []string{"almaty"}},
+		},
+		Accounts: []cataloger.Account{{Name: "bakery", Keys: []authenticator.Digest{sha256.Sum256([]byte("k"))}}},
+		Services: []cataloger.Service{{Name: "map"}},
+	}
+}
+
+// Guards against a request that gets the route of a shorter prefix, another host's, or none.
+func TestFindTakesLongestPrefix(t *testing.T) {
+	b := cataloger.NewBook()
+	b.Configure(configuration(1))
+	for _, c := range []struct{ host, path, want string }{
+		{"ice.example", "/a/b/c", "part"},
+		{"ICE.example:80", "/a/b/", "part"},
+		{"ice.example", "/a/bc", "all"},
+		{"ice.example", "/a", ""},
+		{"other.example", "/a/b/", ""},
+	} {
+		r, ok := b.Catalog().Find(c.host, c.path)
+		if got := ""; ok != (c.want != "") || ok && r.Name != c.want {
+			if ok {
+				got = r.Name
+			}
+			t.Errorf("%s%s: route %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+// Guards against an older configuration that comes late and replaces a newer one.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	b := cataloger.NewBook()
+	if !b.Configure(configuration(7)) || b.Configure(configuration(6)) || b.Configure(configuration(7)) {
+		t.Error("took over a version that is not newer")
+	}
+	if v := b.Catalog().Version; v != 7 {
+		t.Errorf("version %d", v)
+	}
+}
+
+func target(name, domain string) cataloger.Target {
+	return cataloger.Target{Name: name, Service: "map", FailureDomain: domain, Address: netip.MustParseAddrPort("10.0.0.1:80")}
+}
+
+// Guards against requests to targets that leave, or whose failure domain is evacuated.
+func TestUnusableTargetsAreLeftOut(t *testing.T) {
+	b := cataloger.NewBook()
+	b.Configure(configuration(1))
+	gone := target("c", "arbat")
+	gone.Leaving = true
+	b.Assign(map[string]cataloger.Target{"a": target("a", "arbat"), "b": target("b", "medeu"), "c": gone})
+	names := func() (r []string) {
+		for _, k := range b.Catalog().Pool("map").Targets {
+			r = append(r, k.Name)
+		}
+		return r
+	}
+	if got := names(); !slices.Equal(got, []string{"a", "b"}) {
+		t.Errorf("targets %v", got)
+	}
+	b.Evacuate(map[string]bool{"arbat": true})
+	if got := names(); !slices.Equal(got, []string{"b"}) || b.Catalog().Has("a") {
+		t.Errorf("targets %v during an evacuation", got)
+	}
+	if _, ok := b.Catalog().Target("map", "a"); ok {
+		t.Error("an evacuated target is found")
+	}
+	b.Evacuate(nil)
+	if got := names(); !slices.Equal(got, []string{"a", "b"}) {
+		t.Errorf("targets %v after the evacuation", got)
+	}
+}
+
+// Guards against two limits to regions of which only one binds.
+func TestIntersect(t *testing.T) {
+	for _, c := range []struct{ a, b, want []string }{
+		{nil, nil, nil},
+		{nil, []string{"x"}, []string{"x"}},
+		{[]string{"x", "y"}, []string{"y", "z"}, []string{"y"}},
+		{[]string{"x"}, []string{"y"}, []string{""}},
+	} {
+		if got := cataloger.Intersect(c.a, c.b); !slices.Equal(got, c.want) {
+			t.Errorf("%v and %v: %v, want %v", c.a, c.b, got, c.want)
+		}
+	}
+}
+
+// Guards against targets that are dropped because their rows lapsed while the store was away, or kept for ever.
+func TestRosterKeepsLapsedTargets(t *testing.T) {
+	var r cataloger.Roster
+	r.List(map[string]cataloger.Target{"a": target("a", "x"), "b": target("b", "x")}, false)
+	r.List(map[string]cataloger.Target{"b": target("b", "x")}, true)
+	if got := slices.Sorted(maps.Keys(r.Targets())); !slices.Equal(got, []string{"a", "b"}) {
+		t.Errorf("targets %v after an outage", got)
+	}
+	if !r.Lapse() || r.Lapse() {
+		t.Error("the lapsed target is not dropped once")
+	}
+	if got := slices.Sorted(maps.Keys(r.Targets())); !slices.Equal(got, []string{"b"}) {
+		t.Errorf("targets %v", got)
+	}
+	r.List(nil, false)
+	if len(r.Targets()) != 0 {
+		t.Error("a target that left without an outage is kept")
+	}
+}
--- /dev/null
+++ b/gossiper/gossiper_test.go
@@ -0,0 +1,173 @@
+package gossiper_test
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"celeryhead.dev/celeryhead/gossiper"
+	"celeryhead.dev/celeryhead/logger"
+)
+
+var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+func member(n byte, region string) gossiper.Member {
+	return gossiper.Member{Name: string('a' + rune(n)), Address: netip.AddrFrom4([4]byte{127, 0, 0, n}), Region: region, Started: 1, Ready: true}
+}
+
+// Guards against callers who are sent to an instance that ended long ago, or not to one that returned.
+func TestSilentMembersAreNotAlive(t *testing.T) {
+	m := gossiper.NewMembers(member(1, "r"), nil)
+	if !m.Hear(member(2, "r"), start) {
+		t.Error("a new member is no news")
+	}
+	now := start.Add(gossiper.Silence + time.Millisecond)
+	if as := m.Alive(now); len(as) != 0 {
+		t.Errorf("alive after its silence: %v", as)
+	}
+	if s := m.Sweep(now, time.Hour); len(s) != 1 {
+		t.Errorf("%d members found silent", len(s))
+	}
+	if s := m.Sweep(now, time.Hour); len(s) != 0 {
+		t.Error("found silent twice")
+	}
+	if !m.Hear(member(2, "r"), now) || len(m.Alive(now)) != 1 {
+		t.Error("a member that returned is not alive")
+	}
+}
+
+// Guards against late news of an earlier process that replace those of the present one.
+func TestNewsOfEarlierProcessIsIgnored(t *testing.T) {
+	m := gossiper.NewMembers(member(1, "r"), nil)
+	k := member(2, "r")
+	k.Started = 5
+	m.Hear(k, start)
+	old := member(2, "r")
+	old.Ready = false
+	m.Hear(old, start.Add(time.Second))
+	if as := m.Alive(start); len(as) != 1 || !as[0].Ready {
+		t.Errorf("alive %v", as)
+	}
+}
+
+// node is an instance with a few tokens.
+type node struct {
+	gossip  *gossiper.Gossiper
+	members *gossiper.Members
+
+	mu     sync.Mutex
+	tokens int
+	load   map[string]int
+}
+
+func newNode(t *testing.T, n byte, port uint16, tokens int, seeds ...netip.Addr) *node {
+	t.Helper()
+	self := member(n, "r")
+	k := &node{members: gossiper.NewMembers(self, seeds), tokens: tokens}
+	var err error
+	k.gossip, err = gossiper.Listen(gossiper.Config{
+		Listen:  netip.AddrPortFrom(self.Address, port),
+		Members: k.members,
+		Log:     logger.Discard(),
+		Hooks: gossiper.Hooks{
+			Self:     func() gossiper.Member { return self },
+			State:    func() gossiper.State { return gossiper.State{ContactMilliseconds: -1} },
+			InFlight: func() map[string]int { return map[string]int{"target": int(n)} },
+			Heard:    func(gossiper.Member, gossiper.State) {},
+			Load: func(_ netip.Addr, m map[string]int) {
+				k.mu.Lock()
+				defer k.mu.Unlock()
+				k.load = m
+			},
+			Give: func(w map[string]int) map[string]int {
+				k.mu.Lock()
+				defer k.mu.Unlock()
+				n := min(w["account"], k.tokens)
+				k.tokens -= n
+				return map[string]int{"account": n}
+			},
+			Receive: func(g map[string]int) {
+				k.mu.Lock()
+				defer k.mu.Unlock()
+				k.tokens += g["account"]
+			},
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		k.gossip.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return k
+}
+
+func (k *node) count() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.tokens
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	k := time.NewTicker(10 * time.Millisecond)
+	defer k.Stop()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); <-k.C {
+		if f() {
+			return
+		}
+	}
+	t.Fatal(what)
+}
+
+// Guards against instances that do not find each other: the third knows only the first, and hears of the second.
+func TestMembersFindEachOther(t *testing.T) {
+	const port = 39411
+	a := newNode(t, 41, port, 0)
+	b := newNode(t, 42, port, 0, netip.AddrFrom4([4]byte{127, 0, 0, 41}))
+	c := newNode(t, 43, port, 0, netip.AddrFrom4([4]byte{127, 0, 0, 41}))
+	for _, k := range []*node{a, b, c} {
+		eventually(t, "not all instances are known", func() bool { return len(k.members.Alive(time.Now())) == 2 })
+	}
+	eventually(t, "the load of others is not told", func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.load["target"] > 0
+	})
+}
+
+// Guards against tokens that appear from nowhere when they move between instances.
+func TestTokensMove(t *testing.T) {
+	const port = 39412
+	a, b := newNode(t, 41, port, 0), newNode(t, 42, port, 5)
+	select {
+	case <-a.gossip.Ask(netip.AddrFrom4([4]byte{127, 0, 0, 42}), map[string]int{"account": 3}):
+	case <-time.After(20 * time.Second):
+		t.Fatal("no answer")
+	}
+	if a.count() != 3 || b.count() != 2 {
+		t.Errorf("%d and %d tokens, want 3 and 2", a.count(), b.count())
+	}
+}
+
+// Guards against answers whose order changes from one look-up to the next.
+func TestAliveIsOrdered(t *testing.T) {
+	m := gossiper.NewMembers(member(1, "r"), nil)
+	for _, n := range []byte{9, 3, 7} {
+		m.Hear(member(n, "r"), start)
+	}
+	as := m.Alive(start)
+	if !slices.IsSortedFunc(as, func(a, b gossiper.Member) int { return a.Address.Compare(b.Address) }) || len(as) != 3 {
+		t.Errorf("alive %v", as)
+	}
+}
