Suspect targets that go dark, and send look-ups elsewhere

Change: a request that takes 250 ms and three usual runs longer than expected, while the target answered nothing else, makes its target suspected; one that may run twice goes elsewhere.

--- a/handler/forward.go
+++ b/handler/forward.go
@@ -130,6 +130,7 @@
 	r.Header = c.request.Header.Clone()
 	s.protocol.Address(r.Header, l.Target, c.accountName())
 	r.Body = c.body.Open()
+	ctx, w := s.watch(ctx, c, l)
 	x, err := s.targets.Do(ctx, forwarder.Call{
 		Address:  l.Target.Address,
 		Request:  &r,
@@ -137,14 +138,15 @@
 		Before:   func() error { return s.mayRun(c, l.Target) },
 	})
 	if err != nil {
-		return s.failed(ctx, c, l, err)
+		return s.failed(ctx, c, l, w, err)
 	}
 	if o, ok := s.protocol.Load(x.Header); ok {
 		s.placer.Told(s.clock(), l, o)
 	}
-	if err := buffer(x); err != nil {
-		return s.failed(ctx, c, l, err)
+	if err := buffer(x, w.stop); err != nil {
+		return s.failed(ctx, c, l, w, err)
 	}
+	w.timer.Stop()
 	a := &attempt{answer: x, outcome: placer.Answered}
 	if x.Status >= http.StatusInternalServerError {
 		a.outcome = placer.Failed
@@ -153,21 +155,31 @@
 	return a
 }
 
-// buffer reads the beginning of an answer, so that one that breaks off early reaches no caller.
-func buffer(x *forwarder.Answer) error {
+// buffer reads the beginning of an answer, so that one that breaks off early reaches no caller; closed is called when
+// the answer is closed.
+func buffer(x *forwarder.Answer, closed func()) error {
 	b, err := io.ReadAll(io.LimitReader(x.Body, bufferedAnswer))
 	if err != nil {
 		_ = x.Body.Close()
 		return err
 	}
-	rest := x.Body
-	x.Body = struct {
-		io.Reader
-		io.Closer
-	}{io.MultiReader(bytes.NewReader(b), rest), rest}
+	x.Body = &bufferedBody{Reader: io.MultiReader(bytes.NewReader(b), x.Body), rest: x.Body, closed: closed}
 	return nil
 }
 
+// bufferedBody is an answer of which the beginning was read.
+type bufferedBody struct {
+	io.Reader
+	rest   io.Closer
+	closed func()
+}
+
+// Close ends the exchange.
+func (b *bufferedBody) Close() error {
+	defer b.closed()
+	return b.rest.Close()
+}
+
 // mayRun is asked just before the first byte goes to a target: what the request was accepted by may not hold any more.
 func (s *Server) mayRun(c *call, t *cataloger.Target) error {
 	k := s.book.Catalog()
@@ -184,13 +196,17 @@
 }
 
 // failed ends the lease of a request without an answer.
-func (s *Server) failed(ctx context.Context, c *call, l *placer.Lease, err error) *attempt {
+func (s *Server) failed(ctx context.Context, c *call, l *placer.Lease, w *watch, err error) *attempt {
 	var x *forwarder.Failure
 	if !errors.As(err, &x) {
 		x = &forwarder.Failure{Reason: responder.TargetFailed, Ran: responder.Unknown, Err: err}
 	}
 	now := s.clock()
 	a := &attempt{failure: x, outcome: s.outcome(ctx, c, x)}
+	w.stop()
+	if w.gaveUp.Load() {
+		a.outcome = placer.Silent
+	}
 	s.placer.End(now, l, a.outcome)
 	if x.Status != 0 {
 		if o, ok := s.protocol.Load(x.Header); ok {
--- a/logger/events.go
+++ b/logger/events.go
@@ -56,6 +56,7 @@
 	datagramRefused    = register(3011, log.WarnLevel, "datagram not sent or not usable")
 	requestEnded       = register(4101, log.InfoLevel, "request ended")
 	attemptFailed      = register(4102, log.InfoLevel, "attempt at a target failed")
+	targetSuspected    = register(4103, log.WarnLevel, "target suspected to be gone")
 	readyChanged       = register(1009, log.InfoLevel, "readiness changed")
 	settingsReloaded   = register(1010, log.InfoLevel, "settings reloaded")
 	settingsRejected   = register(1011, log.ErrorLevel, "settings are not usable; the former ones stay in use")
@@ -369,3 +370,8 @@
 func (l *Logger) DatagramRefused(peer string, err error) {
 	l.emit(datagramRefused, log.Fields{"peer": peer, "error": err.Error()})
 }
+
+// TargetSuspected reports a target that answered nothing since a request began, for longer than requests usually take.
+func (l *Logger) TargetSuspected(id, target string, d time.Duration) {
+	l.emit(targetSuspected, log.Fields{"request_id": id, "target": target, "seconds": seconds(d)})
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -34,6 +34,12 @@
 	// minRetryAfter and maxRetryAfter bound the wait that a rejected caller is told.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = time.Second
+	// patienceRuns is how many times its usual run a request may take, and patienceSlack what is added for the way,
+	// before the target is suspected to be gone.
+	patienceRuns  = 3
+	patienceSlack = 250 * time.Millisecond
+	// suspectPause is how long a suspected target gets nothing.
+	suspectPause = time.Second
 	// lostPause is how long a target gets nothing after its address was found to be another's; its row is gone by then.
 	lostPause = 10 * time.Second
 	// maxOrders bounds the remembered orders of targets.
@@ -323,7 +329,9 @@
 func (p *Placer) Told(now time.Time, l *Lease, o Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state(now, l.Target).tell(now, o)
+	s := p.state(now, l.Target)
+	s.answered = now
+	s.tell(now, o)
 }
 
 // Heard takes over the number of requests that another instance has on each target.
@@ -365,6 +373,9 @@
 	l.ended = true
 	s := p.state(now, l.Target)
 	s.inFlight--
+	if o == Answered || o == Failed || o == Shed {
+		s.answered = now
+	}
 	s.end(now, o)
 	if o == Unreached || o == Shed {
 		s.objects.remove(l.work.key)
@@ -398,6 +409,26 @@
 	e.learn(known, d)
 }
 
+// Patience is how long a request may take before its target is suspected to be gone.
+func (l *Lease) Patience() time.Duration {
+	return l.Wait + patienceRuns*l.Run + patienceSlack
+}
+
+// Suspect pauses the target of a request that had no answer yet, unless the target answered another one since the
+// request began; it reports whether it did.
+func (p *Placer) Suspect(now time.Time, l *Lease) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(now, l.Target)
+	if l.ended || s.answered.After(l.start) {
+		return false
+	}
+	s.end(now, Silent)
+	s.pausedTo = now.Add(suspectPause)
+	s.trial = true
+	return true
+}
+
 // Lose records that another target has the address of a target, which gets nothing until its row changes.
 func (p *Placer) Lose(now time.Time, t *cataloger.Target) {
 	p.mu.Lock()
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -225,3 +225,44 @@
 		p.End(now.Add(time.Duration(math.MaxInt16)), c, placer.Answered)
 	}
 }
+
+// Answers the load of a target that goes dark: its requests get no answer, and others would follow them until the first
+// deadline passes.
+func TestDarkTargetIsSuspected(t *testing.T) {
+	l := today(1)
+	p, pool := newPlacer(openGate{}), l.pool(2)
+	first, f := p.Choose(start, pool, work(l, start, "a"))
+	if f != nil {
+		t.Fatal(f)
+	}
+	now := start.Add(first.Patience())
+	if !p.Suspect(now, first) {
+		t.Fatal("a target that answered nothing is not suspected")
+	}
+	for range 3 {
+		if c, f := p.Choose(now, pool, work(l, now, "a")); f != nil || c.Target == first.Target {
+			t.Fatalf("chose %v, %v", c, f)
+		}
+	}
+	if p.Suspect(now, &placer.Lease{Target: first.Target}); len(p.InFlight()) == 0 {
+		t.Error("a suspicion ended a lease")
+	}
+}
+
+// Guards against a slow request for which a target that answers others is given up.
+func TestAnsweringTargetIsNotSuspected(t *testing.T) {
+	l := today(1)
+	p, pool := newPlacer(openGate{}), l.pool(1)
+	slow, f := p.Choose(start, pool, work(l, start, "a"))
+	if f != nil {
+		t.Fatal(f)
+	}
+	other, f := p.Choose(start, pool, work(l, start, "a"))
+	if f != nil {
+		t.Fatal(f)
+	}
+	p.End(start.Add(100*time.Millisecond), other, placer.Answered)
+	if p.Suspect(start.Add(slow.Patience()), slow) {
+		t.Error("a target that answered another request is suspected")
+	}
+}
--- a/placer/target.go
+++ b/placer/target.go
@@ -84,6 +84,8 @@
 	pausedTo time.Time
 	trial    bool
 	used     time.Time
+	// answered is when the target last answered a request of this instance.
+	answered time.Time
 	// joined is when the target was found after others were in use; zero for the first ones.
 	joined     time.Time
 	objects    objects
