--- a/handler/request.go
+++ b/handler/request.go
@@ -184,7 +184,7 @@
 		e.Target, e.Wait, e.Run, e.Known = c.lease.Target.Name, c.lease.Wait, c.lease.Run, c.lease.Known
 	}
 	if f != nil {
-		e.Reason, e.Ran = string(f.Reason), string(f.Ran)
+		e.Reason, e.Ran, e.RetryAfter = string(f.Reason), string(f.Ran), f.RetryAfter
 		if f.Reason == responder.RateExceeded {
 			e.Rate, e.Burst = c.account.Rate, c.account.Burst
 		}
--- a/logger/events.go
+++ b/logger/events.go
@@ -311,6 +311,8 @@
 	Status int
 	// Reason and Ran are those of a refusal; empty for a target's answer.
 	Reason, Ran string
+	// RetryAfter is what the caller of a refused request was told to wait.
+	RetryAfter time.Duration
 	// Rate and Burst are the account's allowance; told with a refusal for it.
 	Rate, Burst float64
 	// Wait and Run are the estimates by which the last target was chosen.
@@ -338,7 +340,7 @@
 		f["target"], f["wait_seconds"], f["run_seconds"], f["known"] = e.Target, seconds(e.Wait), seconds(e.Run), e.Known
 	}
 	if e.Reason != "" {
-		f["reason"], f["ran"] = e.Reason, e.Ran
+		f["reason"], f["ran"], f["retry_after_seconds"] = e.Reason, e.Ran, seconds(e.RetryAfter)
 	}
 	if e.Rate > 0 {
 		f["rate"], f["burst"] = e.Rate, e.Burst
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -40,6 +40,8 @@
 	patienceSlack = 250 * time.Millisecond
 	// suspectPause is how long a suspected target gets nothing.
 	suspectPause = time.Second
+	// measuredRuns is the number of requests after which the mean of their work is taken for measured.
+	measuredRuns = 10
 	// lostPause is how long a target gets nothing after its address was found to be another's; its row is gone by then.
 	lostPause = 10 * time.Second
 	// maxOrders bounds the remembered orders of targets.
@@ -250,11 +252,15 @@
 func (p *Placer) reject(now time.Time, w Work, c candidate) *responder.Refusal {
 	end := p.end(now, c)
 	switch {
-	case end.After(w.Deadline):
+	case c.wait > 0 && end.After(w.Deadline):
 		return tooLate(end.Sub(w.Deadline))
 	case p.late(now, w, c):
 		return tooLate(end.Sub(w.Objective))
 	}
+	// Without a queue only measured work tells that a request is hopeless, not a first guess.
+	if e := p.pace(w); e.known.n >= measuredRuns && now.Add(e.known.value()+p.config.Trip(c.target.Region)).After(w.Deadline) {
+		return tooLate(minRetryAfter)
+	}
 	return nil
 }
 
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -266,3 +266,33 @@
 		t.Error("a target that answered another request is suspected")
 	}
 }
+
+// Guards against a route whose requests are all rejected because a first guess of their work exceeds their time.
+func TestGuessRejectsNothing(t *testing.T) {
+	l := today(1)
+	l.deadline = 200 * time.Millisecond
+	p, pool := newPlacer(openGate{}), l.pool(2)
+	if _, f := p.Choose(start, pool, work(l, start, "a")); f != nil {
+		t.Errorf("rejected by a guess: %v", f)
+	}
+}
+
+// Guards against a request that is sent although the work of all such requests takes longer than its caller waits.
+func TestHopelessRequestIsRejected(t *testing.T) {
+	l := today(1)
+	p, pool := newPlacer(openGate{}), l.pool(1)
+	now := start
+	for range 20 {
+		c, f := p.Choose(now, pool, work(l, now, "a"))
+		if f != nil {
+			t.Fatal(f)
+		}
+		now = now.Add(300 * time.Millisecond)
+		p.End(now, c, placer.Answered)
+	}
+	w := work(l, now, "a")
+	w.Deadline = now.Add(50 * time.Millisecond)
+	if _, f := p.Choose(now, pool, w); f == nil {
+		t.Error("a request with 50 ms left was sent; such requests take 300 ms")
+	}
+}
