--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -26,16 +26,12 @@
 	Idempotent bool
 	// Open routes need no key.
 	Open bool
-	// Sticky targets answer faster for an object that they handled recently.
-	Sticky bool
 	// Timeout is the longest time from arrival to the end of the answer.
 	Timeout time.Duration
 	// Objective is the time within which an answer is of full use to its caller.
 	Objective time.Duration
 	// MaxTargets is the number of targets to which one request may be sent.
 	MaxTargets int
-	// Rank orders requests by urgency; 0 is the most urgent.
-	Rank int
 	// Regions limits where requests run; empty allows all regions.
 	Regions []string
 }
@@ -48,9 +44,6 @@
 	Rate float64
 	// Burst is in requests.
 	Burst float64
-	// Rank replaces the rank of the route if HasRank is true.
-	Rank    int
-	HasRank bool
 	// Regions limits where requests run; empty allows all regions.
 	Regions []string
 }
@@ -58,22 +51,14 @@
 // Service is a group of targets that serve the same requests.
 type Service struct {
 	Name string
-	// MaxConnections is the number of connections that a target accepts from all instances together.
-	MaxConnections int
-	// ColdTime is how long a target is cold after its start.
-	ColdTime time.Duration
 	// ColdRate is the rate that a cold target bears from all instances together, in requests per second.
 	ColdRate float64
 }
 
 // Limits bounds what callers may send.
 type Limits struct {
-	HeaderBytes int
-	BodyBytes   int64
-	// HeaderTime bounds the reading of a header.
-	HeaderTime time.Duration
-	// IdleTime closes connections that stay unused.
-	IdleTime time.Duration
+	// BodyBytes is the largest body; 0 accepts all.
+	BodyBytes int64
 }
 
 // Configuration is what operators decided, as one version.
--- a/cmd/celeryheadd/main.go
+++ b/cmd/celeryheadd/main.go
@@ -22,20 +22,28 @@
 const version = "0.1.0"
 
 func main() {
-	var settings, check string
+	var settings, check, checkPlatform string
 	flaggy.SetName("celeryheadd")
 	flaggy.SetDescription("runs one entry instance of the traffic steering system")
 	flaggy.SetVersion(version)
 	flaggy.String(&settings, "s", "settings", "TOML file with the settings of this instance")
 	flaggy.String(&check, "", "check", "check a settings file and the certificates that it names, and exit")
+	flaggy.String(&checkPlatform, "", "check-platform", "check a settings file of the users' platform, and exit")
 	flaggy.Parse()
-	if err := run(settings, check); err != nil {
+	if err := run(settings, check, checkPlatform); err != nil {
 		fmt.Fprintln(os.Stderr, "celeryheadd:", err)
 		os.Exit(1)
 	}
 }
 
-func run(settings, check string) error {
+func run(settings, check, checkPlatform string) error {
+	if checkPlatform != "" {
+		if _, err := platform.Load(checkPlatform); err != nil {
+			return err
+		}
+		fmt.Println(checkPlatform + ": ok")
+		return nil
+	}
 	if check == "" && settings == "" {
 		if p := os.Getenv(platform.EnvironmentSettings); p != "" {
 			return runOnPlatform(p)
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -126,7 +126,9 @@
 func (r *Replicator) follow(ctx context.Context, t *table) {
 	whole := true
 	for ctx.Err() == nil {
-		if t.copy.Known() && !r.follows() && !(t.first && r.Failing()) {
+		// An instance that found the store down calls it until it is back, or it would never learn of that.
+		outage := t.first && r.Failing()
+		if t.copy.Known() && !outage && !r.follows() {
 			if timer.Sleep(ctx, followInterval) != nil {
 				return
 			}
