--- a/placer/placer.go
+++ b/placer/placer.go
@@ -25,7 +25,7 @@
 	roomPatience = 1.0
 	// farCharge is the part of the objective by which another region counts as farther than it is: links between regions
 	// are narrow and shared.
-	farCharge = 0.15
+	farCharge = 0.5
 	// introduceAfter is how long a target that joined later waits for its first request before the instance that sends to
 	// it while it is cold gives it one.
 	introduceAfter = 500 * time.Millisecond
