--- a/cataloger/book.go
+++ b/cataloger/book.go
@@ -57,15 +57,16 @@
 	b.publish()
 }
 
-// Evacuate replaces the failure domains whose targets get nothing.
-func (b *Book) Evacuate(domains map[string]bool) {
+// Evacuate replaces the failure domains whose targets get nothing, and reports whether they changed.
+func (b *Book) Evacuate(domains map[string]bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if maps.Equal(b.evacuated, domains) {
-		return
+		return false
 	}
 	b.evacuated = domains
 	b.publish()
+	return true
 }
 
 // publish builds the catalog; mu is held.
--- a/handler/rows.go
+++ b/handler/rows.go
@@ -52,8 +52,9 @@
 
 // Evacuate replaces the failure domains whose targets get nothing.
 func (s *Server) Evacuate(domains map[string]bool) {
-	s.book.Evacuate(domains)
-	s.log.Evacuated(slices.Sorted(maps.Keys(domains)))
+	if s.book.Evacuate(domains) {
+		s.log.Evacuated(slices.Sorted(maps.Keys(domains)))
+	}
 }
 
 // ListTargets replaces the targets by name.
--- a/handler/server.go
+++ b/handler/server.go
@@ -262,6 +262,7 @@
 		s.checkReady()
 		s.sweep(ctx, now)
 		s.targets.Tick()
+		s.strikes.tick(now)
 		k := s.book.Catalog()
 		s.placer.Keep(k.Has)
 		s.gate.Keep(k.Has)
--- a/handler/strikes.go
+++ b/handler/strikes.go
@@ -35,6 +35,13 @@
 	next atomic.Uint64
 }
 
+// tick drops what no longer matters.
+func (k *strikes) tick(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.breaker.Tick(now)
+}
+
 // blocked refuses a request that crashed too many targets.
 func (s *Server) blocked(c *call) *responder.Refusal {
 	if !s.strikes.any.Load() {
