--- a/placer/placer.go
+++ b/placer/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -34,6 +35,8 @@
 	// minRetryAfter and maxRetryAfter bound the wait that a rejected caller is told.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = time.Second
+	// noTargetRetryAfter is told when no target may have a request; pauses after faults begin with 300 ms.
+	noTargetRetryAfter = 250 * time.Millisecond
 	// patienceRuns is how many times its usual run a request may take, and patienceSlack what is added for the way,
 	// before the target is suspected to be gone.
 	patienceRuns  = 3
@@ -266,7 +269,7 @@
 
 func tooLate(excess time.Duration) *responder.Refusal {
 	return &responder.Refusal{
-		Status:     503,
+		Status:     http.StatusServiceUnavailable,
 		Reason:     responder.NoSlot,
 		Ran:        responder.NotRun,
 		Message:    "all targets have queues that end too late for this request",
@@ -276,11 +279,11 @@
 
 func noTarget() *responder.Refusal {
 	return &responder.Refusal{
-		Status:     503,
+		Status:     http.StatusServiceUnavailable,
 		Reason:     responder.NoOwner,
 		Ran:        responder.NotRun,
 		Message:    "no target may have this request at present",
-		RetryAfter: maxRetryAfter / 4,
+		RetryAfter: noTargetRetryAfter,
 	}
 }
 
--- a/placer/target.go
+++ b/placer/target.go
@@ -24,6 +24,8 @@
 	restFade   = 2 * time.Second
 	// faultWeight is the weight of the newest outcome in a target's rate of faults.
 	faultWeight = 0.2
+	// faultCost is how many runs of an unknown object a fault costs: the failed one and its repetition.
+	faultCost = 2
 	// slownessWeight is the weight of the newest request in a target's slowness.
 	slownessWeight = 0.3
 	// slownessLife is how long a target's slowness counts without a new request.
@@ -167,7 +169,7 @@
 
 // charge is the time that the target's faults are expected to cost.
 func (s *target) charge(e *pace) time.Duration {
-	return time.Duration(s.faults * 2 * float64(e.strange.value()))
+	return time.Duration(s.faults * faultCost * float64(e.strange.value()))
 }
 
 func (s *target) end(now time.Time, o Outcome) {
