Give up a look-up only when another target has room for it

Cause: a suspected target's look-up was cut before it was known where else it could go. Ruled out: the shutdown itself, which had 5 s left. Change: the next target and its place in the retry budget are reserved first; a leaving instance cuts nothing.

--- a/handler/forward.go
+++ b/handler/forward.go
@@ -26,6 +26,8 @@
 	// failure is set if there is no answer.
 	failure *forwarder.Failure
 	outcome placer.Outcome
+	// next is the target to which the request goes because this one was given up.
+	next *placer.Lease
 }
 
 // forward has a request run on a target. A request that may have run is sent again only if it is idempotent.
@@ -33,7 +35,7 @@
 	s.budget.Count(c.arrival, c.service)
 	var last *attempt
 	for {
-		l, f := s.place(c)
+		l, f := s.next(c, last)
 		if f != nil {
 			return s.giveUp(c, last, f)
 		}
@@ -57,6 +59,14 @@
 	}
 }
 
+// next returns the target that was reserved for the request, or chooses one.
+func (s *Server) next(c *call, last *attempt) (*placer.Lease, *responder.Refusal) {
+	if last != nil && last.next != nil {
+		return last.next, nil
+	}
+	return s.place(c)
+}
+
 // place chooses a target; the refusal says why none may have the request.
 func (s *Server) place(c *call) (*placer.Lease, *responder.Refusal) {
 	now := s.clock()
@@ -79,6 +89,8 @@
 // again reports whether a request may go to another target, and takes it from the budget of retries if so.
 func (s *Server) again(ctx context.Context, c *call, a *attempt) bool {
 	switch {
+	case a.next != nil:
+		return true
 	case a.answer != nil && a.outcome == placer.Answered, ctx.Err() != nil, !c.body.Whole():
 		return false
 	case c.mayHaveRun && !c.route.Idempotent:
@@ -143,10 +155,13 @@
 	if o, ok := s.protocol.Load(x.Header); ok {
 		s.placer.Told(s.clock(), l, o)
 	}
-	if err := buffer(x, w.stop); err != nil {
+	if err := buffer(x, w.cancel); err != nil {
 		return s.failed(ctx, c, l, w, err)
 	}
-	w.timer.Stop()
+	if n := w.end(); n != nil {
+		// The answer came at the moment at which it was given up.
+		s.placer.End(s.clock(), n, placer.Canceled)
+	}
 	a := &attempt{answer: x, outcome: placer.Answered}
 	if x.Status >= http.StatusInternalServerError {
 		a.outcome = placer.Failed
@@ -202,9 +217,9 @@
 		x = &forwarder.Failure{Reason: responder.TargetFailed, Ran: responder.Unknown, Err: err}
 	}
 	now := s.clock()
-	a := &attempt{failure: x, outcome: s.outcome(ctx, c, x)}
-	w.stop()
-	if w.gaveUp.Load() {
+	a := &attempt{failure: x, outcome: s.outcome(ctx, c, x), next: w.end()}
+	w.cancel()
+	if a.next != nil {
 		a.outcome = placer.Silent
 	}
 	s.placer.End(now, l, a.outcome)
--- a/handler/watch.go
+++ b/handler/watch.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"celeryhead.dev/celeryhead/placer"
@@ -12,31 +12,55 @@
 type watch struct {
 	timer  *time.Timer
 	cancel context.CancelFunc
-	// gaveUp is set before the attempt is cut.
-	gaveUp atomic.Bool
+
+	mu   sync.Mutex
+	over bool
+	// next is where the request goes instead; the attempt was cut if it is set.
+	next *placer.Lease
 }
 
 // watch suspects the target of a request that takes much longer than usual while the target answers nothing else. New
-// requests then go elsewhere; this one does too if it may run twice and has the time. One that may run only once waits
-// for its answer until its deadline.
+// requests then go elsewhere; this one does too if it may run twice and another target has room for it. Otherwise it
+// waits for its answer until its deadline, and so do all requests of a leaving instance.
 func (s *Server) watch(ctx context.Context, c *call, l *placer.Lease) (context.Context, *watch) {
 	ctx, cancel := context.WithCancel(ctx)
 	w := &watch{cancel: cancel}
 	p := l.Patience()
 	w.timer = time.AfterFunc(p, func() {
-		if !s.placer.Suspect(s.clock(), l) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.over || !s.placer.Suspect(s.clock(), l) {
 			return
 		}
 		s.log.TargetSuspected(c.envelope.ID, l.Target.Name, p)
-		if left := c.deadline.Sub(s.clock()); c.route.Idempotent && c.body.Whole() && left > l.Run && c.sent+1 < c.route.MaxTargets {
-			w.gaveUp.Store(true)
+		if !c.route.Idempotent || !c.body.Whole() || c.sent+1 >= c.route.MaxTargets || s.leaving.Load() {
+			return
+		}
+		if w.next = s.reserve(c); w.next != nil {
 			cancel()
 		}
 	})
 	return ctx, w
 }
 
-func (w *watch) stop() {
+// reserve places a request on a further target within the budget of retries; nil means that there is none.
+func (s *Server) reserve(c *call) *placer.Lease {
+	l, f := s.place(c)
+	if f != nil {
+		return nil
+	}
+	if !s.budget.Take(s.clock(), c.service) {
+		s.placer.End(s.clock(), l, placer.Canceled)
+		return nil
+	}
+	return l
+}
+
+// end ends the watch and returns where the request goes instead, if its attempt was cut.
+func (w *watch) end() *placer.Lease {
 	w.timer.Stop()
-	w.cancel()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.over = true
+	return w.next
 }
