Await answers that are on their way when a request's time ends

Change: an exchange is awaited 200 ms longer than the target may work (forwarder.Call.Patience); what the target is told stays. Ruled out: telling targets a later deadline, which would keep requests waiting longer than the operator wants.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -205,7 +205,7 @@
 	}
 	x.answered = true
 	// The timers of the context stand still while the machine is suspended; the clock does not.
-	if x.f.config.Now().After(x.call.Deadline) {
+	if x.f.config.Now().After(x.call.Deadline.Add(x.call.Patience)) {
 		return 0, ErrDeadline
 	}
 	if x.inHeader {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -57,8 +57,10 @@
 	// Request is forwarded with its method, path, query, host, header, body and trailers; it is not changed.
 	// A ContentLength of 0 means no body and -1 an unknown length. The header is sent with the first byte of the body.
 	Request *http.Request
-	// Deadline bounds the whole exchange.
+	// Deadline is when the server stops to work on the request; it bounds the way there.
 	Deadline time.Time
+	// Patience is how long after Deadline the answer is still awaited: the server may have ended it in time.
+	Patience time.Duration
 	// Before runs just before the first byte is written and must not block; nil runs nothing.
 	Before func() error
 	// Informational receives 1xx answers; nil drops them.
@@ -104,13 +106,15 @@
 	if left <= 0 {
 		return nil, notRun(ErrDeadline, responder.DeadlineExceeded)
 	}
-	ctx, cancel := context.WithTimeoutCause(ctx, left, ErrDeadline)
+	ctx, cancel := context.WithTimeoutCause(ctx, left+c.Patience, ErrDeadline)
 	p := f.pool(c.Address)
-	h, err := p.Get(ctx)
+	before, stop := context.WithTimeoutCause(ctx, left, ErrDeadline)
+	h, err := p.Get(before)
+	if err != nil && before.Err() != nil {
+		err = context.Cause(before)
+	}
+	stop()
 	if err != nil {
-		if ctx.Err() != nil {
-			err = context.Cause(ctx)
-		}
 		cancel()
 		return nil, notRun(err, responder.TargetUnreachable)
 	}
--- a/handler/forward.go
+++ b/handler/forward.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"celeryhead.dev/celeryhead/cataloger"
 	"celeryhead.dev/celeryhead/forwarder"
@@ -17,6 +18,10 @@
 // off within it can be had from another target.
 const bufferedAnswer = 128 << 10
 
+// answerPatience is how long after its time a request waits for an answer that is on its way; the platform lets a request be
+// held 250 ms longer than its route states.
+const answerPatience = 200 * time.Millisecond
+
 // maxTried bounds the targets that a request tries to reach.
 const maxTried = 6
 
@@ -147,6 +152,7 @@
 		Address:  l.Target.Address,
 		Request:  &r,
 		Deadline: c.deadline,
+		Patience: answerPatience,
 		Before:   func() error { return s.mayRun(c, l.Target) },
 	})
 	if err != nil {
--- a/launcher/addresses.go
+++ b/launcher/addresses.go
@@ -52,3 +52,35 @@
 	}
 	return nil, merry.Errorf("fewer than %d free ports between %d and %d", n, firstPort, lastPort)
 }
+
+// FreePorts returns the first of n ports in a row that were free on all addresses a moment ago and that neither this nor
+// freeAddresses has returned before.
+func FreePorts(n int) (int, error) {
+	given.Lock()
+	defer given.Unlock()
+	for range portTries {
+		p := firstPort + rand.N(lastPort-firstPort-n) //nolint:gosec // Deployments that run side by side only need different ports.
+		if !freeInRow(p, n) {
+			continue
+		}
+		for i := range n {
+			given.ports[p+i] = true
+		}
+		return p, nil
+	}
+	return 0, merry.Errorf("no %d free ports in a row between %d and %d", n, firstPort, lastPort)
+}
+
+func freeInRow(first, n int) bool {
+	for i := range n {
+		if given.ports[first+i] {
+			return false
+		}
+		l, err := net.ListenTCP("tcp", &net.TCPAddr{Port: first + i})
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
--- a/launcher/drill.go
+++ b/launcher/drill.go
@@ -51,27 +51,34 @@
 	return c
 }
 
-// fault is done to one process or service and taken back later.
-type fault struct {
-	name, subject string
-	longest       time.Duration
-	begin, end    func(context.Context) error
+// Fault is done to one process or service and taken back later.
+type Fault struct {
+	Name, Subject string
+	// Longest bounds the time until the fault is taken back.
+	Longest    time.Duration
+	Begin, End func(context.Context) error
 }
 
-// drill draws faults; no two of them have the same subject at a time.
+// drill brings about faults; no two of them have the same subject at a time.
 type drill struct {
-	*Deployment
 	config DrillConfig
+	draw   func(*rand.Rand) Fault
 
 	mu       sync.Mutex
 	subjects map[string]bool
 	faults   int
 }
 
-// Drill brings about faults drawn at random, several at a time, and returns how many; it returns the first error of
-// bringing one about or of ending it.
+// Drill brings about faults of the deployment drawn at random, several at a time, and returns how many; it returns the
+// errors of bringing one about or of ending it.
 func (d *Deployment) Drill(ctx context.Context, c DrillConfig) (int, error) {
-	k := &drill{Deployment: d, config: c.withDefaults(), subjects: map[string]bool{}}
+	return Drill(ctx, c, d.draw)
+}
+
+// Drill brings about faults that draw returns, several at a time, and returns how many; it returns the errors of bringing
+// one about or of ending it.
+func Drill(ctx context.Context, c DrillConfig, draw func(*rand.Rand) Fault) (int, error) {
+	k := &drill{config: c.withDefaults(), draw: draw, subjects: map[string]bool{}}
 	x, cancel := context.WithTimeout(ctx, c.Duration)
 	defer cancel()
 	errs := make([]error, k.config.Tracks)
@@ -87,28 +94,28 @@
 func (k *drill) track(ctx, x context.Context, r *rand.Rand) error {
 	for rest(x, r, k.config.Rest) {
 		f := k.draw(r)
-		if !k.reserve(f.subject) {
+		if !k.reserve(f.Subject) {
 			continue
 		}
 		err := k.run(ctx, x, r, f)
-		k.release(f.subject)
+		k.release(f.Subject)
 		if err != nil {
-			return merry.Prependf(err, "%s of %s", f.name, f.subject)
+			return merry.Prependf(err, "%s of %s", f.Name, f.Subject)
 		}
 	}
 	return nil
 }
 
-func (k *drill) run(ctx, x context.Context, r *rand.Rand, f fault) error {
-	k.config.Note(time.Now(), f.name+" of "+f.subject)
-	if err := f.begin(ctx); err != nil {
+func (k *drill) run(ctx, x context.Context, r *rand.Rand, f Fault) error {
+	k.config.Note(time.Now(), f.Name+" of "+f.Subject)
+	if err := f.Begin(ctx); err != nil {
 		return err
 	}
-	rest(x, r, f.longest)
-	if err := f.end(ctx); err != nil {
+	rest(x, r, f.Longest)
+	if err := f.End(ctx); err != nil {
 		return err
 	}
-	k.config.Note(time.Now(), "end of "+f.name+" of "+f.subject)
+	k.config.Note(time.Now(), "end of "+f.Name+" of "+f.Subject)
 	return nil
 }
 
@@ -140,29 +147,29 @@
 }
 
 // draw chooses a fault; half of them are of instances.
-func (k *drill) draw(r *rand.Rand) fault {
+func (d *Deployment) draw(r *rand.Rand) Fault {
 	switch r.IntN(6) {
 	case 0, 1, 2:
-		return k.instanceFault(r)
+		return d.instanceFault(r)
 	case 3, 4:
-		return k.platformFault(r)
+		return d.platformFault(r)
 	default:
-		return k.targetFault(r)
+		return d.targetFault(r)
 	}
 }
 
-func (k *drill) instanceFault(r *rand.Rand) fault {
-	i := k.Instances[r.IntN(len(k.Instances))]
-	f := fault{subject: i.Name, longest: longestInstanceFault}
+func (d *Deployment) instanceFault(r *rand.Rand) Fault {
+	i := d.Instances[r.IntN(len(d.Instances))]
+	f := Fault{Subject: i.Name, Longest: longestInstanceFault}
 	switch r.IntN(3) {
 	case 0:
-		f.name = "kill"
-		f.begin = func(context.Context) error { i.Process.Kill(); return nil }
-		f.end = func(ctx context.Context) error { return k.restart(ctx, i) }
+		f.Name = "kill"
+		f.Begin = func(context.Context) error { i.Process.Kill(); return nil }
+		f.End = func(ctx context.Context) error { return d.restart(ctx, i) }
 	case 1:
-		f.name = "graceful shutdown"
-		f.begin = func(context.Context) error { i.Process.Signal(syscall.SIGTERM); return nil }
-		f.end = func(ctx context.Context) error {
+		f.Name = "graceful shutdown"
+		f.Begin = func(context.Context) error { i.Process.Signal(syscall.SIGTERM); return nil }
+		f.End = func(ctx context.Context) error {
 			select {
 			case <-i.Process.Done():
 			case <-time.After(leaveTimeout):
@@ -171,7 +178,7 @@
 			if err := i.Process.Wait(); err != nil {
 				return err
 			}
-			return k.restart(ctx, i)
+			return d.restart(ctx, i)
 		}
 	default:
 		return suspension(i.Process, f)
@@ -180,65 +187,65 @@
 }
 
 // suspension stops a process and lets it go on.
-func suspension(p *Process, f fault) fault {
-	f.name = "suspension"
-	f.begin = func(context.Context) error { p.Signal(syscall.SIGSTOP); return nil }
-	f.end = func(context.Context) error { p.Signal(syscall.SIGCONT); return nil }
+func suspension(p *Process, f Fault) Fault {
+	f.Name = "suspension"
+	f.Begin = func(context.Context) error { p.Signal(syscall.SIGSTOP); return nil }
+	f.End = func(context.Context) error { p.Signal(syscall.SIGCONT); return nil }
 	return f
 }
 
-func (k *drill) restart(ctx context.Context, i *Instance) error {
-	if err := k.StartInstance(i); err != nil {
+func (d *Deployment) restart(ctx context.Context, i *Instance) error {
+	if err := d.StartInstance(i); err != nil {
 		return err
 	}
 	return waitFor(ctx, i.Callers)
 }
 
-func (k *drill) platformFault(r *rand.Rand) fault {
-	f := fault{subject: "store", longest: longestStoreFault}
+func (d *Deployment) platformFault(r *rand.Rand) Fault {
+	f := Fault{Subject: "store", Longest: longestStoreFault}
 	switch r.IntN(6) {
 	case 0:
-		return suspension(k.Table, f)
+		return suspension(d.Table, f)
 	case 1:
-		return suspension(k.List, fault{subject: "list", longest: longestStoreFault})
+		return suspension(d.List, Fault{Subject: "list", Longest: longestStoreFault})
 	case 2:
-		return k.serviceFault(f, "outage", k.TableAddress, emulator.Faults{Down: true}, emulator.Faults{})
+		return d.serviceFault(f, "outage", d.TableAddress, emulator.Faults{Down: true}, emulator.Faults{})
 	case 3:
-		return k.serviceFault(f, "loss of replies", k.TableAddress, emulator.Faults{LoseReplies: true}, emulator.Faults{})
+		return d.serviceFault(f, "loss of replies", d.TableAddress, emulator.Faults{LoseReplies: true}, emulator.Faults{})
 	case 4:
-		return k.serviceFault(f, "silence of connections", k.TableAddress, emulator.Faults{Silent: true}, emulator.Faults{})
+		return d.serviceFault(f, "silence of connections", d.TableAddress, emulator.Faults{Silent: true}, emulator.Faults{})
 	default:
-		return k.serviceFault(f, "slowness", k.TableAddress, emulator.Faults{DelayMs: slowStoreMs}, emulator.Faults{})
+		return d.serviceFault(f, "slowness", d.TableAddress, emulator.Faults{DelayMs: slowStoreMs}, emulator.Faults{})
 	}
 }
 
-func (k *drill) targetFault(r *rand.Rand) fault {
-	ns := make([]string, 0, len(k.Targets))
-	for n := range k.Targets {
+func (d *Deployment) targetFault(r *rand.Rand) Fault {
+	ns := make([]string, 0, len(d.Targets))
+	for n := range d.Targets {
 		ns = append(ns, n)
 	}
 	slices.Sort(ns)
 	n := ns[r.IntN(len(ns))]
-	f := fault{subject: n, longest: longestTargetFault}
-	a := k.Targets[n]
+	f := Fault{Subject: n, Longest: longestTargetFault}
+	a := d.Targets[n]
 	switch r.IntN(5) {
 	case 0:
-		return k.serviceFault(f, "drain", a, emulator.TargetFaults{Draining: true}, emulator.TargetFaults{})
+		return d.serviceFault(f, "drain", a, emulator.TargetFaults{Draining: true}, emulator.TargetFaults{})
 	case 1:
-		return k.serviceFault(f, "false health", a, emulator.TargetFaults{LyingHealth: true}, emulator.TargetFaults{})
+		return d.serviceFault(f, "false health", a, emulator.TargetFaults{LyingHealth: true}, emulator.TargetFaults{})
 	case 2:
-		return k.serviceFault(f, "failure", a, emulator.TargetFaults{Failing: true}, emulator.TargetFaults{})
+		return d.serviceFault(f, "failure", a, emulator.TargetFaults{Failing: true}, emulator.TargetFaults{})
 	case 3:
-		return k.serviceFault(f, "truncation", a, emulator.TargetFaults{Truncate: true}, emulator.TargetFaults{})
+		return d.serviceFault(f, "truncation", a, emulator.TargetFaults{Truncate: true}, emulator.TargetFaults{})
 	default:
-		return k.serviceFault(f, "silence of connections", a, emulator.TargetFaults{Silent: true}, emulator.TargetFaults{})
+		return d.serviceFault(f, "silence of connections", a, emulator.TargetFaults{Silent: true}, emulator.TargetFaults{})
 	}
 }
 
-// serviceFault sets faults of a stand-in and takes them back.
-func (k *drill) serviceFault(f fault, name string, a netip.AddrPort, faults, none any) fault {
-	f.name = name
-	f.begin = func(ctx context.Context) error { return k.SetFaults(ctx, a, faults) }
-	f.end = func(ctx context.Context) error { return k.SetFaults(ctx, a, none) }
+// serviceFault sets faults of a stand-in and takes them bacd.
+func (d *Deployment) serviceFault(f Fault, name string, a netip.AddrPort, faults, none any) Fault {
+	f.Name = name
+	f.Begin = func(ctx context.Context) error { return d.SetFaults(ctx, a, faults) }
+	f.End = func(ctx context.Context) error { return d.SetFaults(ctx, a, none) }
 	return f
 }
--- a/launcher/process.go
+++ b/launcher/process.go
@@ -17,27 +17,44 @@
 	err     error
 }
 
+// ProcessConfig configures a process.
+type ProcessConfig struct {
+	// Program is the path of the program.
+	Program string
+	Args    []string
+	// Environment is added to that of this process, as NAME=VALUE.
+	Environment []string
+	// Log is the path of the file to which its output is appended.
+	Log string
+}
+
 // start runs a program whose output goes to a log file named after the process.
 func (d *Deployment) start(name, program string, args ...string) (*Process, error) {
-	f, err := os.OpenFile(d.path(name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	return StartProcess(ProcessConfig{Program: filepath.Join(d.Config.Bin, program), Args: args, Log: d.path(name + ".log")})
+}
+
+// StartProcess starts a process, which ends at the latest with this one.
+func StartProcess(p ProcessConfig) (*Process, error) {
+	f, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
-	c := exec.Command(filepath.Join(d.Config.Bin, program), args...) //nolint:gosec,noctx // The project's own programs; they outlive the call.
+	c := exec.Command(p.Program, p.Args...) //nolint:gosec,noctx // The project's own programs; they outlive the call.
+	c.Env = append(os.Environ(), p.Environment...)
 	c.Stdout, c.Stderr = f, f
 	// A demonstration that is killed must not leave processes behind.
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	if err := c.Start(); err != nil {
 		_ = f.Close()
-		return nil, merry.Prepend(err, name)
+		return nil, merry.Prepend(err, p.Program)
 	}
-	p := &Process{command: c, log: f, done: make(chan struct{})}
+	k := &Process{command: c, log: f, done: make(chan struct{})}
 	go func() {
-		p.err = c.Wait()
+		k.err = c.Wait()
 		_ = f.Close()
-		close(p.done)
+		close(k.done)
 	}()
-	return p, nil
+	return k, nil
 }
 
 // Kill ends the process at once and waits for it.
