Hear an instance that was started again after its clock was set back

Cause: Members.Hear refused what an instance says of itself if its process seemed to have started before the one that was heard last. It stayed out of look-ups and out of the sharing of tokens until it was forgotten. Change: what a member says itself counts by when it is heard; what others pass on still needs a process that is no older, and newer news than those heard. Test: TestProcessWithAnEarlierClockIsHeard; with the comparison put back: 'a restart is no news' and an old process alive.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -214,7 +214,7 @@
 
 func (g *Gossiper) take(d datagram) {
 	now := g.config.Clock()
-	if d.State != nil && g.config.Members.Hear(d.From, now) {
+	if d.State != nil && g.config.Members.HearFirstHand(d.From, now) {
 		g.config.Log.MemberHeard(d.From.Name, d.From.Address, d.From.Ready)
 	}
 	for _, h := range d.Heard {
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -53,6 +53,24 @@
 	}
 }
 
+// Guards against an instance that is not heard any more because its clock was set back before it was started again.
+func TestProcessWithAnEarlierClockIsHeard(t *testing.T) {
+	m := gossiper.NewMembers(member(1, "r"), nil)
+	ahead := member(2, "r")
+	ahead.Started = 5
+	m.HearFirstHand(ahead, start)
+	now := start.Add(time.Second)
+	back := member(2, "r")
+	back.Started = 4
+	if !m.HearFirstHand(back, now) {
+		t.Error("a restart is no news")
+	}
+	m.Hear(ahead, start.Add(time.Millisecond))
+	if as := m.Alive(now.Add(gossiper.Silence)); len(as) != 1 || as[0].Started != back.Started {
+		t.Errorf("alive %v, want the process that said so itself last", as)
+	}
+}
+
 // node is an instance with a few tokens.
 type node struct {
 	gossip  *gossiper.Gossiper
--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -57,8 +57,19 @@
 	}
 }
 
-// Hear records that a member was heard at a time and reports whether it is news: a new member, a restart or a return.
+// Hear records what another instance passed on: that a member was heard at a time. It reports whether it is news: a new
+// member, a restart or a return.
 func (m *Members) Hear(k Member, at time.Time) bool {
+	return m.hear(k, at, false)
+}
+
+// HearFirstHand does what Hear does with what a member says of itself. It counts even if its process seems to have
+// started before the one that was heard last, since its clock may have been set back.
+func (m *Members) HearFirstHand(k Member, at time.Time) bool {
+	return m.hear(k, at, true)
+}
+
+func (m *Members) hear(k Member, at time.Time, firstHand bool) bool {
 	if k.Address == m.self.Address || !k.Address.IsValid() {
 		return false
 	}
@@ -69,10 +80,10 @@
 		m.peers[k.Address] = &peer{Member: k, heard: at}
 		return true
 	}
-	if k.Started < p.Started || k.Started == p.Started && !at.After(p.heard) {
+	if !at.After(p.heard) || !firstHand && k.Started < p.Started {
 		return false
 	}
-	news := k.Started > p.Started || p.silent || k.Ready != p.Ready
+	news := k.Started != p.Started || p.silent || k.Ready != p.Ready
 	p.Member, p.heard, p.silent = k, at, false
 	return news
 }
