--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LINT = $(shell $(GO) env GOPATH)/bin/golangci-lint
 PACKAGES = ./...
 
-.PHONY: all build format linter lint vet unit processes test run smoke drill generate bench
+.PHONY: all build format linter lint vet unit processes test run smoke drill soak generate bench
 
 all: build
 
@@ -28,32 +28,44 @@
 DRAWN = $(shell $(GO) list -f '{{range .XTestImports}}{{if eq . "pgregory.net/rapid"}}{{$$.ImportPath}}{{end}}{{end}}' $(PACKAGES))
 unit:
 	$(GO) test -race -timeout 20m $(DRAWN) -rapid.seed=1
-	$(GO) test -race -timeout 20m $(filter-out $(DRAWN) %/launcher,$(shell $(GO) list $(PACKAGES)))
+	$(GO) test -race -timeout 20m $(filter-out $(DRAWN) %/launcher %/soaker,$(shell $(GO) list $(PACKAGES)))
 
-# The tests with real processes run apart from the others and two at a time, because they check times of seconds; they
-# build the daemons with the race detector.
+# The tests with real processes mostly wait; they build the daemons with the race detector. Those of a package run as many
+# at a time as PARALLEL says, because they check times of seconds.
 # Tests named in KNOWN-RED.txt run too and are printed, but do not decide.
+REAL = ./launcher ./platform/soaker
+PARALLEL = 3
 KNOWN_RED = $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 processes:
-	$(GO) test -timeout 20m -parallel 2 ./launcher -skip '^($(KNOWN_RED))$$'
+	$(GO) test -timeout 20m -parallel $(PARALLEL) $(REAL) -skip '^($(KNOWN_RED))$$'
 	@if [ -n '$(KNOWN_RED)' ]; then \
 		echo 'known red, from KNOWN-RED.txt: $(KNOWN_RED)'; \
-		$(GO) test -timeout 10m -parallel 2 ./launcher -run '^($(KNOWN_RED))$$' || true; \
+		$(GO) test -timeout 10m -parallel $(PARALLEL) $(REAL) -run '^($(KNOWN_RED))$$' || true; \
 	fi
 
-test: lint vet build unit processes
+# Tests in one process and tests with several run side by side: the latter mostly wait.
+test: lint vet build
+	$(MAKE) --jobs 2 --output-sync=target unit processes
 
 run: build
 	$(GO) run ./cmd/demo --bin bin
 
 smoke: build
 	$(GO) run ./cmd/demo --bin bin --check
+	$(GO) run ./cmd/demo --bin bin --platform
 
 # Brings about faults drawn at random for a minute, under load, and prints them beside what callers are told.
 SEED = 1
 drill: build
 	$(GO) run ./cmd/demo --bin bin --drill 60s --seed $(SEED)
 
+# Runs the soak over the users' platform with fresh seeds, one after the other; logs of failed seeds go to SOAK_LOGS.
+SEEDS = 10
+SOAK_LOGS = run/soak
+soak:
+	mkdir -p $(SOAK_LOGS)
+	$(GO) test -v -timeout 2h ./platform/soaker -run 'TestSoak$$' -args -soak.seed $(SEED) -soak.seeds $(SEEDS) -soak.logs $(CURDIR)/$(SOAK_LOGS)
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem $(PACKAGES)
 
--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -173,6 +173,15 @@
 	return p.Targets[i], true
 }
 
+// Targets calls f for each usable target.
+func (c *Catalog) Targets(f func(*Target)) {
+	for _, p := range c.services {
+		for _, t := range p.Targets {
+			f(t)
+		}
+	}
+}
+
 // Has reports whether a usable target has a name.
 func (c *Catalog) Has(name string) bool {
 	return c.names[name]
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -20,6 +20,7 @@
 type options struct {
 	bin         string
 	check, keep bool
+	platform    bool
 	drill       time.Duration
 	seed        uint64
 }
@@ -30,6 +31,7 @@
 	flaggy.String(&o.bin, "", "bin", "directory of the built programs")
 	flaggy.Bool(&o.check, "", "check", "check the transcript and exit")
 	flaggy.Bool(&o.keep, "", "keep", "keep settings, certificates and logs")
+	flaggy.Bool(&o.platform, "", "platform", "run over stand-ins of the users' platform, check its rules and exit; with drill, under faults")
 	flaggy.Duration(&o.drill, "", "drill", "bring about faults drawn at random for this long, under load, and exit")
 	flaggy.UInt64(&o.seed, "", "seed", "seed of the faults of the drill")
 	flaggy.Parse()
@@ -50,6 +52,9 @@
 		defer func() { _ = os.RemoveAll(dir) }()
 	}
 	fmt.Println("starting stand-ins and 7 daemons; settings, certificates and logs are in", dir)
+	if o.platform {
+		return playPlatform(ctx, o, dir)
+	}
 	d, err := launcher.Start(ctx, launcher.Config{Bin: o.bin, Dir: dir})
 	if err != nil {
 		return err
--- a/commander/options.go
+++ b/commander/options.go
@@ -28,6 +28,7 @@
 	holder, directory    string
 	addresses            []string
 	days                 uint32
+	metrics              string
 }
 
 // command is a leaf of the command tree.
@@ -125,15 +126,18 @@
 	export := newCommand("export", "Prints a configuration.", (*session).export)
 	export.UInt64(&o.version, "v", "version", "Version to print (the newest).")
 
+	instance := newCommand("instance", "Shows what an instance on the users' platform believes.", (*session).instance)
+	instance.AddPositionalValue(&o.metrics, "address", 1, true, "Address and port of its metrics.")
+
 	certificates, certify := newCertificates(o)
 
 	for _, c := range []*flaggy.Subcommand{
 		check.Subcommand, plan.Subcommand, apply.Subcommand, status.Subcommand, keys,
-		audit.Subcommand, rollback.Subcommand, export.Subcommand, certificates,
+		audit.Subcommand, rollback.Subcommand, export.Subcommand, instance.Subcommand, certificates,
 	} {
 		p.AttachSubcommand(c, 1)
 	}
-	return append(certify, check, plan, apply, status, issue, withdraw, audit, rollback, export)
+	return append(certify, check, plan, apply, status, issue, withdraw, audit, rollback, export, instance)
 }
 
 func newCertificates(o *options) (*flaggy.Subcommand, []*command) {
--- a/commander/show.go
+++ b/commander/show.go
@@ -6,14 +6,17 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"os"
 	"text/tabwriter"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
 	"celeryhead.dev/celeryhead/composer"
+	"celeryhead.dev/celeryhead/informer"
 	"celeryhead.dev/celeryhead/messenger"
 )
 
@@ -141,6 +144,22 @@
 	_, _ = fmt.Fprintln(w)
 }
 
+// instance reads the status that an instance on the platform serves without a certificate.
+func (s *session) instance(ctx context.Context) error {
+	a, err := netip.ParseAddrPort(s.metrics)
+	if err != nil {
+		return merry.Wrap(errUsage, merry.AppendMessagef("address %q: %v", s.metrics, err))
+	}
+	t, err := informer.Fetch(ctx, a)
+	if err != nil {
+		return merry.Wrap(errUnreachable, merry.AppendMessage(err.Error()))
+	}
+	if s.json {
+		return s.printJSON(t)
+	}
+	return informer.Print(s.Out, t)
+}
+
 func (s *session) audit(ctx context.Context) error {
 	if err := s.connect(); err != nil {
 		return err
--- a/handler/server.go
+++ b/handler/server.go
@@ -18,6 +18,7 @@
 	"celeryhead.dev/celeryhead/cataloger"
 	"celeryhead.dev/celeryhead/forwarder"
 	"celeryhead.dev/celeryhead/gossiper"
+	"celeryhead.dev/celeryhead/informer"
 	"celeryhead.dev/celeryhead/logger"
 	"celeryhead.dev/celeryhead/meter"
 	"celeryhead.dev/celeryhead/placer"
@@ -250,6 +251,7 @@
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		s.meter.Write(w, meter.State{InFlight: s.inFlight.Load(), ConfigVersion: s.book.Catalog().Version})
 	}).Methods(http.MethodGet)
+	r.HandleFunc(informer.Path, s.serveStatus).Methods(http.MethodGet)
 	return r
 }
 
--- /dev/null
+++ b/informer/status.go
@@ -0,0 +1,160 @@
+package informer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"text/tabwriter"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Path is where an instance serves its Status on its metrics address.
+const Path = "/status"
+
+// maxStatus bounds a status that is read, in bytes.
+const maxStatus = 16 << 20
+
+// ErrStatus means that an instance gave no status.
+var ErrStatus = merry.Sentinel("no status")
+
+// Status is what an instance believes at a moment.
+type Status struct {
+	Instance      string    `json:"instance"`
+	Region        string    `json:"region"`
+	FailureDomain string    `json:"failure_domain"`
+	Started       time.Time `json:"started"`
+	Ready         bool      `json:"ready"`
+	Leaving       bool      `json:"leaving"`
+	InFlight      int64     `json:"in_flight"`
+	ConfigVersion uint64    `json:"config_version"`
+	Store         Store     `json:"store"`
+	Instances     []Peer    `json:"instances"`
+	Targets       []Target  `json:"targets"`
+	Accounts      []Account `json:"accounts"`
+	Retries       []Retries `json:"retries"`
+}
+
+// Store is the contact to the platform's store.
+type Store struct {
+	// Failing is true if the last call of this instance failed.
+	Failing bool `json:"failing"`
+	// AnsweredSeconds is how long ago the store answered any instance, as far as this one heard; -1 for never.
+	AnsweredSeconds float64 `json:"answered_seconds"`
+	// Calls is true if this instance is one of those that call the store.
+	Calls bool `json:"calls"`
+	// Versions is that of the newest row of each table.
+	Versions map[string]uint64 `json:"versions"`
+}
+
+// Peer is another instance.
+type Peer struct {
+	Name          string     `json:"name"`
+	Address       netip.Addr `json:"address"`
+	Region        string     `json:"region"`
+	FailureDomain string     `json:"failure_domain"`
+	Ready         bool       `json:"ready"`
+	HeardSeconds  float64    `json:"heard_seconds"`
+}
+
+// Target is a target that may be used.
+type Target struct {
+	Name          string         `json:"name"`
+	Service       string         `json:"service"`
+	Address       netip.AddrPort `json:"address"`
+	FailureDomain string         `json:"failure_domain"`
+	Slots         int            `json:"slots"`
+	// InFlight are this instance's requests, Load all as far as known.
+	InFlight int     `json:"in_flight"`
+	Load     float64 `json:"load"`
+	// PausedSeconds is for how long the target still gets nothing after faults.
+	PausedSeconds float64 `json:"paused_seconds"`
+	// ColdSeconds is for how long it still is cold.
+	ColdSeconds float64 `json:"cold_seconds"`
+	// Faults is the share of faults among its late outcomes, Slowness its work against the usual.
+	Faults   float64 `json:"faults"`
+	Slowness float64 `json:"slowness"`
+	// Objects is the number of objects that it is taken to know.
+	Objects int `json:"objects"`
+}
+
+// Account is a client account with a limit.
+type Account struct {
+	Name string `json:"name"`
+	// Rate and Burst are the limits of the fleet.
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst"`
+	// Parts is the number of instances among which the limit is divided, Tokens what this one holds.
+	Parts  int     `json:"parts"`
+	Tokens float64 `json:"tokens"`
+}
+
+// Retries is the use of this instance's part of the retry budget of a service.
+type Retries struct {
+	Service string  `json:"service"`
+	Used    int     `json:"used"`
+	Allowed float64 `json:"allowed"`
+}
+
+// Fetch reads the status of the instance with a metrics address.
+func Fetch(ctx context.Context, a netip.AddrPort) (Status, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.String()+Path, http.NoBody)
+	if err != nil {
+		return Status{}, err
+	}
+	p, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return Status{}, merry.Wrap(ErrStatus, merry.WithCause(err))
+	}
+	defer func() { _ = p.Body.Close() }()
+	if p.StatusCode != http.StatusOK {
+		return Status{}, merry.Wrap(ErrStatus, merry.AppendMessagef("%s answered %d", a, p.StatusCode))
+	}
+	var s Status
+	if err := json.NewDecoder(io.LimitReader(p.Body, maxStatus)).Decode(&s); err != nil {
+		return Status{}, merry.Wrap(ErrStatus, merry.WithCause(err))
+	}
+	return s, nil
+}
+
+// Print writes a status as tables.
+func Print(out io.Writer, s Status) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	row := func(cells ...any) {
+		for i, c := range cells {
+			if f, ok := c.(float64); ok {
+				c = fmt.Sprintf("%.2f", f)
+			}
+			if i > 0 {
+				_, _ = fmt.Fprint(w, "\t")
+			}
+			_, _ = fmt.Fprint(w, c)
+		}
+		_, _ = fmt.Fprintln(w)
+	}
+	row(fmt.Sprintf("%s in %s (%s), started %s: ready %t, leaving %t, %d requests in flight, configuration %d", s.Instance,
+		s.FailureDomain, s.Region, s.Started.UTC().Format(time.RFC3339), s.Ready, s.Leaving, s.InFlight, s.ConfigVersion))
+	row(fmt.Sprintf("store: answered an instance %.1f s ago, failing here %t, called from here %t, rows %v", s.Store.AnsweredSeconds,
+		s.Store.Failing, s.Store.Calls, s.Store.Versions))
+	row("\nINSTANCE", "ADDRESS", "REGION", "FAILURE DOMAIN", "READY", "HEARD S AGO")
+	for _, p := range s.Instances {
+		row(p.Name, p.Address, p.Region, p.FailureDomain, p.Ready, p.HeardSeconds)
+	}
+	row("\nTARGET", "SERVICE", "FAILURE DOMAIN", "IN FLIGHT", "LOAD", "SLOTS", "PAUSED S", "COLD S", "FAULTS", "SLOWNESS", "OBJECTS")
+	for _, t := range s.Targets {
+		row(t.Name, t.Service, t.FailureDomain, t.InFlight, t.Load, t.Slots, t.PausedSeconds, t.ColdSeconds, t.Faults, t.Slowness, t.Objects)
+	}
+	row("\nACCOUNT", "RATE", "BURST", "PARTS", "TOKENS HERE")
+	for _, a := range s.Accounts {
+		row(a.Name, a.Rate, a.Burst, a.Parts, a.Tokens)
+	}
+	row("\nRETRIES TO", "USED HERE", "ALLOWED HERE")
+	for _, t := range s.Retries {
+		row(t.Service, t.Used, t.Allowed)
+	}
+	return w.Flush()
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"celeryhead.dev/celeryhead/cataloger"
+	"celeryhead.dev/celeryhead/informer"
 	"celeryhead.dev/celeryhead/responder"
 )
 
@@ -372,6 +373,20 @@
 	return m
 }
 
+// Describe adds what is known of a target to its description.
+func (p *Placer) Describe(now time.Time, t *cataloger.Target, d *informer.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.targets[t.Name]
+	if s == nil || s.started != t.Started {
+		d.Slowness = 1
+		return
+	}
+	d.InFlight, d.Load = s.inFlight, s.load(now)
+	d.PausedSeconds = max(0, s.pausedTo.Sub(now).Seconds())
+	d.Faults, d.Slowness, d.Objects = s.faults, s.slowness(now), len(s.objects.at)
+}
+
 // End ends a lease; a second call does nothing.
 func (p *Placer) End(now time.Time, l *Lease, o Outcome) {
 	p.mu.Lock()
--- a/sharer/budget.go
+++ b/sharer/budget.go
@@ -1,8 +1,12 @@
 package sharer
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
+
+	"celeryhead.dev/celeryhead/informer"
 )
 
 const (
@@ -62,19 +66,36 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(now, service)
-	q, t := 0, 0
-	for i := range budgetSteps {
-		q += w.requests[i]
-		t += w.retries[i]
-	}
-	allowed := budgetUse * (b.config.Ratio*float64(q) + b.config.Slack/float64(b.parts))
-	if float64(t+1) > allowed {
+	if used, allowed := b.use(w); float64(used+1) > allowed {
 		return false
 	}
 	w.retries[w.newest%budgetSteps]++
 	return true
 }
 
+// use returns the retries in a window and how many are allowed; mu is held.
+func (b *Budget) use(w *window) (used int, allowed float64) {
+	q := 0
+	for i := range budgetSteps {
+		q += w.requests[i]
+		used += w.retries[i]
+	}
+	return used, budgetUse * (b.config.Ratio*float64(q) + b.config.Slack/float64(b.parts))
+}
+
+// Describe returns the use of the budget towards each service, by name.
+func (b *Budget) Describe(now time.Time) []informer.Retries {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := []informer.Retries{}
+	for n := range b.services {
+		used, allowed := b.use(b.window(now, n))
+		r = append(r, informer.Retries{Service: n, Used: used, Allowed: allowed})
+	}
+	slices.SortFunc(r, func(a, b informer.Retries) int { return cmp.Compare(a.Service, b.Service) })
+	return r
+}
+
 // window returns the counts of a service with the steps that have passed emptied; mu is held.
 func (b *Budget) window(now time.Time, service string) *window {
 	w := b.services[service]
--- a/sharer/shares.go
+++ b/sharer/shares.go
@@ -1,10 +1,13 @@
 package sharer
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync"
 	"time"
+
+	"celeryhead.dev/celeryhead/informer"
 )
 
 const (
@@ -227,6 +230,22 @@
 	}
 }
 
+// Describe returns the accounts with a limit, by name.
+func (s *Shares) Describe(now time.Time) []informer.Account {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := []informer.Account{}
+	for n, a := range s.accounts {
+		if a.limit.Rate <= 0 {
+			continue
+		}
+		s.fill(a, now)
+		r = append(r, informer.Account{Name: n, Rate: a.limit.Rate, Burst: a.limit.Burst, Parts: len(a.holders), Tokens: a.tokens})
+	}
+	slices.SortFunc(r, func(a, b informer.Account) int { return cmp.Compare(a.Name, b.Name) })
+	return r
+}
+
 // Return gives back the token of a request that did not run.
 func (s *Shares) Return(now time.Time, account string) {
 	s.mu.Lock()
