--- a/Makefile
+++ b/Makefile
@@ -27,8 +27,8 @@
 # Property tests draw from a fixed seed, so that the verdict is the same in every run.
 DRAWN = $(shell $(GO) list -f '{{range .XTestImports}}{{if eq . "pgregory.net/rapid"}}{{$$.ImportPath}}{{end}}{{end}}' $(PACKAGES))
 unit:
-	$(GO) test -race -timeout 20m $(DRAWN) -rapid.seed=1
-	$(GO) test -race -timeout 20m $(filter-out $(DRAWN) %/launcher %/soaker,$(shell $(GO) list $(PACKAGES)))
+	$(GO) test -count=1 -race -timeout 20m $(DRAWN) -rapid.seed=1
+	$(GO) test -count=1 -race -timeout 20m $(filter-out $(DRAWN) %/launcher %/soaker,$(shell $(GO) list $(PACKAGES)))
 
 # The tests with real processes mostly wait; they build the daemons with the race detector. Those of a package run as many
 # at a time as PARALLEL says, because they check times of seconds.
@@ -37,13 +37,13 @@
 PARALLEL = 3
 KNOWN_RED = $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 processes:
-	$(GO) test -timeout 20m -parallel $(PARALLEL) $(REAL) -skip '^($(KNOWN_RED))$$'
+	$(GO) test -count=1 -timeout 20m -parallel $(PARALLEL) $(REAL) -skip '^($(KNOWN_RED))$$'
 	@if [ -n '$(KNOWN_RED)' ]; then \
 		echo 'known red, from KNOWN-RED.txt: $(KNOWN_RED)'; \
-		$(GO) test -timeout 10m -parallel $(PARALLEL) $(REAL) -run '^($(KNOWN_RED))$$' || true; \
+		$(GO) test -count=1 -timeout 10m -parallel $(PARALLEL) $(REAL) -run '^($(KNOWN_RED))$$' || true; \
 	fi
 
-# Tests in one process and tests with several run side by side: the latter mostly wait.
+# Nothing is taken from the cache of results, so that each run is one. Tests in one process and tests with several run side by side: the latter mostly wait.
 test: lint vet build
 	$(MAKE) --jobs 2 --output-sync=target unit processes
 
