Log panics of handlers on the platform, with one guard for both modes

Cause: read for repetition: handler and server counted requests with the same lines, and only server logged panics; on the platform net/http wrote them to a discarded log, so a fault of the program left no line. Package guarder serves both. Test: guarder.TestPanicsAreLogged, TestCount (moved behaviour; the first fails without LogPanics, as the line then does not exist).

--- a/handler/drain.go
+++ b/handler/drain.go
@@ -4,8 +4,6 @@
 	"context"
 	"net/http"
 	"time"
-
-	"celeryhead.dev/celeryhead/spooler"
 )
 
 const (
@@ -17,19 +15,6 @@
 	lookupSlack = 300 * time.Millisecond
 )
 
-// counted counts requests that run, and asks callers of a leaving instance to open no further request on their connection.
-func (s *Server) counted(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.inFlight.Add(1)
-		defer s.inFlight.Add(-1)
-		if s.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		spooler.LimitWrites(w, time.Now())
-		h.ServeHTTP(w, r)
-	})
-}
-
 // drain lets callers go elsewhere, then waits for the requests that run.
 func (s *Server) drain(callers *http.Server) {
 	start := s.clock()
--- a/handler/server.go
+++ b/handler/server.go
@@ -18,6 +18,7 @@
 	"celeryhead.dev/celeryhead/cataloger"
 	"celeryhead.dev/celeryhead/forwarder"
 	"celeryhead.dev/celeryhead/gossiper"
+	"celeryhead.dev/celeryhead/guarder"
 	"celeryhead.dev/celeryhead/informer"
 	"celeryhead.dev/celeryhead/logger"
 	"celeryhead.dev/celeryhead/meter"
@@ -187,7 +188,7 @@
 
 // Run serves until ctx ends, then leaves without cutting requests.
 func (s *Server) Run(ctx context.Context) error {
-	callers := s.httpServer(s.counted(http.HandlerFunc(s.enter)))
+	callers := s.httpServer(guarder.Count(guarder.Config{InFlight: &s.inFlight, Leaving: &s.leaving}, http.HandlerFunc(s.enter)))
 	servers := []*http.Server{callers}
 	addresses := []Listener{{Name: "callers", Address: s.settings.Callers}, {Name: "peers", Address: s.settings.Peers, Handler: s.peersHandler()}}
 	if s.settings.Metrics.IsValid() {
@@ -234,7 +235,7 @@
 
 func (s *Server) httpServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           h,
+		Handler:           guarder.LogPanics(s.log, h),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerBytes,
--- a/server/callers.go
+++ b/server/callers.go
@@ -2,18 +2,15 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
 	"log"
 	"net/http"
 	"net/netip"
-	"runtime/debug"
-	"time"
 
 	"github.com/gorilla/mux"
 
+	"celeryhead.dev/celeryhead/guarder"
 	"celeryhead.dev/celeryhead/responder"
-	"celeryhead.dev/celeryhead/spooler"
 )
 
 // discardLog drops what net/http writes about broken connections of strangers.
@@ -25,38 +22,7 @@
 	r.HandleFunc("/v1/tickets", s.issueTicket).Methods(http.MethodPost)
 	r.HandleFunc("/v1/health", s.health).Methods(http.MethodGet)
 	r.PathPrefix("/").HandlerFunc(s.enter)
-	return s.counted(r)
-}
-
-// guarded logs a panic of a handler, which is a fault of the program, and breaks the connection.
-func (s *Server) guarded(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		defer func() {
-			v := recover()
-			if v == nil {
-				return
-			}
-			//nolint:errorlint // net/http compares this value itself.
-			if v != http.ErrAbortHandler {
-				s.log.RequestPanicked(r.Method, fmt.Sprintf("%v\n%s", v, debug.Stack()))
-			}
-			panic(http.ErrAbortHandler)
-		}()
-		h.ServeHTTP(w, r)
-	})
-}
-
-// counted counts requests that run, and asks callers of a leaving instance to open no further request on their connection.
-func (s *Server) counted(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.inFlight.Add(1)
-		defer s.inFlight.Add(-1)
-		if s.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		spooler.LimitWrites(w, time.Now())
-		h.ServeHTTP(w, r)
-	})
+	return guarder.Count(guarder.Config{InFlight: &s.inFlight, Leaving: &s.leaving}, r)
 }
 
 // lookupAnswer tells a caller which instances to use, best first.
--- a/server/server.go
+++ b/server/server.go
@@ -18,6 +18,7 @@
 	"celeryhead.dev/celeryhead/claimer"
 	"celeryhead.dev/celeryhead/controller"
 	"celeryhead.dev/celeryhead/forwarder"
+	"celeryhead.dev/celeryhead/guarder"
 	"celeryhead.dev/celeryhead/limiter"
 	"celeryhead.dev/celeryhead/lister"
 	"celeryhead.dev/celeryhead/loader"
@@ -157,7 +158,7 @@
 
 func (s *Server) httpServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           s.guarded(h),
+		Handler:           guarder.LogPanics(s.log, h),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    s.settings.Limits.HeaderBytes,
