Tell late bodies from malformed ones, and tell new processes of crashes

Change: a body that does not come in time is answered 408 deadline_exceeded, not run. When a process is heard for the first time, the strikes that still matter are told again for 5 s. Ruled out: telling all strikes for ten minutes, 11 KB a second for each instance.

--- a/handler/peers.go
+++ b/handler/peers.go
@@ -31,6 +31,8 @@
 
 	mu       sync.Mutex
 	contents map[netip.Addr]map[string]uint64
+	// started tells the processes that were heard.
+	started map[netip.Addr]int64
 	// contact is when the store last answered any instance, as far as heard.
 	contact time.Time
 }
@@ -39,6 +41,7 @@
 	return peers{
 		client:   &http.Client{Transport: &http.Transport{IdleConnTimeout: peerConnectionLife, MaxIdleConnsPerHost: 1}},
 		contents: map[netip.Addr]map[string]uint64{},
+		started:  map[netip.Addr]int64{},
 	}
 }
 
@@ -116,6 +119,10 @@
 func (s *Server) hear(m gossiper.Member, t gossiper.State) {
 	s.peers.mu.Lock()
 	s.peers.contents[m.Address] = t.Contents
+	if s.peers.started[m.Address] != m.Started {
+		s.peers.started[m.Address] = m.Started
+		s.strikes.greet(s.clock())
+	}
 	if at := s.clock().Add(-time.Duration(t.ContactMilliseconds) * time.Millisecond); t.ContactMilliseconds >= 0 && at.After(s.peers.contact) {
 		s.peers.contact = at
 	}
--- a/handler/strikes.go
+++ b/handler/strikes.go
@@ -20,7 +20,8 @@
 	probeTimeout = 300 * time.Millisecond
 	// strikesPassedOn is the number of strikes in one datagram.
 	strikesPassedOn = 8
-	// strikesFresh is how long a strike is passed on.
+	// strikesFresh is how long a strike is passed on, and how long all that still matter are after a process was first
+	// heard, which knows none.
 	strikesFresh = 5 * time.Second
 	// crashRetryAfter is what callers of a blocked request are told; the block lasts much longer.
 	crashRetryAfter = 5 * time.Second
@@ -33,6 +34,15 @@
 	// any is true once there was a strike; until then no fingerprint is computed.
 	any  atomic.Bool
 	next atomic.Uint64
+	// newcomer is when a process was heard for the first time; mu guards it.
+	newcomer time.Time
+}
+
+// greet has the strikes that still matter passed on again, since a new process was heard.
+func (k *strikes) greet(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.newcomer = now
 }
 
 // tick drops what no longer matters.
@@ -100,8 +110,9 @@
 	s.strikes.mu.Lock()
 	defer s.strikes.mu.Unlock()
 	var r []gossiper.Strike
+	greeted := now.Sub(s.strikes.newcomer) < strikesFresh
 	for _, k := range s.strikes.breaker.Strikes(now, strikesPassedOn) {
-		if now.Sub(k.At) < strikesFresh {
+		if greeted || now.Sub(k.At) < strikesFresh {
 			r = append(r, gossiper.Strike{ID: k.ID, Fingerprint: k.Fingerprint[:], Cleared: k.Cleared, AgeSeconds: int64(now.Sub(k.At).Seconds())})
 		}
 	}
--- a/spooler/spooler.go
+++ b/spooler/spooler.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"celeryhead.dev/celeryhead/authenticator"
@@ -92,6 +93,10 @@
 	if errors.As(err, &m) {
 		return bodyTooLarge()
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// The request may be a proper one whose way here fails.
+		return badBody(http.StatusRequestTimeout, responder.DeadlineExceeded, "the body did not come in time")
+	}
 	return badRequest("the body could not be read")
 }
 
