Deny a route or key only by a configuration that is known to be complete

Callers saw: 401 for proper requests at instances that had been frozen or cut off and had missed the versions that added their keys. A caller never repeats a request after 401 or 404, so it is lost, while any other instance would have served it.

Cause: the absence of a route or key in the catalog was taken as proof that it does not exist, whatever the age of the catalog. Class: a negative answer from knowledge that may be stale.

Change: a copy of a table knows up to when it was complete: from the start of a call to the store, or the end of its wait if nothing changed, and from what peers say of their copies if it has all of their rows. What was heard before a suspension counts no more after it, since it may be read only then. A request whose route or key is missing from a configuration that is older than 2.5 s is refused with 503 stale, not run, Retry-After 0.3 s.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -54,8 +54,11 @@
 	Contents map[string]uint64 `json:"v"`
 	// ContactMilliseconds is the time since the store last answered an instance, as far as the sender knows; it is
 	// negative if the store never did.
-	ContactMilliseconds int64    `json:"c"`
-	Strikes             []Strike `json:"x,omitempty"`
+	ContactMilliseconds int64 `json:"c"`
+	// ConfigurationMilliseconds is the time since the sender's copy of the configuration was known to be complete; it is nil
+	// if that is not known.
+	ConfigurationMilliseconds *int64   `json:"a,omitempty"`
+	Strikes                   []Strike `json:"x,omitempty"`
 }
 
 // datagram is the message between instances; fields that do not apply are empty.
--- a/handler/peers.go
+++ b/handler/peers.go
@@ -64,11 +64,18 @@
 	if c := s.contact(); !c.IsZero() {
 		age = now.Sub(c).Milliseconds()
 	}
-	return gossiper.State{
+	// Taken before the versions: a change in between must not be covered by it.
+	complete := s.rows.CompleteAsOf(s.configuration)
+	t := gossiper.State{
 		Contents:            s.rows.Contents(),
 		ContactMilliseconds: age,
 		Strikes:             s.recentStrikes(now),
 	}
+	if !complete.IsZero() {
+		a := now.Sub(complete).Milliseconds()
+		t.ConfigurationMilliseconds = &a
+	}
+	return t
 }
 
 // contact is when the store last answered any instance, as far as known.
@@ -130,6 +137,9 @@
 	for n, v := range t.Contents {
 		s.rows.Heard(n, v)
 	}
+	if a := t.ConfigurationMilliseconds; a != nil && *a >= 0 {
+		s.rows.Claimed(s.configuration, t.Contents[s.configuration], s.clock().Add(-time.Duration(*a)*time.Millisecond))
+	}
 	s.hearStrikes(s.clock(), t.Strikes)
 }
 
--- a/handler/request.go
+++ b/handler/request.go
@@ -98,9 +98,9 @@
 	path := sentPath(r)
 	var ok bool
 	if c.route, ok = c.catalog.Find(r.Host, path); !ok {
-		return refusal(http.StatusNotFound, responder.NoRoute, "no route has this host and path")
+		return s.deny(http.StatusNotFound, responder.NoRoute, "no route has this host and path")
 	}
-	if f := c.authenticate(); f != nil {
+	if f := s.authenticate(c); f != nil {
 		return f
 	}
 	c.regions = c.route.Regions
@@ -123,21 +123,32 @@
 }
 
 // authenticate finds the account whose key the request shows.
-func (c *call) authenticate() *responder.Refusal {
+func (s *Server) authenticate(c *call) *responder.Refusal {
 	if c.route.Open || !c.catalog.NeedsKeys() {
 		return nil
 	}
 	if c.envelope.Key == "" {
-		return refusal(http.StatusUnauthorized, responder.KeyMissing, "this route needs a key")
+		return s.deny(http.StatusUnauthorized, responder.KeyMissing, "this route needs a key")
 	}
 	c.key = sha256.Sum256([]byte(c.envelope.Key))
 	var ok bool
 	if c.account, ok = c.catalog.Account(c.key); !ok {
-		return refusal(http.StatusUnauthorized, responder.KeyInvalid, "the key is not valid")
+		return s.deny(http.StatusUnauthorized, responder.KeyInvalid, "the key is not valid")
 	}
 	return nil
 }
 
+// deny refuses a request because the configuration lacks its route or key. An instance that may have missed a change
+// cannot know that and refuses it for now, so that the caller tries another one.
+func (s *Server) deny(status int, r responder.Reason, message string) *responder.Refusal {
+	if c := s.rows.CompleteAsOf(s.configuration); !c.IsZero() && s.clock().Sub(c) <= denialAge {
+		return refusal(status, r, message)
+	}
+	f := unavailable(responder.Stale, message+", but this instance may have missed a change of the configuration; use another one")
+	f.RetryAfter = staleRetryAfter
+	return f
+}
+
 // admit takes a token of the account.
 func (s *Server) admit(ctx context.Context, c *call) *responder.Refusal {
 	if c.account == nil {
@@ -193,6 +204,10 @@
 	s.meter.Observe(meter.Request{Route: e.Route, Account: e.Account, Duration: e.Duration, Refusal: f, Admitted: c.admitted}, now)
 }
 
+// denialAge is the age of the configuration up to which a request may be refused because the configuration lacks its route
+// or key. Instances that reach the store or a peer that does stay below it; the platform grants 2.5 s or more for a change.
+const denialAge = 2500 * time.Millisecond
+
 // staleRetryAfter is when an instance without a configuration is expected to know one.
 const staleRetryAfter = 300 * time.Millisecond
 
--- a/handler/server.go
+++ b/handler/server.go
@@ -71,7 +71,7 @@
 	Store    Store
 	Protocol Protocol
 	// Tables are the tables of the store with configuration and targets; what they hold reaches the server by Configure,
-	// Evacuate and ListTargets.
+	// Evacuate and ListTargets. The first one holds the configuration.
 	Tables []replicator.Table
 	// Listeners serve what only the platform asks for.
 	Listeners []Listener
@@ -90,6 +90,9 @@
 	begun     time.Time
 	listeners []Listener
 
+	// configuration is the table with the configuration.
+	configuration string
+
 	book    *cataloger.Book
 	placer  *placer.Placer
 	targets *forwarder.Forwarder
@@ -136,6 +139,9 @@
 		trips:     trips{regions: map[string]*trip{}},
 		meter:     meter.New(meter.Config{AccountHistograms: accountHistograms}),
 	}
+	if len(c.Tables) > 0 {
+		s.configuration = c.Tables[0].Name
+	}
 	s.limits.Store(&c.Settings.Limits)
 	s.shares = sharer.NewShares(c.Settings.Name)
 	s.strikes.breaker = breaker.New(breaker.Config{})
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -93,6 +93,8 @@
 	// wake is signaled when a peer was heard to be ahead.
 	wake chan struct{}
 
+	freshness freshness
+
 	mu      sync.Mutex
 	applied sync.Mutex
 	// peerContent is the newest version of a row of which a peer told, and since when the copy is behind it.
@@ -135,12 +137,13 @@
 			continue
 		}
 		resumed := r.outage()
-		h, err := r.call(ctx, t, whole, resumed)
+		h, asOf, err := r.call(ctx, t, whole, resumed)
 		switch {
 		case err == nil:
 			whole = false
 			r.answered(t.first)
 			r.apply(t, h)
+			t.freshness.confirm(asOf)
 			if len(h.Rows) > 0 && t.Pause > 0 && timer.Sleep(ctx, t.Pause) != nil {
 				return
 			}
@@ -182,8 +185,9 @@
 	return true
 }
 
-func (r *Replicator) call(ctx context.Context, t *table, whole bool, resumed <-chan struct{}) (Change, error) {
-	wait := t.Wait
+// call asks the store once. Its answer holds all changes up to the returned time.
+func (r *Replicator) call(ctx context.Context, t *table, whole bool, resumed <-chan struct{}) (Change, time.Time, error) {
+	start, wait := r.config.Clock(), t.Wait
 	if t.first && r.Failing() {
 		// While the store fails, a short call shows its return soonest.
 		wait = 0
@@ -207,9 +211,15 @@
 		}()
 	}
 	if whole {
-		return r.config.Source.Read(c, t.Name)
+		h, err := r.config.Source.Read(c, t.Name)
+		return h, start, err
+	}
+	h, err := r.config.Source.Follow(c, t.Name, after, wait)
+	if len(h.Rows) > 0 {
+		return h, start, err
 	}
-	return r.config.Source.Follow(c, t.Name, after, wait)
+	// The answer may have been read much later than it was written, but the store waited for changes.
+	return h, start.Add(min(wait, r.config.Clock().Sub(start))), err
 }
 
 // catchUp asks a peer while the store fails or the peer is ahead.
@@ -221,6 +231,7 @@
 		case <-ctx.Done():
 			return
 		case <-k.C:
+			t.freshness.beat(r.config.Clock())
 		case <-t.wake:
 		}
 		if r.config.Peers == nil || !r.asksPeer(t) {
@@ -289,6 +300,24 @@
 	}
 }
 
+// Claimed records that a peer's copy of a table, whose newest row has the version content, was complete at a time.
+func (r *Replicator) Claimed(name string, content uint64, asOf time.Time) {
+	if t := r.tables[name]; t != nil {
+		t.freshness.claim(content, asOf)
+	}
+}
+
+// CompleteAsOf returns the latest time at which the copy of a table is known to have held all that the store had, or
+// zero if that is not known. Until then an entry that it lacks did not exist.
+func (r *Replicator) CompleteAsOf(name string) time.Time {
+	t := r.tables[name]
+	if t == nil {
+		return time.Time{}
+	}
+	_, content := t.copy.Versions()
+	return t.freshness.completeAsOf(r.config.Clock(), content)
+}
+
 // Contents returns the version of the newest row of each table.
 func (r *Replicator) Contents() map[string]uint64 {
 	m := make(map[string]uint64, len(r.tables))
