Read a table whole after an outage instead of every change missed in it

Callers saw: on es batu grown, requests handled by configurations that had been replaced more than 4 s before (CONFIG), and 401 for keys that were new, at machines that reached the store all the while.

Cause: after an outage an instance asked rows-feed for all changes since its last version. The store sends each version of the configuration that was written meanwhile, 29 kB a version on the grown sites. The answer grew with the outage while its bound stayed 600 ms: at 10 Mbit/s and 110 ms between regions it never arrived, and the same call was repeated until the store dropped its history after 20 s and answered 410. Class: a call that is repeated with the same bound while its answer grows. Small sites have configurations of 8 kB and links of 1,000 Mbit/s, so it fits there.

Change: while the first table fails, and after a poll of any table that did not end in time, the table is read whole; it is bounded by its rows, and the configuration is one row of at most 64 kB.

--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -15,6 +15,9 @@
 // ErrCompacted means that the store has dropped the history after the version asked for.
 var ErrCompacted = merry.Sentinel("history is no longer available")
 
+// errFollowTimeout means that the changes of a table did not arrive in time.
+var errFollowTimeout = merry.Sentinel("changes did not arrive in time")
+
 // Times of the calls to the store.
 const (
 	// callTimeout bounds a call beyond its long poll; the platform states 4 ms for an answer, links add up to 110 ms.
@@ -137,6 +140,9 @@
 			continue
 		}
 		resumed := r.outage()
+		// The changes since an outage may be too many for one answer in time; the table itself is bounded. A read also shows
+		// soonest that the outage is over.
+		whole = whole || outage || !t.copy.Known()
 		h, asOf, err := r.call(ctx, t, whole, resumed)
 		switch {
 		case err == nil:
@@ -154,6 +160,8 @@
 			continue
 		case ctx.Err() != nil:
 			return
+		case errors.Is(err, errFollowTimeout):
+			whole = true
 		}
 		if t.first {
 			r.failed(err)
@@ -188,12 +196,6 @@
 // call asks the store once. Its answer holds all changes up to the returned time.
 func (r *Replicator) call(ctx context.Context, t *table, whole bool, resumed <-chan struct{}) (Change, time.Time, error) {
 	start, wait := r.config.Clock(), t.Wait
-	if t.first && r.Failing() {
-		// While the store fails, a short call shows its return soonest.
-		wait = 0
-	}
-	after, _ := t.copy.Versions()
-	whole = whole || !t.copy.Known()
 	if whole {
 		wait = 0
 	}
@@ -214,7 +216,11 @@
 		h, err := r.config.Source.Read(c, t.Name)
 		return h, start, err
 	}
+	after, _ := t.copy.Versions()
 	h, err := r.config.Source.Follow(c, t.Name, after, wait)
+	if err != nil && errors.Is(c.Err(), context.DeadlineExceeded) {
+		err = errors.Join(errFollowTimeout, err)
+	}
 	if len(h.Rows) > 0 {
 		return h, start, err
 	}
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -126,31 +126,41 @@
 	return w.rows[k]
 }
 
-// play runs a replicator on a fake clock.
+// play runs a replicator of one table on a fake clock.
 func play(t *testing.T, s *store, p replicator.Peers, f func(*replicator.Replicator, *watcher)) {
 	synctest.Test(t, func(t *testing.T) {
-		// Channels of the test's bubble only let its clock go on.
-		s.changed = make(chan struct{})
-		w := &watcher{}
-		r := replicator.New(replicator.Config{
-			Source: s,
-			Peers:  p,
-			Tables: []replicator.Table{{Name: "op", Wait: time.Second, Changed: w.changed}},
-			Log:    logger.Discard(),
-			Clock:  time.Now,
-		})
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			r.Run(ctx)
-		}()
-		f(r, w)
-		cancel()
-		<-done
+		run(t, s, replicator.Config{Source: s, Peers: p}, []string{"op"}, f)
+	})
+}
+
+// playTables is play with a source that uses s, and several tables; only the last one is watched.
+func playTables(t *testing.T, s *store, x replicator.Source, tables []string, f func(*replicator.Replicator, *watcher)) {
+	synctest.Test(t, func(t *testing.T) {
+		run(t, s, replicator.Config{Source: x}, tables, f)
 	})
 }
 
+func run(t *testing.T, s *store, c replicator.Config, tables []string, f func(*replicator.Replicator, *watcher)) {
+	// Channels of the test's bubble only let its clock go on.
+	s.changed = make(chan struct{})
+	w := &watcher{}
+	for _, n := range tables {
+		c.Tables = append(c.Tables, replicator.Table{Name: n, Wait: time.Second, Changed: func([]replicator.Row) {}})
+	}
+	c.Tables[len(tables)-1].Changed = w.changed
+	c.Log, c.Clock = logger.Discard(), time.Now
+	r := replicator.New(c)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+	f(r, w)
+	cancel()
+	<-done
+}
+
 // Guards against changes that arrive late, and against calls that a table without changes costs.
 func TestChangesArriveAtOnce(t *testing.T) {
 	s := newStore()
