Call the store when the own copy of the configuration is old, whoever else reaches it

Callers saw: on es batu grown no instance of the fleet adopted a configuration for 5.1 s, although most of them reached the store.

Cause: an instance left the calls to the followers of its region as long as the store had answered any instance for any table within 2 s. Followers that the store turned away, or that could not read the configuration, still had answers to their long polls of other tables, and one answer anywhere kept the whole fleet from calling. Class: freshness of one thing taken as proof of the freshness of another.

Change: an instance calls the store itself once its own copy of the configuration is not known to be complete within the last 2 s; contact is that of the first table alone.

--- a/handler/peers.go
+++ b/handler/peers.go
@@ -19,9 +19,9 @@
 	followersPerRegion = 2
 	// smallFleet is the number of other instances below which one of each region calls the store.
 	smallFleet = 10
-	// contactLimit is how long ago the store may have answered the others before an instance calls it itself. A poll of
-	// one second, a call to the store and a round of datagrams take 1.6 s at most; a change must be in force 2.5 s after
-	// it was made even if those that call the store end at that moment.
+	// contactLimit is the age of the configuration from which an instance calls the store itself. A poll of one second, a call
+	// to the store and a round of datagrams take 1.6 s at most; a change must be in force 2.5 s after it was made even if
+	// those that call the store end at that moment.
 	contactLimit = 2 * time.Second
 )
 
@@ -89,11 +89,11 @@
 	return own
 }
 
-// follows reports whether this instance calls the store: the first of each region do, and everybody does when nobody
-// has been answered lately.
+// follows reports whether this instance calls the store: the first of each region do, and so does each instance whose
+// configuration may be older than contactLimit.
 func (s *Server) follows() bool {
 	now := s.clock()
-	if c := s.contact(); c.IsZero() || now.Sub(c) > contactLimit {
+	if c := s.rows.CompleteAsOf(s.configuration); c.IsZero() || now.Sub(c) > contactLimit {
 		return true
 	}
 	before := 0
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -353,8 +353,11 @@
 	now := r.config.Clock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !first {
+		return
+	}
 	r.contact = now
-	if r.failing.IsZero() || !first {
+	if r.failing.IsZero() {
 		return
 	}
 	r.config.Log.StoreUp(now.Sub(r.failing))
@@ -392,7 +395,7 @@
 	return r.returned
 }
 
-// Contact returns when the store last answered this instance.
+// Contact returns when the store last answered this instance for the first table.
 func (r *Replicator) Contact() time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
