--- a/handler/peers.go
+++ b/handler/peers.go
@@ -19,9 +19,9 @@
 	followersPerRegion = 2
 	// smallFleet is the number of other instances below which one of each region calls the store.
 	smallFleet = 10
-	// contactLimit is how long ago the store may have answered the others before an instance calls it itself. A poll of
-	// one second, a call to the store and a round of datagrams take 1.6 s at most; a change must be in force 2.5 s after
-	// it was made even if those that call the store end at that moment.
+	// contactLimit is the age of the configuration from which an instance calls the store itself. A poll of one second, a call
+	// to the store and a round of datagrams take 1.6 s at most; a change must be in force 2.5 s after it was made even if
+	// those that call the store end at that moment.
 	contactLimit = 2 * time.Second
 )
 
@@ -64,11 +64,18 @@
 	if c := s.contact(); !c.IsZero() {
 		age = now.Sub(c).Milliseconds()
 	}
-	return gossiper.State{
+	// Taken before the versions: a change in between must not be covered by it.
+	complete := s.rows.CompleteAsOf(s.configuration)
+	t := gossiper.State{
 		Contents:            s.rows.Contents(),
 		ContactMilliseconds: age,
 		Strikes:             s.recentStrikes(now),
 	}
+	if !complete.IsZero() {
+		a := now.Sub(complete).Milliseconds()
+		t.ConfigurationMilliseconds = &a
+	}
+	return t
 }
 
 // contact is when the store last answered any instance, as far as known.
@@ -82,11 +89,11 @@
 	return own
 }
 
-// follows reports whether this instance calls the store: the first of each region do, and everybody does when nobody
-// has been answered lately.
+// follows reports whether this instance calls the store: the first of each region do, and so does each instance whose
+// configuration may be older than contactLimit.
 func (s *Server) follows() bool {
 	now := s.clock()
-	if c := s.contact(); c.IsZero() || now.Sub(c) > contactLimit {
+	if c := s.rows.CompleteAsOf(s.configuration); c.IsZero() || now.Sub(c) > contactLimit {
 		return true
 	}
 	before := 0
@@ -130,6 +137,9 @@
 	for n, v := range t.Contents {
 		s.rows.Heard(n, v)
 	}
+	if a := t.ConfigurationMilliseconds; a != nil && *a >= 0 {
+		s.rows.Claimed(s.configuration, t.Contents[s.configuration], s.clock().Add(-time.Duration(*a)*time.Millisecond))
+	}
 	s.hearStrikes(s.clock(), t.Strikes)
 }
 
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -15,6 +15,9 @@
 // ErrCompacted means that the store has dropped the history after the version asked for.
 var ErrCompacted = merry.Sentinel("history is no longer available")
 
+// errFollowTimeout means that the changes of a table did not arrive in time.
+var errFollowTimeout = merry.Sentinel("changes did not arrive in time")
+
 // Times of the calls to the store.
 const (
 	// callTimeout bounds a call beyond its long poll; the platform states 4 ms for an answer, links add up to 110 ms.
@@ -93,6 +96,8 @@
 	// wake is signaled when a peer was heard to be ahead.
 	wake chan struct{}
 
+	freshness freshness
+
 	mu      sync.Mutex
 	applied sync.Mutex
 	// peerContent is the newest version of a row of which a peer told, and since when the copy is behind it.
@@ -135,12 +140,16 @@
 			continue
 		}
 		resumed := r.outage()
-		h, err := r.call(ctx, t, whole, resumed)
+		// The changes since an outage may be too many for one answer in time; the table itself is bounded. A read also shows
+		// soonest that the outage is over.
+		whole = whole || outage || !t.copy.Known()
+		h, asOf, err := r.call(ctx, t, whole, resumed)
 		switch {
 		case err == nil:
 			whole = false
 			r.answered(t.first)
 			r.apply(t, h)
+			t.freshness.confirm(asOf)
 			if len(h.Rows) > 0 && t.Pause > 0 && timer.Sleep(ctx, t.Pause) != nil {
 				return
 			}
@@ -151,6 +160,8 @@
 			continue
 		case ctx.Err() != nil:
 			return
+		case errors.Is(err, errFollowTimeout):
+			whole = true
 		}
 		if t.first {
 			r.failed(err)
@@ -182,14 +193,9 @@
 	return true
 }
 
-func (r *Replicator) call(ctx context.Context, t *table, whole bool, resumed <-chan struct{}) (Change, error) {
-	wait := t.Wait
-	if t.first && r.Failing() {
-		// While the store fails, a short call shows its return soonest.
-		wait = 0
-	}
-	after, _ := t.copy.Versions()
-	whole = whole || !t.copy.Known()
+// call asks the store once. Its answer holds all changes up to the returned time.
+func (r *Replicator) call(ctx context.Context, t *table, whole bool, resumed <-chan struct{}) (Change, time.Time, error) {
+	start, wait := r.config.Clock(), t.Wait
 	if whole {
 		wait = 0
 	}
@@ -207,9 +213,19 @@
 		}()
 	}
 	if whole {
-		return r.config.Source.Read(c, t.Name)
+		h, err := r.config.Source.Read(c, t.Name)
+		return h, start, err
+	}
+	after, _ := t.copy.Versions()
+	h, err := r.config.Source.Follow(c, t.Name, after, wait)
+	if err != nil && errors.Is(c.Err(), context.DeadlineExceeded) {
+		err = errors.Join(errFollowTimeout, err)
 	}
-	return r.config.Source.Follow(c, t.Name, after, wait)
+	if len(h.Rows) > 0 {
+		return h, start, err
+	}
+	// The answer may have been read much later than it was written, but the store waited for changes.
+	return h, start.Add(min(wait, r.config.Clock().Sub(start))), err
 }
 
 // catchUp asks a peer while the store fails or the peer is ahead.
@@ -221,6 +237,7 @@
 		case <-ctx.Done():
 			return
 		case <-k.C:
+			t.freshness.beat(r.config.Clock())
 		case <-t.wake:
 		}
 		if r.config.Peers == nil || !r.asksPeer(t) {
@@ -289,6 +306,24 @@
 	}
 }
 
+// Claimed records that a peer's copy of a table, whose newest row has the version content, was complete at a time.
+func (r *Replicator) Claimed(name string, content uint64, asOf time.Time) {
+	if t := r.tables[name]; t != nil {
+		t.freshness.claim(content, asOf)
+	}
+}
+
+// CompleteAsOf returns the latest time at which the copy of a table is known to have held all that the store had, or
+// zero if that is not known. Until then an entry that it lacks did not exist.
+func (r *Replicator) CompleteAsOf(name string) time.Time {
+	t := r.tables[name]
+	if t == nil {
+		return time.Time{}
+	}
+	_, content := t.copy.Versions()
+	return t.freshness.completeAsOf(r.config.Clock(), content)
+}
+
 // Contents returns the version of the newest row of each table.
 func (r *Replicator) Contents() map[string]uint64 {
 	m := make(map[string]uint64, len(r.tables))
@@ -318,8 +353,11 @@
 	now := r.config.Clock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !first {
+		return
+	}
 	r.contact = now
-	if r.failing.IsZero() || !first {
+	if r.failing.IsZero() {
 		return
 	}
 	r.config.Log.StoreUp(now.Sub(r.failing))
@@ -357,7 +395,7 @@
 	return r.returned
 }
 
-// Contact returns when the store last answered this instance.
+// Contact returns when the store last answered this instance for the first table.
 func (r *Replicator) Contact() time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
