Send accepted requests whose key was withdrawn while they waited

What callers saw: 401 key_invalid for a request whose key was valid when it was sent and accepted. No request is retried after 401.

Cause: Server.mayRun judged the key by the newest configuration just before the first byte, so a version that arrived while the request waited for its body, for a token, a connection or another target made it unauthorized. The class: a request is judged by a configuration that was not in force when it was sent.

Evidence: lines 4101 with reason key_invalid and a target named, which only this check produces.

Change: under a newer configuration a request keeps its key for a second after its arrival. With the 3 s and 4 s in which a version reaches all instances, the key stops working within 5 s. After that, or if the key belongs to another account by now, the answer is 503, not run: it is true, and the repeat is judged anew. The product's own path promises that a key is checked at the send and does not change.

--- a/handler/export_test.go
+++ b/handler/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"celeryhead.dev/celeryhead/authenticator"
 	"celeryhead.dev/celeryhead/cataloger"
 )
 
@@ -25,3 +26,12 @@
 	}
 	return t.to("far")
 }
+
+// MayUseKey reports whether a request accepted by one catalog may be sent with its key under another one, some time after
+// its arrival.
+func MayUseKey(key authenticator.Digest, accepted, current *cataloger.Catalog, waited time.Duration) bool {
+	now := time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+	c := call{key: key, catalog: accepted, arrival: now.Add(-waited)}
+	c.account, _ = accepted.Account(key)
+	return c.mayUseKey(current, now)
+}
--- a/handler/forward.go
+++ b/handler/forward.go
@@ -22,6 +22,9 @@
 // held 250 ms longer than its route states.
 const answerPatience = 200 * time.Millisecond
 
+// withdrawnKeyLife is how long after its arrival a request may be sent although its key was withdrawn meanwhile.
+const withdrawnKeyLife = time.Second
+
 // maxTried bounds the targets that a request tries to reach.
 const maxTried = 6
 
@@ -210,13 +213,22 @@
 	if n, ok := k.Target(t.Service, t.Name); !ok || n.Started != t.Started {
 		return unavailable(responder.NoOwner, "the target left before the request was sent")
 	}
+	if !c.mayUseKey(k, s.clock()) {
+		return unavailable(responder.Stale, "the key was withdrawn before the request was sent")
+	}
+	return nil
+}
+
+// mayUseKey reports whether a request with a key may still be sent under a catalog that may be newer than the one by which
+// it was accepted. Its caller had a valid key, so it is not refused as unauthorized: it would not be sent again.
+func (c *call) mayUseKey(k *cataloger.Catalog, now time.Time) bool {
 	if c.account == nil || k == c.catalog {
-		return nil
+		return true
 	}
-	if a, ok := k.Account(c.key); !ok || a.Name != c.account.Name {
-		return refusal(http.StatusUnauthorized, responder.KeyInvalid, "the key was withdrawn")
+	if a, ok := k.Account(c.key); ok {
+		return a.Name == c.account.Name
 	}
-	return nil
+	return now.Sub(c.arrival) < withdrawnKeyLife
 }
 
 // failed ends the lease of a request without an answer.
--- a/handler/handler_test.go
+++ b/handler/handler_test.go
@@ -1,9 +1,11 @@
 package handler_test
 
 import (
+	"crypto/sha256"
 	"testing"
 	"time"
 
+	"celeryhead.dev/celeryhead/authenticator"
 	"celeryhead.dev/celeryhead/cataloger"
 	"celeryhead.dev/celeryhead/handler"
 )
@@ -32,3 +34,32 @@
 		t.Errorf("trip %v after 30 s of %v", d, far)
 	}
 }
+
+// Guards against a request that is refused for the withdrawal of its key right after it was accepted, one that still uses the
+// key much later, and one that runs for an account that has lost the key to another one.
+func TestKeyOfAcceptedRequest(t *testing.T) {
+	k := authenticator.Digest(sha256.Sum256([]byte("k")))
+	catalog := func(version uint64, holder string) *cataloger.Catalog {
+		b := cataloger.NewBook()
+		b.Configure(cataloger.Configuration{Version: version, Accounts: []cataloger.Account{{Name: holder, Keys: []authenticator.Digest{k}}, {Name: "other"}}})
+		return b.Catalog()
+	}
+	none := cataloger.NewBook()
+	none.Configure(cataloger.Configuration{Version: 2, Accounts: []cataloger.Account{{Name: "bakery"}}})
+	accepted := catalog(1, "bakery")
+	for name, c := range map[string]struct {
+		current *cataloger.Catalog
+		waited  time.Duration
+		want    bool
+	}{
+		"same catalog":             {accepted, time.Minute, true},
+		"still held":               {catalog(2, "bakery"), time.Minute, true},
+		"withdrawn, short wait":    {none.Catalog(), 900 * time.Millisecond, true},
+		"withdrawn, long wait":     {none.Catalog(), time.Second, false},
+		"moved to another account": {catalog(2, "other"), 0, false},
+	} {
+		if got := handler.MayUseKey(k, accepted, c.current, c.waited); got != c.want {
+			t.Errorf("%s: %t after %v, want %t", name, got, c.waited, c.want)
+		}
+	}
+}
