Ask another peer for a newer configuration when one did not answer

What callers would see: 401 or 404 for a new key or route later than the configuration must be in force (3 s on koshe), at all instances of a region that do not call the store themselves.

Cause: Server.Newer always chose the same peer: of those with the newest copy the first by address. One that ended or froze right after it had announced a version counts as alive for another 2.5 s. Until then each instance behind it repeated the failed call, 0.4 s after a refused connection and 0.9 s after a silent one, although a second follower of the region had the version too. So a version could take up to 2.5 + 0.9 s after the announcement.

Change: a peer whose last call failed comes after all others that are ahead, for the time in which it may still count as alive; among equals one of the same region is asked, which was left to the order of addresses before. A peer that is not ahead is not asked.

With the former choice in the same function: handler_test.go:92: asks 10.0.0.1, true; want 10.0.0.3 handler_test.go:95: asks 10.0.0.1, true; want 10.0.0.2 --- FAIL: TestPeerWithoutAnswerIsNotAskedAgain (0.00s)

--- a/handler/export_test.go
+++ b/handler/export_test.go
@@ -1,10 +1,12 @@
 package handler
 
 import (
+	"net/netip"
 	"time"
 
 	"celeryhead.dev/celeryhead/authenticator"
 	"celeryhead.dev/celeryhead/cataloger"
+	"celeryhead.dev/celeryhead/gossiper"
 )
 
 // Shares returns how many of n requests of a route go to each of its destinations.
@@ -35,3 +37,25 @@
 	c.account, _ = accepted.Account(key)
 	return c.mayUseKey(current, now)
 }
+
+// Peers keeps what an instance of a region knows of the others' copies of one table.
+type Peers struct {
+	peers  peers
+	region string
+}
+
+// NewPeers returns peers of which nothing was heard.
+func NewPeers(region string) *Peers { return &Peers{peers: newPeers(), region: region} }
+
+// Hear records the version of a peer's copy.
+func (p *Peers) Hear(a netip.Addr, content uint64) {
+	p.peers.contents[a] = map[string]uint64{"table": content}
+}
+
+// Answered records whether a peer answered a call.
+func (p *Peers) Answered(now time.Time, a netip.Addr, ok bool) { p.peers.answered(now, a, ok) }
+
+// Newest returns the peer to ask for what changed after a version.
+func (p *Peers) Newest(now time.Time, alive []gossiper.Member, after uint64) (netip.Addr, bool) {
+	return p.peers.newest(now, alive, p.region, "table", after)
+}
--- a/handler/handler_test.go
+++ b/handler/handler_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"crypto/sha256"
+	"net/netip"
 	"testing"
 	"time"
 
 	"celeryhead.dev/celeryhead/authenticator"
 	"celeryhead.dev/celeryhead/cataloger"
+	"celeryhead.dev/celeryhead/gossiper"
 	"celeryhead.dev/celeryhead/handler"
 )
 
@@ -63,3 +65,40 @@
 		}
 	}
 }
+
+// Guards against an instance that asks a peer that ended again and again, while another peer has the newer configuration.
+func TestPeerWithoutAnswerIsNotAskedAgain(t *testing.T) {
+	now := time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+	member := func(n byte, region string) gossiper.Member {
+		return gossiper.Member{Address: netip.AddrFrom4([4]byte{10, 0, 0, n}), Region: region}
+	}
+	far, dead, well, old := member(1, "astana"), member(2, "almaty"), member(3, "almaty"), member(4, "almaty")
+	alive := []gossiper.Member{far, dead, well, old}
+	p := handler.NewPeers("almaty")
+	ask := func(want gossiper.Member) {
+		t.Helper()
+		if a, ok := p.Newest(now, alive, 5); !ok || a != want.Address {
+			t.Errorf("asks %v, %t; want %v", a, ok, want.Address)
+		}
+	}
+	p.Hear(old.Address, 5)
+	p.Hear(dead.Address, 7)
+	ask(dead)
+	p.Hear(far.Address, 7)
+	ask(dead)
+	p.Answered(now, dead.Address, false)
+	ask(far)
+	p.Hear(well.Address, 7)
+	ask(well)
+	p.Answered(now, well.Address, false)
+	p.Answered(now, far.Address, false)
+	ask(dead)
+	p.Answered(now, well.Address, true)
+	ask(well)
+	p.Hear(dead.Address, 8)
+	now = now.Add(gossiper.Silence + time.Millisecond)
+	ask(dead)
+	if a, ok := p.Newest(now, alive, 8); ok {
+		t.Errorf("asks %v, which is not ahead", a)
+	}
+}
--- a/handler/peers.go
+++ b/handler/peers.go
@@ -1,9 +1,11 @@
 package handler
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +37,8 @@
 	started map[netip.Addr]int64
 	// contact is when the store last answered any instance, as far as heard.
 	contact time.Time
+	// failed is when the last call to a peer failed, if it did.
+	failed map[netip.Addr]time.Time
 }
 
 func newPeers() peers {
@@ -42,6 +46,7 @@
 		client:   &http.Client{Transport: &http.Transport{IdleConnTimeout: peerConnectionLife, MaxIdleConnsPerHost: 1}},
 		contents: map[netip.Addr]map[string]uint64{},
 		started:  map[netip.Addr]int64{},
+		failed:   map[netip.Addr]time.Time{},
 	}
 }
 
@@ -135,17 +140,57 @@
 
 // Newer asks the living peer with the newest copy of a table.
 func (s *Server) Newer(ctx context.Context, table string, after uint64) (replicator.Change, error) {
-	var best netip.Addr
-	var newest uint64
-	s.peers.mu.Lock()
-	for _, m := range s.members.Alive(s.clock()) {
-		if v := s.peers.contents[m.Address][table]; v > newest {
-			best, newest = m.Address, v
-		}
-	}
-	s.peers.mu.Unlock()
-	if !best.IsValid() {
+	now := s.clock()
+	a, ok := s.peers.newest(now, s.members.Alive(now), s.settings.Region, table, after)
+	if !ok {
 		return replicator.Change{}, replicator.ErrPeer
 	}
-	return replicator.Fetch(ctx, s.peers.client, netip.AddrPortFrom(best, s.settings.Peers.Port()), table, after)
+	h, err := replicator.Fetch(ctx, s.peers.client, netip.AddrPortFrom(a, s.settings.Peers.Port()), table, after)
+	s.peers.answered(s.clock(), a, err == nil)
+	return h, err
+}
+
+// newest chooses the peer to ask for a table: the one with the newest copy, among equals one of the region. A peer that just
+// failed to answer comes after all others that are ahead, because one that ended counts as alive for Silence.
+func (p *peers) newest(now time.Time, alive []gossiper.Member, region, table string, after uint64) (best netip.Addr, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	better := func(a, b gossiper.Member) int {
+		return cmp.Or(
+			compareBools(!p.failing(now, a.Address), !p.failing(now, b.Address)),
+			cmp.Compare(p.contents[a.Address][table], p.contents[b.Address][table]),
+			compareBools(a.Region == region, b.Region == region),
+		)
+	}
+	ahead := slices.DeleteFunc(slices.Clone(alive), func(m gossiper.Member) bool { return p.contents[m.Address][table] <= after })
+	if len(ahead) == 0 {
+		return best, false
+	}
+	return slices.MaxFunc(ahead, better).Address, true
+}
+
+// answered records whether a peer answered a call.
+func (p *peers) answered(now time.Time, a netip.Addr, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.failed, a)
+	if !ok {
+		p.failed[a] = now
+	}
+}
+
+// failing reports whether the last call to a peer failed lately; mu is held.
+func (p *peers) failing(now time.Time, a netip.Addr) bool {
+	t, ok := p.failed[a]
+	return ok && now.Sub(t) <= gossiper.Silence
+}
+
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
 }
