Answer "stale" for a key that the owner's configuration does not have yet

What callers would see, on the product's own path: 401 key_invalid for a key or account that was just issued, when the owner of the pool has an older configuration than the instance that accepted the request; callers do not repeat after 401.

Cause: Server.receive and Server.admit judged the key by the owner's own configuration, although its proof of freshness lets that be seconds older than the entry instance's. A route that the owner does not know yet was answered with stale already.

Change: the entry instance sends the version of the configuration by which it accepted the request. An owner that does not know the key and has an older version answers 503 stale, not run, after which another owner is tried. With the same or a newer version the key was withdrawn: 401, as before, and the check just before the first byte stays. A peer of an earlier release sends no version and is answered as before.

--- a/server/entry.go
+++ b/server/entry.go
@@ -29,7 +29,9 @@
 	route    composer.Route
 	account  composer.Account
 	identity authenticator.Identity
-	deadline time.Time
+	// configVersion is the version of the configuration by which the entry instance accepted the request.
+	configVersion uint64
+	deadline      time.Time
 	// region is where the request entered, or its home region if a shift is at its cap.
 	region string
 	// caller is the address of the caller.
@@ -121,7 +123,8 @@
 		return c, badRequest(err.Error())
 	}
 	v := s.control.View()
-	if v.Heads.ConfigVersion == 0 {
+	c.configVersion = v.Heads.ConfigVersion
+	if c.configVersion == 0 {
 		return c, stale()
 	}
 	t, found, allowed := v.Routes.Find(r.Method, r.URL.Path)
--- a/server/export_test.go
+++ b/server/export_test.go
@@ -123,3 +123,10 @@
 func (s *Server) EnterTicket(ticket string, passed bool) *responder.Refusal {
 	return s.enterTicket(context.Background(), nil, &call{passed: passed}, claimer.Request{Account: "maker", Route: "order", Key: ticket})
 }
+
+// Configure puts a version of the configuration in force, whatever was before.
+func (s *Server) Configure(version uint64, c composer.Config) {
+	v := s.control.View()
+	v.Configuration = controller.NewConfiguration(nil, c)
+	v.Heads.ConfigVersion = version
+}
--- a/server/forward.go
+++ b/server/forward.go
@@ -94,6 +94,7 @@
 	r.Header = c.request.Header.Clone()
 	r.Header.Set(headerURI, c.request.URL.RequestURI())
 	r.Header.Set(headerRoute, c.route.Name)
+	r.Header.Set(headerConfig, strconv.FormatUint(c.configVersion, 10))
 	r.Header.Set(headerRegion, c.region)
 	if c.suspect {
 		r.Header.Set(headerSuspect, "1")
--- a/server/owner.go
+++ b/server/owner.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 	"celeryhead.dev/celeryhead/attester"
 	"celeryhead.dev/celeryhead/authenticator"
 	"celeryhead.dev/celeryhead/balancer"
+	"celeryhead.dev/celeryhead/controller"
 	"celeryhead.dev/celeryhead/forwarder"
 	"celeryhead.dev/celeryhead/responder"
 	"celeryhead.dev/celeryhead/spooler"
@@ -25,8 +27,10 @@
 	headerRoute   = internalPrefix + "Route"
 	headerAccount = internalPrefix + "Account"
 	headerKey     = internalPrefix + "Key-Digest"
-	headerRegion  = internalPrefix + "Region"
-	headerURI     = internalPrefix + "Uri"
+	// headerConfig holds the version of the configuration by which the entry instance accepted the request.
+	headerConfig = internalPrefix + "Config-Version"
+	headerRegion = internalPrefix + "Region"
+	headerURI    = internalPrefix + "Uri"
 	// headerSuspect says that the entry instance knows a strike of the request.
 	headerSuspect = internalPrefix + "Suspect"
 	forwardPath   = "/forward"
@@ -262,6 +266,14 @@
 	return nil
 }
 
+// unknownKey refuses a key that the entry instance accepted. One that an older configuration does not have may be new.
+func unknownKey(v *controller.View, accepted uint64) *responder.Refusal {
+	if v.Heads.ConfigVersion < accepted {
+		return stale()
+	}
+	return keyInvalid()
+}
+
 // receive reads what the entry instance found out about a request.
 func (s *Server) receive(w http.ResponseWriter, r *http.Request) (*call, *responder.Refusal) {
 	v := s.control.View()
@@ -272,18 +284,25 @@
 		return nil, stale()
 	}
 	var err error
+	if n := h.Get(headerConfig); n != "" {
+		// Instances of earlier releases do not send it.
+		if c.configVersion, err = strconv.ParseUint(n, 10, 64); err != nil {
+			return nil, badRequest("forwarded request with a malformed version of the configuration")
+		}
+	}
 	if c.deadline, err = time.Parse(time.RFC3339Nano, h.Get(forwarder.HeaderDeadline)); err != nil {
 		return nil, badRequest("forwarded request without a deadline")
 	}
 	if !c.route.Open {
-		if c.account, ok = v.Accounts[h.Get(headerAccount)]; !ok {
-			return nil, keyInvalid()
-		}
 		d, err := hex.DecodeString(h.Get(headerKey))
 		if err != nil || len(d) != len(authenticator.Digest{}) {
 			return nil, keyInvalid()
 		}
-		c.identity = authenticator.Identity{Account: c.account.Name, Digest: authenticator.Digest(d)}
+		c.identity = authenticator.Identity{Account: h.Get(headerAccount), Digest: authenticator.Digest(d)}
+		if !v.Keys.Valid(c.identity) {
+			return nil, unknownKey(v, c.configVersion)
+		}
+		c.account = v.Accounts[c.identity.Account]
 	}
 	u, err := url.ParseRequestURI(h.Get(headerURI))
 	if err != nil {
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/hex"
 	"encoding/pem"
 	"net"
 	"net/http"
@@ -19,6 +21,8 @@
 
 	"celeryhead.dev/celeryhead/certifier"
 	"celeryhead.dev/celeryhead/claimer"
+	"celeryhead.dev/celeryhead/composer"
+	"celeryhead.dev/celeryhead/forwarder"
 	"celeryhead.dev/celeryhead/loader"
 	"celeryhead.dev/celeryhead/logger"
 	"celeryhead.dev/celeryhead/messenger"
@@ -256,3 +260,49 @@
 		}
 	}
 }
+
+// Guards against a caller who is told that its new key is invalid because the owner of the pool has an older configuration
+// than the instance that accepted the request.
+func TestNewKeyAtOwnerWithOlderConfiguration(t *testing.T) {
+	s, a := newCertified(t)
+	digest := sha256.Sum256([]byte("new"))
+	old := sha256.Sum256([]byte("old"))
+	s.Configure(7, composer.Config{
+		Routes:   []composer.Route{{Name: "order", PathPrefix: "/orders", Pool: "stock", Deadline: time.Minute}},
+		Accounts: []composer.Account{{Name: "maker", Keys: []composer.Key{{Name: "till", Digest: old}}}},
+	})
+	state := connection(t, a)
+	for name, c := range map[string]struct {
+		account string
+		digest  [sha256.Size]byte
+		version string
+		status  int
+		reason  responder.Reason
+	}{
+		"new key":              {"maker", digest, "8", 503, responder.Stale},
+		"new account":          {"clerk", digest, "8", 503, responder.Stale},
+		"known key":            {"maker", old, "8", 503, responder.NoOwner},
+		"withdrawn key":        {"maker", digest, "7", 401, responder.KeyInvalid},
+		"withdrawn later":      {"maker", digest, "6", 401, responder.KeyInvalid},
+		"no version":           {"maker", digest, "", 401, responder.KeyInvalid},
+		"malformed version":    {"maker", old, "r8", 400, responder.BadRequest},
+		"key of somebody else": {"clerk", old, "7", 401, responder.KeyInvalid},
+	} {
+		r := httptest.NewRequest(http.MethodPost, "/forward", http.NoBody)
+		r.TLS = state
+		for k, v := range map[string]string{
+			"Route": "order", "Account": c.account, "Key-Digest": hex.EncodeToString(c.digest[:]), "Config-Version": c.version, "Region": "west",
+			"Uri": "/orders",
+		} {
+			if v != "" {
+				r.Header.Set("Celeryhead-"+k, v)
+			}
+		}
+		r.Header.Set(forwarder.HeaderDeadline, time.Now().Add(time.Minute).Format(time.RFC3339Nano))
+		w := httptest.NewRecorder()
+		s.PeersHandler().ServeHTTP(w, r)
+		if h := w.Header(); w.Code != c.status || h.Get(responder.HeaderReason) != string(c.reason) || h.Get(responder.HeaderRan) != string(responder.NotRun) {
+			t.Errorf("%s: status %d, header %v; want %d, %s", name, w.Code, h, c.status, c.reason)
+		}
+	}
+}
