--- a/handler/handler_test.go
+++ b/handler/handler_test.go
@@ -1,10 +1,14 @@
 package handler_test
 
 import (
+	"crypto/sha256"
+	"net/netip"
 	"testing"
 	"time"
 
+	"celeryhead.dev/celeryhead/authenticator"
 	"celeryhead.dev/celeryhead/cataloger"
+	"celeryhead.dev/celeryhead/gossiper"
 	"celeryhead.dev/celeryhead/handler"
 )
 
@@ -32,3 +36,69 @@
 		t.Errorf("trip %v after 30 s of %v", d, far)
 	}
 }
+
+// Guards against a request that is refused for the withdrawal of its key right after it was accepted, one that still uses the
+// key much later, and one that runs for an account that has lost the key to another one.
+func TestKeyOfAcceptedRequest(t *testing.T) {
+	k := authenticator.Digest(sha256.Sum256([]byte("k")))
+	catalog := func(version uint64, holder string) *cataloger.Catalog {
+		b := cataloger.NewBook()
+		b.Configure(cataloger.Configuration{Version: version, Accounts: []cataloger.Account{{Name: holder, Keys: []authenticator.Digest{k}}, {Name: "other"}}})
+		return b.Catalog()
+	}
+	none := cataloger.NewBook()
+	none.Configure(cataloger.Configuration{Version: 2, Accounts: []cataloger.Account{{Name: "bakery"}}})
+	accepted := catalog(1, "bakery")
+	for name, c := range map[string]struct {
+		current *cataloger.Catalog
+		waited  time.Duration
+		want    bool
+	}{
+		"same catalog":             {accepted, time.Minute, true},
+		"still held":               {catalog(2, "bakery"), time.Minute, true},
+		"withdrawn, short wait":    {none.Catalog(), 900 * time.Millisecond, true},
+		"withdrawn, long wait":     {none.Catalog(), time.Second, false},
+		"moved to another account": {catalog(2, "other"), 0, false},
+	} {
+		if got := handler.MayUseKey(k, accepted, c.current, c.waited); got != c.want {
+			t.Errorf("%s: %t after %v, want %t", name, got, c.waited, c.want)
+		}
+	}
+}
+
+// Guards against an instance that asks a peer that ended again and again, while another peer has the newer configuration.
+func TestPeerWithoutAnswerIsNotAskedAgain(t *testing.T) {
+	now := time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+	member := func(n byte, region string) gossiper.Member {
+		return gossiper.Member{Address: netip.AddrFrom4([4]byte{10, 0, 0, n}), Region: region}
+	}
+	far, dead, well, old := member(1, "astana"), member(2, "almaty"), member(3, "almaty"), member(4, "almaty")
+	alive := []gossiper.Member{far, dead, well, old}
+	p := handler.NewPeers("almaty")
+	ask := func(want gossiper.Member) {
+		t.Helper()
+		if a, ok := p.Newest(now, alive, 5); !ok || a != want.Address {
+			t.Errorf("asks %v, %t; want %v", a, ok, want.Address)
+		}
+	}
+	p.Hear(old.Address, 5)
+	p.Hear(dead.Address, 7)
+	ask(dead)
+	p.Hear(far.Address, 7)
+	ask(dead)
+	p.Answered(now, dead.Address, false)
+	ask(far)
+	p.Hear(well.Address, 7)
+	ask(well)
+	p.Answered(now, well.Address, false)
+	p.Answered(now, far.Address, false)
+	ask(dead)
+	p.Answered(now, well.Address, true)
+	ask(well)
+	p.Hear(dead.Address, 8)
+	now = now.Add(gossiper.Silence + time.Millisecond)
+	ask(dead)
+	if a, ok := p.Newest(now, alive, 8); ok {
+		t.Errorf("asks %v, which is not ahead", a)
+	}
+}
