Log answers that no handler gave, and whether a target signed its own

Callers see: the same as before. In an incident a 400, 417, 431 or 501 that net/http gives to a caller before any handler runs left no line and no metric, so that it could not be told from a lost line; and a target's answer with a status of 300 or above that lacks its signature looked the same in the log as one that the target signed.

Change: the callers' listener returns connections that notice a write while no handler has the connection; the first one is logged as 4104, with the status line (which names net/http's reason where it gives one), the caller's address, the earlier requests and the bytes read, and counted by celeryhead_unhandled_answers_total. The log's queue bounds these lines like all others, and a connection reports once. On the usual path this costs an atomic load or store for each read, write and request. Line 4101 tells with `signed` whether a target's answer of 300 or above has the signature.

Limits: the product's own listener speaks TLS, whose connections net/http has to see unwrapped; it is as before. A connection that net/http closes without an answer (a header that does not come within 10 s) still leaves no line.

--- /dev/null
+++ b/guarder/unhandled.go
@@ -0,0 +1,105 @@
+package guarder
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+)
+
+// maxStatusLine bounds the reported part of an unhandled answer, in bytes.
+const maxStatusLine = 128
+
+// Unhandled is an answer that net/http gave by itself, without calling a handler, such as 400 to a malformed request.
+type Unhandled struct {
+	Status int
+	// Line is the status line without the protocol version; it may contain a reason.
+	Line string
+	// Remote is the address of the caller.
+	Remote string
+	// Requests is the number of requests on the connection that had reached the handler.
+	Requests int64
+	// BytesRead is the number of bytes read from the connection.
+	BytesRead int64
+}
+
+// ReportUnhandled makes s report unhandled answers on the connections of the returned listener. It replaces the hooks
+// for connections of s and wraps its handler.
+func ReportUnhandled(s *http.Server, l net.Listener, report func(Unhandled)) net.Listener {
+	h := s.Handler
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	s.ConnState = func(c net.Conn, t http.ConnState) {
+		// A connection becomes active after each read of a request's header, and before its handler is called.
+		if o, ok := c.(*conn); ok && t == http.StateActive {
+			o.handled.Store(false)
+		}
+	}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if o, ok := r.Context().Value(connKey{}).(*conn); ok {
+			o.handled.Store(true)
+			o.requests.Add(1)
+		}
+		h.ServeHTTP(w, r)
+	})
+	return &listener{Listener: l, report: report}
+}
+
+type connKey struct{}
+
+type listener struct {
+	net.Listener
+	report func(Unhandled)
+}
+
+// Accept returns a connection that reports unhandled answers.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return c, nil
+	}
+	return &conn{TCPConn: t, report: l.report}, nil
+}
+
+// conn embeds *net.TCPConn because net/http uses its CloseWrite.
+type conn struct {
+	*net.TCPConn
+	report             func(Unhandled)
+	requests, received atomic.Int64
+	// handled is true from the call of the handler until the next header was read.
+	handled  atomic.Bool
+	reported atomic.Bool
+}
+
+// Read counts the bytes read.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+// Write reports the first answer of the connection that no handler gave.
+func (c *conn) Write(b []byte) (int, error) {
+	if !c.handled.Load() && !c.reported.Swap(true) {
+		c.reportAnswer(b)
+	}
+	return c.TCPConn.Write(b)
+}
+
+func (c *conn) reportAnswer(b []byte) {
+	u := Unhandled{Remote: c.RemoteAddr().String(), Requests: c.requests.Load(), BytesRead: c.received.Load()}
+	line, _, _ := bytes.Cut(b[:min(len(b), maxStatusLine)], []byte("\r\n"))
+	_, line, _ = bytes.Cut(line, []byte(" "))
+	u.Line = string(line)
+	code, _, _ := bytes.Cut(line, []byte(" "))
+	// A status that is not a number stays 0.
+	u.Status, _ = strconv.Atoi(string(code))
+	c.report(u)
+}
--- a/handler/protocol.go
+++ b/handler/protocol.go
@@ -30,6 +30,8 @@
 	Address(h http.Header, target *cataloger.Target, account string)
 	// Load reads the load that a target tells; ok is false if it tells none.
 	Load(h http.Header) (l placer.Load, ok bool)
+	// Signed reports whether an answer has the signature of a target.
+	Signed(h http.Header) bool
 	// Moved reports whether a shed answer says that another target has the address.
 	Moved(status int) bool
 	// Refuse answers a caller in place of a target.
--- a/handler/request.go
+++ b/handler/request.go
@@ -43,6 +43,8 @@
 	// mayHaveRun is true once a target may have run the request.
 	mayHaveRun bool
 	status     int
+	// signed is true if the answer has the signature of a target.
+	signed bool
 }
 
 func (c *call) accountName() string {
@@ -63,6 +65,7 @@
 		s.protocol.Refuse(w, f)
 		return
 	}
+	c.signed = s.protocol.Signed(a.Header)
 	// A panic of Copy closes the caller's connection; the line then tells no status.
 	forwarder.Copy(w, a)
 	c.status = a.Status
@@ -171,6 +174,7 @@
 		Object:   c.envelope.Object,
 		Attempts: c.sent,
 		Status:   c.status,
+		Signed:   c.signed,
 		Left:     c.envelope.Left,
 		Duration: now.Sub(c.arrival),
 	}
--- a/handler/server.go
+++ b/handler/server.go
@@ -205,6 +205,9 @@
 			s.log.ListenerFailed(l.Name, err)
 			return err
 		}
+		if servers[i] == callers {
+			k = guarder.ReportUnhandled(callers, k, s.reportUnhandled)
+		}
 		go func() {
 			if err := servers[i].Serve(k); !errors.Is(err, http.ErrServerClosed) {
 				s.log.ListenerFailed(l.Name, err)
@@ -244,6 +247,11 @@
 	}
 }
 
+func (s *Server) reportUnhandled(u guarder.Unhandled) {
+	s.meter.Unhandled(u.Status)
+	s.log.RequestUnhandled(u.Status, u.Line, u.Remote, u.Requests, u.BytesRead)
+}
+
 func (s *Server) peersHandler() http.Handler {
 	r := mux.NewRouter()
 	r.Handle(replicator.PathRows, s.rows).Methods(http.MethodGet)
--- a/logger/events.go
+++ b/logger/events.go
@@ -1,6 +1,7 @@
 package logger
 
 import (
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -57,6 +58,7 @@
 	requestEnded       = register(4101, log.InfoLevel, "request ended")
 	attemptFailed      = register(4102, log.InfoLevel, "attempt at a target failed")
 	targetSuspected    = register(4103, log.WarnLevel, "target suspected to be gone")
+	requestUnhandled   = register(4104, log.InfoLevel, "request answered before any handler")
 	readyChanged       = register(1009, log.InfoLevel, "readiness changed")
 	settingsReloaded   = register(1010, log.InfoLevel, "settings reloaded")
 	settingsRejected   = register(1011, log.ErrorLevel, "settings are not usable; the former ones stay in use")
@@ -311,6 +313,8 @@
 	Status int
 	// Reason and Ran are those of a refusal; empty for a target's answer.
 	Reason, Ran string
+	// Signed is true if a target's answer has the target's signature.
+	Signed bool
 	// RetryAfter is what the caller of a refused request was told to wait.
 	RetryAfter time.Duration
 	// Rate and Burst are the account's allowance; told with a refusal for it.
@@ -339,6 +343,9 @@
 	if e.Target != "" {
 		f["target"], f["wait_seconds"], f["run_seconds"], f["known"] = e.Target, seconds(e.Wait), seconds(e.Run), e.Known
 	}
+	if e.Reason == "" && e.Status >= http.StatusMultipleChoices {
+		f["signed"] = e.Signed
+	}
 	if e.Reason != "" {
 		f["reason"], f["ran"], f["retry_after_seconds"] = e.Reason, e.Ran, seconds(e.RetryAfter)
 	}
@@ -377,3 +384,9 @@
 func (l *Logger) TargetSuspected(id, target string, d time.Duration) {
 	l.emit(targetSuspected, log.Fields{"request_id": id, "target": target, "seconds": seconds(d)})
 }
+
+// RequestUnhandled reports an answer that net/http gave by itself. Answer is the status line, requests the number of
+// earlier requests on the connection, and bytes what was read from it.
+func (l *Logger) RequestUnhandled(status int, answer, remote string, requests, bytes int64) {
+	l.emit(requestUnhandled, log.Fields{"status": status, "answer": answer, "remote": remote, "requests": requests, "bytes_read": bytes})
+}
--- a/meter/catalogue.go
+++ b/meter/catalogue.go
@@ -45,6 +45,7 @@
 	claimOwnerRefusals = "celeryhead_claim_owner_refusals_total"
 	claimsAccepted     = "celeryhead_claims_accepted_total"
 	claimsDeclined     = "celeryhead_claims_declined_total"
+	unhandled          = "celeryhead_unhandled_answers_total"
 	retries            = "celeryhead_retries_total"
 	shiftStep          = "celeryhead_shift_step"
 )
@@ -77,6 +78,7 @@
 		{claimOwnerRefusals, Counter, "writes", ""},
 		{claimsAccepted, Counter, "writes", ""},
 		{claimsDeclined, Counter, "writes", ""},
+		{unhandled, Counter, "answers", "status"},
 		{retries, Counter, "sendings", ""},
 		{shiftStep, Gauge, "steps", "shift"},
 	}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -5,6 +5,7 @@
 	"io"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -233,6 +234,11 @@
 	m.set.GetOrCreateCounter(lookups).Inc()
 }
 
+// Unhandled counts an answer that net/http gave without calling a handler.
+func (m *Meter) Unhandled(status int) {
+	m.set.GetOrCreateCounter(metricName(unhandled, "status", strconv.Itoa(status))).Inc()
+}
+
 // Retry counts a request that was resent to another owner.
 func (m *Meter) Retry() {
 	m.set.GetOrCreateCounter(retries).Inc()
