Forward requests with Upgrade without that field instead of refusing them

Callers saw: on the users' platform a proper request whose connection offers another protocol (Upgrade, with Connection: Upgrade, HTTP2-Settings) was ended with 400 "the request cannot be forwarded" (with two targets or more), or 503 no_owner (with one), for every sending.

Cause: package forwarder refused each request with the field (ErrUpgrade). On the platform's path it did so after a target was chosen, so that the request was counted as sent, and was tried at further targets from the retry budget.

Change: the forwarder removes the field like all hop-by-hop fields; a target that answers 101 all the same is a failure as before. CONNECT stays refused (ErrConnect), on the platform's path before a target is chosen. The product's own mode keeps its promise (docs/security.md: callers' upgrades and CONNECT are refused); it now checks that first, beside the path.

Tests: platform.TestUpgradeFieldsAreNotForwarded, TestConnectIsRefused. The case "upgrade" of forwarder.TestOutcomeOnReusedConnection stated the former behaviour; it is replaced by "connect" with the same expectations and by a target that accepts the upgrade, and server.TestFreshInstanceRefuses has the refusals of the product's own mode. On the code before:

--- FAIL: TestUpgradeFieldsAreNotForwarded (2.32s) blame_test.go:140: answered with {status:503 body:{"reason":"no_owner",... --- FAIL: TestConnectIsRefused (2.57s) blame_test.go:159: answered with {status:503 body:{"reason":"no_owner",... blame_test.go:163: logged as map[... attempts:1 ... target:target-0 ...]

--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -17,8 +17,8 @@
 	// ErrDialTimeout means that the connection was not established within Config.DialTimeout, before the deadline of
 	// the request.
 	ErrDialTimeout = merry.Sentinel("connection not established within the dial timeout")
-	// ErrUpgrade means that the request asked for CONNECT or an upgrade.
-	ErrUpgrade = merry.Sentinel("CONNECT and Upgrade are not forwarded")
+	// ErrConnect means that the request asked for CONNECT.
+	ErrConnect = merry.Sentinel("CONNECT is not forwarded")
 	// ErrUnsolicited means that the server sent bytes before the request.
 	ErrUnsolicited = merry.Sentinel("server sent bytes before the request")
 	// ErrMismatched means that the server sent a response to another request that is too long to discard or could not
@@ -78,7 +78,7 @@
 		return r.Reason
 	case errors.Is(err, ErrDeadline), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		return responder.DeadlineExceeded
-	case errors.Is(err, ErrUpgrade), errors.Is(err, ErrRequest):
+	case errors.Is(err, ErrConnect), errors.Is(err, ErrRequest):
 		return responder.BadRequest
 	}
 	return other
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -103,8 +103,8 @@
 // Do sends the request once and returns after the header of the response has arrived. Every error is a *Failure. The
 // caller must read Body to its end or close it.
 func (f *Forwarder) Do(ctx context.Context, c Call) (*Answer, error) {
-	if requestsUpgrade(c.Request) {
-		return nil, notRunFailure(ErrUpgrade, responder.BadRequest)
+	if c.Request.Method == http.MethodConnect {
+		return nil, notRunFailure(ErrConnect, responder.BadRequest)
 	}
 	left := c.Deadline.Sub(f.config.Now())
 	if left <= 0 {
--- a/forwarder/header.go
+++ b/forwarder/header.go
@@ -58,11 +58,6 @@
 	}
 }
 
-// requestsUpgrade reports whether the request asks for CONNECT or a protocol upgrade.
-func requestsUpgrade(r *http.Request) bool {
-	return r.Method == http.MethodConnect || len(r.Header["Upgrade"]) > 0
-}
-
 // trailerAllowed reports whether the field k may be forwarded in a trailer. It rejects credentials and the project's
 // own fields, which are checked only in the header.
 func trailerAllowed(k string) bool {
--- a/handler/request.go
+++ b/handler/request.go
@@ -103,6 +103,9 @@
 	if c.route, ok = c.catalog.Find(r.Host, path); !ok {
 		return refusal(http.StatusNotFound, responder.NoRoute, "no route has this host and path")
 	}
+	if r.Method == http.MethodConnect {
+		return refusal(http.StatusBadRequest, responder.BadRequest, "CONNECT is not forwarded")
+	}
 	if f := c.authenticate(); f != nil {
 		return f
 	}
--- a/server/entry.go
+++ b/server/entry.go
@@ -120,6 +120,9 @@
 	if err := router.CheckPath(r.URL); err != nil {
 		return c, badRequest(err.Error())
 	}
+	if r.Method == http.MethodConnect || len(r.Header["Upgrade"]) > 0 {
+		return c, badRequest("CONNECT and Upgrade are not forwarded")
+	}
 	v := s.control.View()
 	if v.Heads.ConfigVersion == 0 {
 		return c, stale()
