Refuse a body that is missing a part with 408 rather than 400

Callers saw: a valid request whose body stalled until its deadline was ended with 400 "the body could not be read" if all but the end of a chunked body had come (after the last chunk, or in the trailers), and so was one whose connection ended or was reset inside the body as this instance sees it, where a relay in between may still deliver the answer. Callers do not repeat a request after 400; both are failures of the path and were never sent to a target.

Cause: only os.ErrDeadlineExceeded counted as the path's failure. net/http replaces the error of a read in the trailer by texts of its own ("unexpected EOF reading trailer", "suspiciously long trailer"), also for a read that timed out, and reports the end of the connection as io.ErrUnexpectedEOF.

Change: an error after the read deadline is 408 deadline_exceeded whatever its text; an end or a failure of the connection before it is 408 with the new reason body_incomplete. Both are true promises: the body is read before a target is chosen. Malformed chunks stay 400. The product's own path uses the same spooler.

Not covered: a connection that ends, before the deadline, exactly between the last chunk and the end of the trailers; net/http's error has no type there.

--- a/responder/refusal.go
+++ b/responder/refusal.go
@@ -51,6 +51,7 @@
 	TargetShed             Reason = "target_shed"
 	TargetFailed           Reason = "target_failed"
 	BodyTooLarge           Reason = "body_too_large"
+	BodyIncomplete         Reason = "body_incomplete"
 	Leaving                Reason = "leaving"
 )
 
--- a/spooler/spooler.go
+++ b/spooler/spooler.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -76,7 +77,7 @@
 	var err error
 	b.prefix, err = io.ReadAll(io.LimitReader(in, BufferedBytes+1))
 	if err != nil {
-		return nil, bodyRefusal(err)
+		return nil, bodyRefusal(err, d)
 	}
 	if len(b.prefix) > BufferedBytes {
 		b.rest = in
@@ -90,14 +91,19 @@
 	return b, nil
 }
 
-func bodyRefusal(err error) *responder.Refusal {
+// bodyRefusal returns the refusal of a request whose body failed with err. A request of which a part is missing may be
+// valid; the path from the caller may have failed.
+func bodyRefusal(err error, deadline time.Time) *responder.Refusal {
 	var m *http.MaxBytesError
-	if errors.As(err, &m) {
+	var n net.Error
+	switch {
+	case errors.As(err, &m):
 		return bodyTooLarge()
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		// The request may be valid; the path from the caller may have failed.
+	// net/http replaces the error of a read that times out in the trailer.
+	case errors.Is(err, os.ErrDeadlineExceeded), !time.Now().Before(deadline):
 		return refusal(http.StatusRequestTimeout, responder.DeadlineExceeded, "the body did not come in time")
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &n):
+		return refusal(http.StatusRequestTimeout, responder.BodyIncomplete, "the connection ended before the body")
 	}
 	return badRequest("the body could not be read")
 }
