Do not answer 400 to a header that was cut off

Callers saw, where a relay in between ends one direction before the other: a valid request whose connection ended inside its header was ended with "400 Bad Request" by net/http, without a line in the log; callers do not repeat a request after 400. A closed connection says that the request was not read, so that every caller may repeat it.

Cause: net/http reports the end of a connection inside a header as io.ErrUnexpectedEOF, which it answers like a malformed request. It stays silent only where the connection fails or ends before the end of the request line of a first request.

Change: the connections of the callers' listener drop an answer that no handler gave once the caller's side has ended; net/http then closes the connection. A header that is malformed and whole is still answered, since net/http does not read on after it. Also: the state of a connection is reset when it becomes idle; becoming active, as before, is not reported by net/http for a header that had come with the request before it, so that an answer to it was not logged.

Limits: the product's own listener (TLS) is as before.

Test: guarder.TestCutHeaderIsNotMalformed.

--- a/guarder/unhandled.go
+++ b/guarder/unhandled.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -25,16 +27,17 @@
 	BytesRead int64
 }
 
-// ReportUnhandled makes s report unhandled answers on the connections of the returned listener. It replaces the hooks
-// for connections of s and wraps its handler.
+// ReportUnhandled makes s report unhandled answers on the connections of the returned listener, and close a connection
+// that ends inside a header without an answer. It replaces the hooks for connections of s and wraps its handler.
 func ReportUnhandled(s *http.Server, l net.Listener, report func(Unhandled)) net.Listener {
 	h := s.Handler
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	s.ConnState = func(c net.Conn, t http.ConnState) {
-		// A connection becomes active after each read of a request's header, and before its handler is called.
-		if o, ok := c.(*conn); ok && t == http.StateActive {
+		// A connection becomes idle after each answer. It becomes active before the handler is called, but only if net/http
+		// had to read for the header.
+		if o, ok := c.(*conn); ok && (t == http.StateIdle || t == http.StateActive) {
 			o.handled.Store(false)
 		}
 	}
@@ -73,21 +76,33 @@
 	*net.TCPConn
 	report             func(Unhandled)
 	requests, received atomic.Int64
-	// handled is true from the call of the handler until the next header was read.
+	// handled is true from the call of the handler until its answer was written.
 	handled  atomic.Bool
 	reported atomic.Bool
+	// ended is true once the caller sends nothing more.
+	ended atomic.Bool
 }
 
 // Read counts the bytes read.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
 	c.received.Add(int64(n))
+	if errors.Is(err, io.EOF) {
+		c.ended.Store(true)
+	}
 	return n, err
 }
 
-// Write reports the first answer of the connection that no handler gave.
+// Write reports the first answer of the connection that no handler gave. It drops such an answer to a header that was cut
+// off, which net/http takes for a malformed one.
 func (c *conn) Write(b []byte) (int, error) {
-	if !c.handled.Load() && !c.reported.Swap(true) {
+	if c.handled.Load() {
+		return c.TCPConn.Write(b)
+	}
+	if c.ended.Load() {
+		return 0, net.ErrClosed
+	}
+	if !c.reported.Swap(true) {
 		c.reportAnswer(b)
 	}
 	return c.TCPConn.Write(b)
--- a/guarder/unhandled_test.go
+++ b/guarder/unhandled_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
@@ -93,3 +94,65 @@
 		})
 	}
 }
+
+// Guards against blaming a caller for a header that was cut off on its way.
+func TestCutHeaderIsNotMalformed(t *testing.T) {
+	const valid = "GET /a HTTP/1.1\r\nHost: ice.example\r\n\r\n"
+	for _, c := range []struct {
+		name, sent string
+		answers    []int
+	}{
+		{"in the request line", "GET /", nil},
+		{"after the request line", "GET /a HTTP/1.1\r\n", nil},
+		{"in a field", "GET /a HTTP/1.1\r\nHost: ice.ex", nil},
+		{"before the empty line", "GET /a HTTP/1.1\r\nHost: ice.example\r\n", nil},
+		{"of a later request", valid + "GET /a HTTP/1.1\r\nHo", []int{200}},
+		{"never, but malformed", "GET / HTTP/1.1\r\n\r\n", []int{400}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			s := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})} //nolint:gosec // The test ends by itself.
+			k := guarder.ReportUnhandled(s, l, func(u guarder.Unhandled) {
+				if len(c.answers) == 0 || c.answers[len(c.answers)-1] != u.Status {
+					t.Errorf("reported %+v", u)
+				}
+			})
+			served := make(chan error, 1)
+			go func() { served <- s.Serve(k) }()
+			defer func() {
+				_ = s.Close()
+				if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+					t.Errorf("server ended: %v", err)
+				}
+			}()
+			d, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = d.Close() }()
+			if _, err := io.WriteString(d, c.sent); err != nil {
+				t.Fatal(err)
+			}
+			if err := d.(*net.TCPConn).CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
+			r := bufio.NewReader(d)
+			var got []int
+			for {
+				p, err := http.ReadResponse(r, nil)
+				if err != nil {
+					break
+				}
+				_, _ = io.Copy(io.Discard, p.Body)
+				_ = p.Body.Close()
+				got = append(got, p.StatusCode)
+			}
+			if !slices.Equal(got, c.answers) {
+				t.Errorf("answers %v, want %v", got, c.answers)
+			}
+		})
+	}
+}
