Do not blame a target or the request for a long body that stalls

Callers saw: a body beyond 64 KB that stalled on its way until the deadline was told as 400 bad_request (unknown) by the product's own path if the read deadline came before the end of the caller's context, and as 502 by the platform's; and the target that waited for the rest was suspected to be gone and paused (two faults for one request), so that later requests were refused or moved although it was sound.

Cause: an error of the caller's body counted as an invalid request (ErrRequest) whatever it was; Request.Write hides the body's error, so that even os.ErrDeadlineExceeded could not be told. The watch for silent targets, and the outcomes of both paths, took the target's silence for its fault although it did not have the whole request.

Change: package forwarder notes a read of the body that timed out and reports ErrBodyTimeout, whose reason is deadline_exceeded (504). A body tells whether it was received completely; until then a target is not suspected, and a failure other than a broken connection says nothing about it. The same in package server (its outcome has no test of its own).

--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 
 	"celeryhead.dev/celeryhead/responder"
@@ -38,6 +39,9 @@
 	if n > 0 {
 		b.x.bodyRead.Store(true)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		b.x.bodyTimeout.Store(true)
+	}
 	if errors.Is(err, io.EOF) {
 		for k := range b.trailer {
 			b.trailer[k] = b.incoming.Trailer[k]
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -37,6 +37,9 @@
 	writing, wroteByte atomic.Bool
 	firstWriteDone     chan struct{}
 	bodyRead           atomic.Bool
+	// bodyTimeout is set if a read of the body exceeded the deadline for reads from the caller. Request.Write hides the
+	// error of the body.
+	bodyTimeout atomic.Bool
 
 	// Used only by the goroutine that reads.
 	responded       bool
@@ -140,7 +143,11 @@
 		return
 	}
 	if x.preWriteErr == nil && x.writeErr == nil {
-		x.requestErr = errors.Join(ErrRequest, err)
+		cause := ErrRequest
+		if x.bodyTimeout.Load() {
+			cause = ErrBodyTimeout
+		}
+		x.requestErr = errors.Join(cause, err)
 	}
 	_ = x.conn.Close()
 }
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -36,6 +36,8 @@
 	ErrHeaderTooLarge = merry.Sentinel("response header exceeds the limit")
 	// ErrShed means that the server responded that it did not run the request.
 	ErrShed = merry.Sentinel("server shed the request")
+	// ErrBodyTimeout means that the body of the request did not arrive before the deadline for reads from the caller.
+	ErrBodyTimeout = merry.Sentinel("body of the request did not arrive in time")
 	// ErrRequest means that the request was invalid or its body could not be read.
 	ErrRequest = merry.Sentinel("request is invalid or its body could not be read")
 )
@@ -76,7 +78,7 @@
 	switch {
 	case errors.As(err, &r):
 		return r.Reason
-	case errors.Is(err, ErrDeadline), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+	case errors.Is(err, ErrDeadline), errors.Is(err, ErrBodyTimeout), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		return responder.DeadlineExceeded
 	case errors.Is(err, ErrConnect), errors.Is(err, ErrRequest):
 		return responder.BadRequest
--- a/forwarder/outcome_test.go
+++ b/forwarder/outcome_test.go
@@ -17,9 +17,11 @@
 	"net/http/httptest"
 	"net/netip"
 	"net/textproto"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -85,6 +87,13 @@
 			},
 			ran: responder.Unknown, reason: responder.BadRequest, cause: forwarder.ErrRequest, received: true,
 		},
+		{
+			name: "body stalls until the caller's read deadline",
+			call: func(c *forwarder.Call, _ context.CancelFunc) {
+				c.Request = post(strings.NewReader("abc"), iotest.ErrReader(os.ErrDeadlineExceeded))
+			},
+			ran: responder.Unknown, reason: responder.DeadlineExceeded, cause: forwarder.ErrBodyTimeout, received: true,
+		},
 		{
 			name: "proof expired",
 			call: func(c *forwarder.Call, _ context.CancelFunc) { c.Before = func() error { return errStale } },
@@ -167,6 +176,9 @@
 				if !errors.As(err, &x) {
 					t.Fatalf("error %v", err)
 				}
+				if x.Silent && !errors.Is(x, forwarder.ErrDeadline) {
+					t.Errorf("the server counts as silent: %+v", x)
+				}
 				if x.Ran != c.ran || x.Reason != c.reason || x.Broken != c.broken || (c.cause != nil && !errors.Is(x, c.cause)) {
 					t.Errorf("failure %+v", x)
 				}
--- a/handler/forward.go
+++ b/handler/forward.go
@@ -256,6 +256,8 @@
 		return placer.Unreached
 	case x.Ran == responder.NotRun:
 		return placer.Canceled
+	case !x.Broken && !c.body.Complete():
+		return placer.Canceled
 	case x.Silent, !s.clock().Before(c.deadline):
 		return placer.Silent
 	case ctx.Err() != nil:
--- a/handler/watch.go
+++ b/handler/watch.go
@@ -29,7 +29,8 @@
 	w.timer = time.AfterFunc(p, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if w.over || !s.placer.Suspect(s.clock(), l) {
+		// A target may wait for the rest of a body.
+		if w.over || !c.body.Complete() || !s.placer.Suspect(s.clock(), l) {
 			return
 		}
 		s.log.TargetSuspected(c.envelope.ID, l.Target.Name, p)
--- a/server/owner.go
+++ b/server/owner.go
@@ -178,6 +178,8 @@
 		return balancer.ConnectFailure
 	case x.Ran == responder.NotRun:
 		return balancer.NotSent
+	case !x.Broken && !c.body.Complete():
+		return balancer.Canceled
 	case ctx.Err() != nil && !x.Silent && !x.Broken && s.clock().Before(c.deadline):
 		return balancer.Canceled
 	case x.Broken:
--- a/spooler/spooler.go
+++ b/spooler/spooler.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"celeryhead.dev/celeryhead/authenticator"
@@ -24,6 +25,8 @@
 	prefix  []byte
 	rest    io.Reader
 	trailer http.Header
+	// ended is true once rest was read to its end.
+	ended atomic.Bool
 	// Length is the length of the body in bytes, or -1 if unknown.
 	Length int64
 	// clearReadDeadline removes the deadline for reads from the caller.
@@ -113,6 +116,11 @@
 	return b.rest == nil
 }
 
+// Complete reports whether the body was received completely.
+func (b *Body) Complete() bool {
+	return b.Whole() || b.ended.Load()
+}
+
 // Open returns a reader of the body. A body that is not whole can be opened once.
 func (b *Body) Open() io.ReadCloser {
 	return &reader{body: b, prefix: bytes.NewReader(b.prefix)}
@@ -139,6 +147,7 @@
 	}
 	n, err := r.body.rest.Read(p)
 	if errors.Is(err, io.EOF) {
+		r.body.ended.Store(true)
 		r.body.clearReadDeadline()
 		authenticator.StripHeader(r.body.trailer)
 	}
