--- a/forwarder/outcome_test.go
+++ b/forwarder/outcome_test.go
@@ -17,9 +17,11 @@
 	"net/http/httptest"
 	"net/netip"
 	"net/textproto"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -85,6 +87,13 @@
 			},
 			ran: responder.Unknown, reason: responder.BadRequest, cause: forwarder.ErrRequest, received: true,
 		},
+		{
+			name: "body stalls until the caller's read deadline",
+			call: func(c *forwarder.Call, _ context.CancelFunc) {
+				c.Request = post(strings.NewReader("abc"), iotest.ErrReader(os.ErrDeadlineExceeded))
+			},
+			ran: responder.Unknown, reason: responder.DeadlineExceeded, cause: forwarder.ErrBodyTimeout, received: true,
+		},
 		{
 			name: "proof expired",
 			call: func(c *forwarder.Call, _ context.CancelFunc) { c.Before = func() error { return errStale } },
@@ -109,9 +118,19 @@
 			ran:  responder.Unknown, reason: responder.DeadlineExceeded, cause: context.Canceled, received: true,
 		},
 		{
-			name: "upgrade",
+			name: "connect",
+			call: func(c *forwarder.Call, _ context.CancelFunc) { c.Request.Method = http.MethodConnect },
+			ran:  responder.NotRun, reason: responder.BadRequest, cause: forwarder.ErrConnect,
+		},
+		{
+			name: "upgrade that the server accepts",
+			serve: func(c net.Conn, r *bufio.Reader) {
+				if q, _ := http.ReadRequest(r); len(q.Header["Upgrade"]) == 0 {
+					_, _ = io.WriteString(c, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n")
+				}
+			},
 			call: func(c *forwarder.Call, _ context.CancelFunc) { c.Request.Header.Set("Upgrade", "websocket") },
-			ran:  responder.NotRun, reason: responder.BadRequest, cause: forwarder.ErrUpgrade,
+			ran:  responder.Unknown, reason: responder.TargetFailed, cause: forwarder.ErrSwitchedProtocols, received: true,
 		},
 		{
 			name: "shed",
@@ -157,6 +176,9 @@
 				if !errors.As(err, &x) {
 					t.Fatalf("error %v", err)
 				}
+				if x.Silent && !errors.Is(x, forwarder.ErrDeadline) {
+					t.Errorf("the server counts as silent: %+v", x)
+				}
 				if x.Ran != c.ran || x.Reason != c.reason || x.Broken != c.broken || (c.cause != nil && !errors.Is(x, c.cause)) {
 					t.Errorf("failure %+v", x)
 				}
--- a/server/entry.go
+++ b/server/entry.go
@@ -122,6 +122,9 @@
 	if err := router.CheckPath(r.URL); err != nil {
 		return c, badRequest(err.Error())
 	}
+	if r.Method == http.MethodConnect || len(r.Header["Upgrade"]) > 0 {
+		return c, badRequest("CONNECT and Upgrade are not forwarded")
+	}
 	v := s.control.View()
 	c.configVersion = v.Heads.ConfigVersion
 	if c.configVersion == 0 {
--- a/spooler/spooler.go
+++ b/spooler/spooler.go
@@ -6,8 +6,10 @@
 	"encoding/binary"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"celeryhead.dev/celeryhead/authenticator"
@@ -23,6 +25,8 @@
 	prefix  []byte
 	rest    io.Reader
 	trailer http.Header
+	// ended is true once rest was read to its end.
+	ended atomic.Bool
 	// Length is the length of the body in bytes, or -1 if unknown.
 	Length int64
 	// clearReadDeadline removes the deadline for reads from the caller.
@@ -76,7 +80,7 @@
 	var err error
 	b.prefix, err = io.ReadAll(io.LimitReader(in, BufferedBytes+1))
 	if err != nil {
-		return nil, bodyRefusal(err)
+		return nil, bodyRefusal(err, d)
 	}
 	if len(b.prefix) > BufferedBytes {
 		b.rest = in
@@ -90,14 +94,19 @@
 	return b, nil
 }
 
-func bodyRefusal(err error) *responder.Refusal {
+// bodyRefusal returns the refusal of a request whose body failed with err. A request of which a part is missing may be
+// valid; the path from the caller may have failed.
+func bodyRefusal(err error, deadline time.Time) *responder.Refusal {
 	var m *http.MaxBytesError
-	if errors.As(err, &m) {
+	var n net.Error
+	switch {
+	case errors.As(err, &m):
 		return bodyTooLarge()
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		// The request may be valid; the path from the caller may have failed.
+	// net/http replaces the error of a read that times out in the trailer.
+	case errors.Is(err, os.ErrDeadlineExceeded), !time.Now().Before(deadline):
 		return refusal(http.StatusRequestTimeout, responder.DeadlineExceeded, "the body did not come in time")
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &n):
+		return refusal(http.StatusRequestTimeout, responder.BodyIncomplete, "the connection ended before the body")
 	}
 	return badRequest("the body could not be read")
 }
@@ -107,6 +116,11 @@
 	return b.rest == nil
 }
 
+// Complete reports whether the body was received completely.
+func (b *Body) Complete() bool {
+	return b.Whole() || b.ended.Load()
+}
+
 // Open returns a reader of the body. A body that is not whole can be opened once.
 func (b *Body) Open() io.ReadCloser {
 	return &reader{body: b, prefix: bytes.NewReader(b.prefix)}
@@ -133,6 +147,7 @@
 	}
 	n, err := r.body.rest.Read(p)
 	if errors.Is(err, io.EOF) {
+		r.body.ended.Store(true)
 		r.body.clearReadDeadline()
 		authenticator.StripHeader(r.body.trailer)
 	}
