Do not believe a shed response that may repeat an earlier one

What callers would see: "not run, try again" (503, 421) for a request that a target has run or is running (REFUSED), or that request run by a second target (TWICE). Reported by operators of other systems; not seen here.

Cause: platform.protocol.Judge and nativeProtocol.Judge took every shed response for one to the request in progress unless it bore another request's identifier. A kept connection may still deliver an earlier one: a repetition without an identifier, or with that of the same request, which had been shed on the same connection before. The latter needs no faulty retry: two targets with one address (an address that is used again) share a pool, and callers may repeat their identifiers. The class of the fault: a statement about an exchange is believed without proof that it belongs to that exchange.

Change: - A request is never sent on a connection on which it was shed before, so a shed response with its identifier cannot be a repetition. A connection remembers at most 64 requests and is then replaced. - A shed response without an identifier, to a request that has one, is believed only as the first response on its connection. Otherwise the outcome is unknown. - In the project's own protocol, which has no identifiers, a connection to a target is closed after a shed response, so no repetition of it is received. Links between instances reuse it: both ends are ours, and each refusal would cost a TLS handshake under overload.

--- a/forwarder/connection.go
+++ b/forwarder/connection.go
@@ -17,6 +17,30 @@
 	r        *bufio.Reader
 	w        *bufio.Writer
 	exchange *exchange
+	// shed holds the requests that the server shed on this connection.
+	shed idSet
+}
+
+// maxShed limits the requests that may be shed on one connection.
+const maxShed = 64
+
+// idSet is a set of identifiers of requests. The empty identifier is never a member.
+type idSet map[string]struct{}
+
+func (s idSet) contains(id string) bool {
+	_, ok := s[id]
+	return ok
+}
+
+// recordShed records a request that the server shed and reports whether the connection may be reused.
+func (l *connection) recordShed(id string) (reuse bool) {
+	if l.shed == nil {
+		l.shed = make(idSet)
+	}
+	if id != "" {
+		l.shed[id] = struct{}{}
+	}
+	return len(l.shed) < maxShed
 }
 
 func newConnection(stream, tcp net.Conn) *connection {
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -23,11 +23,13 @@
 
 // exchange is one request and its response on one connection.
 type exchange struct {
-	f         *Forwarder
-	pool      *Pool[*connection]
-	pooled    *PooledConn[*connection]
-	conn      *connection
-	call      Call
+	f      *Forwarder
+	pool   *Pool[*connection]
+	pooled *PooledConn[*connection]
+	conn   *connection
+	call   Call
+	// id identifies the request in responses; it may be empty.
+	id        string
 	ctx       context.Context
 	cancel    context.CancelFunc
 	stopAbort func() bool
@@ -259,6 +261,7 @@
 // buildResponse returns the response for p. Mismatched is true if p belongs to another request.
 func (x *exchange) buildResponse(r *http.Request, p *http.Response) (a *Answer, mismatched bool, err error) {
 	a = &Answer{Status: p.StatusCode, ContentLength: p.ContentLength, Header: p.Header}
+	keep := !p.Close && !x.mismatched
 	unframed := p.Body != http.NoBody && p.ContentLength < 0 && len(p.TransferEncoding) == 0
 	switch x.f.config.Protocol.Judge(r.Header, p.StatusCode, p.Header, unframed) {
 	case Foreign:
@@ -269,10 +272,16 @@
 		return nil, false, ErrUnframed
 	case Shed:
 		a.ran = responder.NotRun
+		keep = x.conn.recordShed(x.id) && keep
+	case ShedUnidentified:
+		if x.mayBeRepeated() {
+			return nil, false, ErrRepeated
+		}
+		a.ran = responder.NotRun
+		keep = false
 	case Accepted:
 	}
 	RemoveHopByHop(a.Header)
-	keep := !p.Close && !x.mismatched
 	if p.Body == http.NoBody {
 		a.Body = http.NoBody
 		x.complete(keep)
@@ -286,6 +295,13 @@
 	return a, false, nil
 }
 
+// mayBeRepeated reports whether a shed response that does not identify the request may belong to an earlier one. Servers
+// that otherwise identify requests are believed only on a new connection. Other connections are closed after a shed
+// response, so that no repetition of it is received.
+func (x *exchange) mayBeRepeated() bool {
+	return x.mismatched || x.id != "" && x.pooled.Reused
+}
+
 // shedFailure returns the failure for a response that states that the server did not run the request.
 func (x *exchange) shedFailure(a *Answer) *Failure {
 	// A read error does not invalidate the statement in the header. The connection is closed either by that error or by
@@ -400,7 +416,7 @@
 
 // isConnectionError reports whether err comes from the connection rather than from data that the server sent.
 func isConnectionError(err error) bool {
-	for _, e := range []error{ErrUnsolicited, ErrMismatched, ErrInvalid, ErrUnframed, ErrSwitchedProtocols, ErrInformational, ErrHeaderTooLarge, ErrDeadline} {
+	for _, e := range []error{ErrUnsolicited, ErrMismatched, ErrRepeated, ErrInvalid, ErrUnframed, ErrSwitchedProtocols, ErrInformational, ErrHeaderTooLarge, ErrDeadline} {
 		if errors.Is(err, e) {
 			return false
 		}
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -24,6 +24,8 @@
 	// ErrMismatched means that the server sent a response to another request that is too long to discard or could not
 	// be read.
 	ErrMismatched = merry.Sentinel("response belongs to another request")
+	// ErrRepeated means that a shed response does not identify the request and may be a repetition of an earlier one.
+	ErrRepeated = merry.Sentinel("shed response may be a repetition of an earlier one")
 	// ErrInvalid means that the response cannot come from the intended server.
 	ErrInvalid = merry.Sentinel("response does not come from the intended server")
 	// ErrUnframed means that the end of the response cannot be distinguished from a broken connection.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -46,7 +46,7 @@
 	UnresponsiveAfter time.Duration
 	// MaxHeader limits the header of a response, in bytes.
 	MaxHeader int
-	// Protocol is the protocol of the servers on top of HTTP. If nil, the project's own protocol is used.
+	// Protocol is the protocol of the servers on top of HTTP. If nil, the project's own protocol for targets is used.
 	Protocol Protocol
 	// Now is the clock for all deadlines. If nil, timer.Now is used.
 	Now timer.Clock
@@ -89,7 +89,7 @@
 		c.Now = timer.Now
 	}
 	if c.Protocol == nil {
-		c.Protocol = nativeProtocol{}
+		c.Protocol = nativeProtocol{shed: ShedUnidentified}
 	}
 	setDefault(&c.MaxConnections, DefaultMaxConnections)
 	setDefault(&c.MaxIdle, DefaultMaxIdle)
@@ -113,7 +113,13 @@
 	ctx, cancel := context.WithTimeoutCause(ctx, left+c.Patience, ErrDeadline)
 	p := f.pool(c.Address)
 	before, stop := context.WithTimeoutCause(ctx, left, ErrDeadline)
+	id := f.config.Protocol.ID(c.Request.Header)
 	h, err := p.Get(before)
+	for err == nil && h.Conn.shed.contains(id) {
+		// A second shed response could not be distinguished from a repetition of the first one.
+		p.Discard(h)
+		h, err = p.Get(before)
+	}
 	if err != nil && before.Err() != nil {
 		err = context.Cause(before)
 	}
@@ -123,6 +129,7 @@
 		return nil, notRunFailure(err, responder.TargetUnreachable)
 	}
 	x := newExchange(ctx, cancel, f, p, h, c)
+	x.id = id
 	return x.roundTrip()
 }
 
--- a/forwarder/protocol_test.go
+++ b/forwarder/protocol_test.go
@@ -22,6 +22,10 @@
 	h.Set("Left", fmt.Sprint(left.Milliseconds()))
 }
 
+func (taggedProtocol) ID(h http.Header) string {
+	return h.Get("Tag")
+}
+
 func (taggedProtocol) Judge(sent http.Header, status int, got http.Header, _ bool) forwarder.Verdict {
 	switch {
 	case got.Get("Tag") != sent.Get("Tag"):
@@ -112,3 +116,72 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// Guards against an earlier shed response that a server repeats and that is believed of a later request, and against a new
+// connection for each request that an instance sheds.
+func TestRepeatedShedResponse(t *testing.T) {
+	const shed = "HTTP/1.1 503 Busy\r\nCeleryhead-Ran: not-run\r\nContent-Length: 0\r\n\r\n"
+	for _, c := range []struct {
+		name     string
+		protocol forwarder.Protocol
+		repeated string
+		dialed   int
+	}{
+		{"target", nil, shed, 2},
+		{"instance", forwarder.InstanceProtocol(), "", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &fakeServer{serve: func(n int, k net.Conn, r *bufio.Reader) {
+				if n == 0 {
+					_, _ = http.ReadRequest(r)
+					_, _ = io.WriteString(k, shed)
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					_, _ = io.WriteString(k, c.repeated)
+					reply(k, "/second")
+				}
+				serveEcho(n, k, r)
+			}}
+			f := s.forwarder(forwarder.Config{Protocol: c.protocol})
+			defer s.live.Wait()
+			defer f.Close()
+			if _, x := exchange(t.Context(), f, get("/first"), time.Second); !errors.Is(x, forwarder.ErrShed) {
+				t.Fatalf("first request: %v", x)
+			}
+			if b, x := exchange(t.Context(), f, get("/second"), time.Second); x != nil || b != "/second" {
+				t.Errorf("second request, which ran: %q, %v", b, x)
+			}
+			if n := s.dialed(); n != c.dialed {
+				t.Errorf("%d connections, want %d", n, c.dialed)
+			}
+		})
+	}
+}
+
+// Guards against a connection that is reused for ever and remembers each request that was shed on it.
+func TestShedRequestsPerConnectionAreBounded(t *testing.T) {
+	s := &fakeServer{serve: func(_ int, k net.Conn, r *bufio.Reader) {
+		for {
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = fmt.Fprintf(k, "HTTP/1.1 429 Too Many\r\nTag: %s\r\nContent-Length: 0\r\n\r\n", q.Header.Get("Tag"))
+		}
+	}}
+	f := s.forwarder(forwarder.Config{Protocol: taggedProtocol{}})
+	defer s.live.Wait()
+	defer f.Close()
+	const requests = 1000
+	for i := range requests {
+		r := get("/")
+		r.Header.Set("Tag", fmt.Sprint(i))
+		if _, x := exchange(t.Context(), f, r, time.Second); !errors.Is(x, forwarder.ErrShed) {
+			t.Fatalf("request %d: %v", i, x)
+		}
+	}
+	if n := s.dialed(); n < 2 || n > requests/10 {
+		t.Errorf("%d connections for %d shed requests", n, requests)
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -97,7 +97,7 @@
 	}
 	s.links = newLinks(s.certificates.Client, c.Settings.PeerAddresses)
 	s.targets = forwarder.New(forwarder.Config{MaxConnections: maxTargetConnections})
-	s.peers = forwarder.New(forwarder.Config{TLS: s.certificates.Client, MaxConnections: maxPeerConnections, MaxIdle: maxPeerConnections})
+	s.peers = forwarder.New(forwarder.Config{Protocol: forwarder.InstanceProtocol(), TLS: s.certificates.Client, MaxConnections: maxPeerConnections, MaxIdle: maxPeerConnections})
 	s.pools = newPools(s)
 	s.choosers = newChoosers(s)
 	s.buckets = limiter.NewOwner()
