Reset the connection of an HTTP/1.0 caller when its answer breaks off

Callers saw: over HTTP/1.0, an answer in chunks or without a length that broke off behind us arrived as a 200 with an empty or short body whose end was an orderly close, which is how HTTP/1.0 frames a whole answer.

Cause: http.ErrAbortHandler makes net/http close the connection with FIN. For HTTP/1.1 the missing last chunk shows that the answer is not whole; an HTTP/1.0 caller gets no chunks, so nothing did.

Change: LogPanics, through which every listener's handler panics, resets the connection if the request is HTTP/1.0; over TLS it leaves out the closing alert. HTTP/1.1 and later are as before.

--- a/guarder/guarder.go
+++ b/guarder/guarder.go
@@ -1,7 +1,9 @@
 package guarder
 
 import (
+	"crypto/tls"
 	"fmt"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -46,8 +48,28 @@
 			if v != http.ErrAbortHandler {
 				l.RequestPanicked(r.Method, fmt.Sprintf("%v\n%s", v, debug.Stack()))
 			}
+			if !r.ProtoAtLeast(1, 1) {
+				reset(w)
+			}
 			panic(http.ErrAbortHandler)
 		}()
 		h.ServeHTTP(w, r)
 	})
 }
+
+// reset resets the connection of an HTTP/1.0 caller. An answer without a length ends with its connection there, so an
+// orderly close would make a truncated one look complete.
+func reset(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if t, ok := c.(*tls.Conn); ok {
+		// Without the alert of an orderly close.
+		c = t.NetConn()
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
--- a/guarder/guarder_test.go
+++ b/guarder/guarder_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"crypto/tls"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -38,6 +41,38 @@
 	}
 }
 
+// Guards against an answer without a length that broke off and looks complete to an HTTP/1.0 caller.
+func TestAbortedAnswerIsResetForHTTP10(t *testing.T) {
+	h := guarder.LogPanics(logger.Discard(), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	for name, start := range map[string]func(*httptest.Server){"plain": (*httptest.Server).Start, "tls": (*httptest.Server).StartTLS} {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewUnstartedServer(h)
+			start(s)
+			defer s.Close()
+			c, err := net.Dial("tcp", s.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			if s.TLS != nil {
+				d := s.Client().Transport.(*http.Transport).TLSClientConfig.Clone()
+				d.ServerName = "example.com"
+				c = tls.Client(c, d)
+			}
+			if _, err := io.WriteString(c, "GET / HTTP/1.0\r\nHost: h\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			if b, err := io.ReadAll(c); err == nil {
+				t.Errorf("looks complete: %q", b)
+			}
+		})
+	}
+}
+
 // Guards against connections that stay open while the instance shuts down, and against requests that are not counted.
 func TestCount(t *testing.T) {
 	var n atomic.Int64
