Bound the time to read the body of a refusal that never ends

Callers would see: a target refuses a request (its head says that it did not run) and its body arrives byte by byte without end.

Cause: shedFailure reads up to 4 KB so that the connection can be used again, with no bound in time but the request's own deadline.

Evidence: TestAnswerWithoutEndIsGivenUp plays 25 answers without end, fast and one byte at a time: before the head, in it, in 1xx heads, in bodies with a false length or none, in chunks, extensions, sizes and trailers, in answers to others and in refusals. The server's bytes, the outcome, the time and the next request are checked. Only slow refusals failed on the code before; the other cases, and bytes after a whole answer (TestBytesAfterTheAnswerCloseTheConnection), passed and are kept as proof.

Change: the exchange is aborted 20 ms after the head of a refusal. A body nearly always comes with its head; otherwise a connection is lost.

Output on the code before:

--- FAIL: TestAnswerWithoutEndIsGivenUp/body_of_a_refusal_slow (0.02s) endless_test.go:124: ended only after 2.2s --- FAIL: TestAnswerWithoutEndIsGivenUp/chunks_of_a_refusal_slow (0.01s) endless_test.go:124: ended only after 2.2s --- FAIL: TestAnswerWithoutEndIsGivenUp/trailers_of_a_refusal_slow (0.01s) endless_test.go:124: ended only after 2.2s

After: go test -race ./forwarder passes (60 s on a busy machine).

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -18,6 +18,9 @@
 // maxShedBody limits how much of a shed response is read so that the connection can be reused, in bytes.
 const maxShedBody = 4 << 10
 
+// shedBodyTimeout limits the wait for the rest of a shed response, during which its request is not sent elsewhere.
+const shedBodyTimeout = 20 * time.Millisecond
+
 // maxMismatchedBody limits how much of a response to another request is read to reach the next response, in bytes.
 const maxMismatchedBody = 64 << 10
 
@@ -290,6 +293,8 @@
 func (x *exchange) shedFailure(a *Answer) *Failure {
 	// A read error does not invalidate the statement in the header. The connection is closed either by that error or by
 	// Close.
+	k := time.AfterFunc(shedBodyTimeout, x.abort)
+	defer k.Stop()
 	_, _ = io.CopyN(io.Discard, a.Body, maxShedBody+1)
 	_ = a.Body.Close()
 	return &Failure{
