Bound what a peer's answer without end may take of the memory

Callers would see: instances of the smallest deployments (284 MB) are killed for their memory when a peer in trouble sends bytes without end in answer to a request for its copy; all requests in flight there are lost.

Cause: answers of peers were read up to 64 MB and decoded as one value, which allocated 327 MB; heads were read up to the 10 MB that http.Transport allows by default.

Evidence: TestPeerAnswerWithoutEndIsGivenUp plays 28 answers without end, in heads, framing and bodies, fast and one byte at a time, and checks what is allocated, the time, the outcome and that the connection is closed.

Change: an answer may have 8 MB and 20,000 rows (10,000 targets take 6 MB, and only the configuration has a row near the store's limit) and is decoded row by row; a head may have 16 KB. The client is made where its bounds belong. TestLargeCopyIsFetched guards the bound from below.

Output on the code before:

peer_test.go:64: 178 MB allocated (head: header lines) peer_test.go:72: bytes of a head were taken peer_test.go:64: 329 MB allocated (blanks: false length) peer_test.go:64: 324 MB allocated (rows: no length) peer_test.go:64: 328 MB allocated (empty rows: false length) peer_test.go:64: 327 MB allocated (value: false length) peer_test.go:64: 324 MB allocated (key: no length)

--- a/handler/peers.go
+++ b/handler/peers.go
@@ -39,7 +39,7 @@
 
 func newPeers() peers {
 	return peers{
-		client:   &http.Client{Transport: &http.Transport{IdleConnTimeout: peerConnectionLife, MaxIdleConnsPerHost: 1}},
+		client:   replicator.NewClient(peerConnectionLife),
 		contents: map[netip.Addr]map[string]uint64{},
 		started:  map[netip.Addr]int64{},
 	}
--- a/replicator/peer.go
+++ b/replicator/peer.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -15,8 +16,22 @@
 // PathRows is where an instance serves its copies to peers.
 const PathRows = "/rows"
 
-// maxCopyBytes bounds the answer of a peer.
-const maxCopyBytes = 64 << 20
+// Bounds of a peer's answer. Copies of three tables may arrive at once, in the smallest deployments within 284 MB. Only the
+// configuration has a row near the store's limit of 64 KB; 10,000 targets take 6 MB.
+const (
+	maxCopyBytes   = 8 << 20
+	maxCopyRows    = 20_000
+	maxHeaderBytes = 16 << 10
+)
+
+// NewClient returns a client for Fetch that keeps one connection to each peer, unused for at most idle.
+func NewClient(idle time.Duration) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		IdleConnTimeout:        idle,
+		MaxIdleConnsPerHost:    1,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}}
+}
 
 // ErrPeer means that a peer gave no usable answer.
 var ErrPeer = merry.Sentinel("peer gave no rows")
@@ -73,13 +88,66 @@
 	if p.StatusCode != http.StatusOK {
 		return Change{}, merry.Wrap(ErrPeer, merry.AppendMessagef("status %d", p.StatusCode))
 	}
-	var t changeText
-	if err := json.NewDecoder(io.LimitReader(p.Body, maxCopyBytes)).Decode(&t); err != nil {
+	return decodeChange(io.LimitReader(p.Body, maxCopyBytes))
+}
+
+// decodeChange decodes a change row by row, so that neither an unfinished text nor the rows it would have exceed the bounds.
+func decodeChange(r io.Reader) (Change, error) {
+	var h Change
+	d := json.NewDecoder(r)
+	if err := expect(d, json.Delim('{')); err != nil {
 		return Change{}, err
 	}
-	h := Change{Version: t.Version, Whole: t.Whole}
-	for _, x := range t.Rows {
-		h.Rows = append(h.Rows, Row(x))
+	for d.More() {
+		k, err := d.Token()
+		if err != nil {
+			return Change{}, err
+		}
+		switch k {
+		case "rows":
+			h.Rows, err = decodeRows(d)
+		case "version":
+			err = d.Decode(&h.Version)
+		case "whole":
+			err = d.Decode(&h.Whole)
+		default:
+			// A newer peer may send more.
+			var ignored json.RawMessage
+			err = d.Decode(&ignored)
+		}
+		if err != nil {
+			return Change{}, err
+		}
+	}
+	return h, expect(d, json.Delim('}'))
+}
+
+func decodeRows(d *json.Decoder) ([]Row, error) {
+	t, err := d.Token()
+	if err != nil || t == nil {
+		return nil, err
+	}
+	if t != json.Delim('[') {
+		return nil, merry.Wrap(ErrPeer, merry.AppendMessagef("rows begin with %v", t))
+	}
+	var rs []Row
+	for d.More() {
+		if len(rs) == maxCopyRows {
+			return nil, merry.Wrap(ErrPeer, merry.AppendMessagef("over %d rows", maxCopyRows))
+		}
+		var r rowText
+		if err := d.Decode(&r); err != nil {
+			return nil, err
+		}
+		rs = append(rs, Row(r))
+	}
+	return rs, expect(d, json.Delim(']'))
+}
+
+func expect(d *json.Decoder, want json.Delim) error {
+	t, err := d.Token()
+	if err == nil && t != want {
+		return merry.Wrap(ErrPeer, merry.AppendMessagef("%v in place of %v", t, want))
 	}
-	return h, nil
+	return err
 }
--- /dev/null
+++ b/replicator/peer_test.go
@@ -0,0 +1,99 @@
+package replicator_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"celeryhead.dev/celeryhead/logger"
+	"celeryhead.dev/celeryhead/platform/imitator"
+	"celeryhead.dev/celeryhead/replicator"
+)
+
+// maxPeerAllocation is what one answer of a peer may allocate; an instance with 284 MB asks for three tables at once.
+const maxPeerAllocation = 64 << 20
+
+// Guards against a peer whose answer has no end and fills the memory, holds the call, or is taken for a copy.
+func TestPeerAnswerWithoutEndIsGivenUp(t *testing.T) {
+	heads := imitator.EndlessHeads()
+	for _, e := range heads {
+		e.Name = "head: " + e.Name
+	}
+	all := heads
+	for name, b := range map[string][2]string{
+		"no answer":  {"", "x"},
+		"rows":       {`{"rows":[`, `{"key":"k","value":"` + strings.Repeat("A", 400) + `","version":1},`},
+		"empty rows": {`{"rows":[`, `{},`},
+		"value":      {`{"rows":[{"key":"k","value":"`, "AAAA"},
+		"key":        {`{"`, "k"},
+		"nesting":    {`{"other":`, "["},
+		"blanks":     {"", " "},
+	} {
+		for _, e := range imitator.EndlessBodies(b[0], b[1]) {
+			e.Name = name + ": " + e.Name
+			all = append(all, e)
+		}
+	}
+	for _, e := range all {
+		for _, slow := range []bool{false, true} {
+			e := &imitator.Endless{Name: e.Name, Start: e.Start, Repeat: e.Repeat, Slow: slow}
+			t.Run(e.Name+map[bool]string{false: " fast", true: " slow"}[slow], func(t *testing.T) {
+				s := httptest.NewServer(e)
+				defer s.Close()
+				limit := 10 * time.Second
+				if slow {
+					limit = 100 * time.Millisecond
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), limit)
+				defer cancel()
+				var before, after runtime.MemStats
+				runtime.ReadMemStats(&before)
+				h, err := replicator.Fetch(ctx, replicator.NewClient(time.Second), netip.MustParseAddrPort(s.Listener.Addr().String()), "t", 0)
+				runtime.ReadMemStats(&after)
+				if err == nil {
+					t.Errorf("a copy of %d rows", len(h.Rows))
+				}
+				if !slow && ctx.Err() != nil {
+					t.Error("ended by its time alone")
+				}
+				if n := after.TotalAlloc - before.TotalAlloc; n > maxPeerAllocation {
+					t.Errorf("%d MB allocated", n>>20)
+				}
+				for end := time.Now().Add(10 * time.Second); e.Open() > 0; time.Sleep(time.Millisecond) {
+					if time.Now().After(end) {
+						t.Fatal("the connection stays open")
+					}
+				}
+				if strings.HasPrefix(e.Name, "head") && e.Written() > 8<<20 {
+					t.Errorf("%d bytes of a head were taken", e.Written())
+				}
+			})
+		}
+	}
+}
+
+// Guards against a bound on answers that a large table does not fit in.
+func TestLargeCopyIsFetched(t *testing.T) {
+	const rows = 10_000
+	c := replicator.Change{Version: rows, Whole: true}
+	for i := range uint64(rows) {
+		k := strings.Repeat("k", 20) + time.Duration(i).String()
+		c.Rows = append(c.Rows, replicator.Row{Key: k, Value: []byte(strings.Repeat("v", 400)), Version: i + 1})
+	}
+	r := replicator.New(replicator.Config{
+		Source: newStore(),
+		Tables: []replicator.Table{{Name: "t", Changed: func([]replicator.Row) {}}},
+		Log:    logger.Discard(),
+	})
+	r.Put("t", c)
+	s := httptest.NewServer(r)
+	defer s.Close()
+	h, err := replicator.Fetch(t.Context(), replicator.NewClient(time.Second), netip.MustParseAddrPort(s.Listener.Addr().String()), "t", 0)
+	if err != nil || len(h.Rows) != rows || h.Version != c.Version || !h.Whole {
+		t.Errorf("%d rows, %v", len(h.Rows), err)
+	}
+}
