Count a health page without end as unhealthy

Callers would see: requests sent to a target in trouble whose health endpoint answers 200 and then bytes without end: it counts as healthy.

Cause: the probe read 4 KB and took the bound for the end of the page, so an answer with a length that lies, or in chunks without end, was whole.

Evidence: TestHealthPageWithoutEndIsNotHealthy plays 13 answers without end, fast and one byte at a time. Heads, framing, slow bodies, time and the closing of the connection passed before and are kept as proof.

Change: 64 KB are read, and a page that goes on counts as one that was not read. TestLongHealthPageIsHealthy (50 KB; passed before) keeps the bound from being too narrow.

--- a/server/export_test.go
+++ b/server/export_test.go
@@ -123,3 +123,8 @@
 func (s *Server) EnterTicket(ticket string, passed bool) *responder.Refusal {
 	return s.enterTicket(context.Background(), nil, &call{passed: passed}, claimer.Request{Account: "maker", Route: "order", Key: ticket})
 }
+
+// Probe reads the health endpoint of a target.
+func (s *Server) Probe(ctx context.Context, a netip.AddrPort, path string) balancer.Signal {
+	return s.probe(ctx, a, path)
+}
--- a/server/probes.go
+++ b/server/probes.go
@@ -17,8 +17,8 @@
 
 const (
 	probeInterval = time.Second
-	// probeLimit bounds what is read of a health endpoint, in bytes.
-	probeLimit = 4 << 10
+	// probeLimit bounds what is read of a health endpoint, in bytes; a longer page counts as one without end.
+	probeLimit = 64 << 10
 )
 
 // runProbes reads the health endpoints of owned targets.
@@ -55,9 +55,9 @@
 		return balancer.Signal{}
 	}
 	defer func() { _ = p.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(p.Body, probeLimit))
+	b, err := io.ReadAll(io.LimitReader(p.Body, probeLimit+1))
 	return balancer.Signal{
-		Healthy: err == nil && p.Status == http.StatusOK,
+		Healthy: err == nil && len(b) <= probeLimit && p.Status == http.StatusOK,
 		Leaving: strings.HasPrefix(string(b), "draining"),
 	}
 }
