--- a/server/export_test.go
+++ b/server/export_test.go
@@ -130,3 +130,8 @@
 	v.Configuration = controller.NewConfiguration(nil, c)
 	v.Heads.ConfigVersion = version
 }
+
+// Probe reads the health endpoint of a target.
+func (s *Server) Probe(ctx context.Context, a netip.AddrPort, path string) balancer.Signal {
+	return s.probe(ctx, a, path)
+}
