Read a table whole when an instance begins to follow it

Cause: an instance that had learned from peers and began to call the store asked for all changes since the store had last answered it, up to 20 s of configurations of 29 kB, most of which peers had told it. The first answer did not arrive in time. Same class as the outage before: an answer that grows with the time since the last one, under a fixed bound.

Change: after 2 s without an answer of the store a table is read whole.

TestNewFollowerReadsTableWhole on the code before: outage_test.go:79: version "0" of the configuration after 0.5 s, want 36

--- a/replicator/outage_test.go
+++ b/replicator/outage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,7 +43,7 @@
 	for _, tables := range [][]string{{"op"}, {"first", "op"}} {
 		s := &narrow{store: newStore(), rowTime: 30 * time.Millisecond}
 		s.write("config", "0")
-		playTables(t, s.store, s, tables, func(r *replicator.Replicator, w *watcher) {
+		playTables(t, s.store, replicator.Config{Source: s}, tables, func(r *replicator.Replicator, w *watcher) {
 			time.Sleep(100 * time.Millisecond)
 			s.set(func() { s.down = true })
 			for i := range 36 {
@@ -57,3 +58,25 @@
 		})
 	}
 }
+
+// Guards against an instance that begins to call the store, and first waits for all changes that peers already told it.
+func TestNewFollowerReadsTableWhole(t *testing.T) {
+	s := &narrow{store: newStore(), rowTime: 60 * time.Millisecond}
+	s.write("config", "0")
+	var follows atomic.Bool
+	follows.Store(true)
+	playTables(t, s.store, replicator.Config{Source: s, Follows: follows.Load}, []string{"op"}, func(_ *replicator.Replicator, w *watcher) {
+		time.Sleep(3 * time.Second)
+		follows.Store(false)
+		time.Sleep(2 * time.Second)
+		for i := range 36 {
+			time.Sleep(250 * time.Millisecond)
+			s.set(func() { s.write("config", strconv.Itoa(i+1)) })
+		}
+		follows.Store(true)
+		time.Sleep(500 * time.Millisecond)
+		if got := w.get("config"); got != "36" {
+			t.Errorf("version %q of the configuration after 0.5 s, want 36", got)
+		}
+	})
+}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -24,6 +24,8 @@
 	callTimeout = 600 * time.Millisecond
 	// retryPause is the pause after a failed call; each call is charged to the platform's limits, refused ones too.
 	retryPause = 400 * time.Millisecond
+	// followGap is the time without an answer of the store after which a table is read whole rather than followed.
+	followGap = 2 * time.Second
 	// followInterval is how often an instance that learns from others looks whether it has to call the store itself.
 	followInterval = 100 * time.Millisecond
 	// otherPause is the pause of the tables that wait for the end of an outage, for failures of a single call.
@@ -130,6 +132,7 @@
 // follow asks the store for changes, one call at a time.
 func (r *Replicator) follow(ctx context.Context, t *table) {
 	whole := true
+	var answered time.Time
 	for ctx.Err() == nil {
 		// An instance that found the store down calls it until it is back, or it would never learn of that.
 		outage := t.first && r.Failing()
@@ -140,9 +143,9 @@
 			continue
 		}
 		resumed := r.outage()
-		// The changes since an outage may be too many for one answer in time; the table itself is bounded. A read also shows
-		// soonest that the outage is over.
-		whole = whole || outage || !t.copy.Known()
+		// The changes since the store last answered may be too many for one answer in time; the table itself is bounded. A read
+		// also shows soonest that an outage is over.
+		whole = whole || outage || !t.copy.Known() || r.config.Clock().Sub(answered) > followGap
 		h, asOf, err := r.call(ctx, t, whole, resumed)
 		switch {
 		case err == nil:
@@ -150,6 +153,7 @@
 			r.answered(t.first)
 			r.apply(t, h)
 			t.freshness.confirm(asOf)
+			answered = r.config.Clock()
 			if len(h.Rows) > 0 && t.Pause > 0 && timer.Sleep(ctx, t.Pause) != nil {
 				return
 			}
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -133,11 +133,9 @@
 	})
 }
 
-// playTables is play with a source that uses s, and several tables; only the last one is watched.
-func playTables(t *testing.T, s *store, x replicator.Source, tables []string, f func(*replicator.Replicator, *watcher)) {
-	synctest.Test(t, func(t *testing.T) {
-		run(t, s, replicator.Config{Source: x}, tables, f)
-	})
+// playTables runs a replicator whose source uses s, with several tables of which the last one is watched.
+func playTables(t *testing.T, s *store, c replicator.Config, tables []string, f func(*replicator.Replicator, *watcher)) {
+	synctest.Test(t, func(t *testing.T) { run(t, s, c, tables, f) })
 }
 
 func run(t *testing.T, s *store, c replicator.Config, tables []string, f func(*replicator.Replicator, *watcher)) {
