Bound what the generated clients read of an answer

Callers would see: an instance is killed for its memory while a peer in trouble answers one call with a body without end; all its requests in flight are lost. The commander would fill an operator's machine in the same way.

Cause: the generated clients read an answer to its end, with no bound but the time of the call; heads had the 10 MB that http.Transport allows by default.

Change: messenger.LimitResponses wraps the transport of the peers' links and of the commander. The bound is the largest configuration (64 MB) and 1 MB; heads may have 16 KB. An answer beyond it is an error with an unknown outcome, as a broken connection is. The commander has no test of its own; TestResponsesAreLimited shows the wrapper with its generated client, and that a body of exactly the bound is read.

--- a/commander/client.go
+++ b/commander/client.go
@@ -14,6 +14,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/twitchtv/twirp"
 
+	"celeryhead.dev/celeryhead/chunker"
 	"celeryhead.dev/celeryhead/messenger"
 	"celeryhead.dev/celeryhead/operator"
 )
@@ -22,6 +23,8 @@
 	dialTimeout = 2 * time.Second
 	// callTimeout covers the attempts of an instance to commit, and its wait until a change is in force.
 	callTimeout = 20 * time.Second
+	// maxResponse bounds an answer in bytes: a whole configuration and what comes with it.
+	maxResponse = chunker.MaxText + 1<<20
 )
 
 // client calls the instances in turn, beginning with the last one that answered.
@@ -45,8 +48,10 @@
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		TLSHandshakeTimeout: dialTimeout,
 		// An idle connection may have gone silent, and commands make few calls.
-		DisableKeepAlives: true,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: messenger.MaxResponseHeader,
 	}
+	limited := &http.Client{Transport: messenger.LimitResponses(transport, maxResponse)}
 	c := &client{}
 	for _, s := range o.servers {
 		a, err := netip.ParseAddrPort(s)
@@ -54,7 +59,7 @@
 			return nil, merry.Appendf(errUsage, "--server %q is not an IP address and port", s)
 		}
 		c.servers = append(c.servers, a.String())
-		c.services = append(c.services, messenger.NewOperatorProtobufClient("https://"+a.String(), &http.Client{Transport: transport}))
+		c.services = append(c.services, messenger.NewOperatorProtobufClient("https://"+a.String(), limited))
 	}
 	return c, nil
 }
--- a/server/export_test.go
+++ b/server/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"crypto/tls"
 	"io"
 	"net/http"
 	"net/netip"
@@ -14,9 +15,11 @@
 	"celeryhead.dev/celeryhead/claimer"
 	"celeryhead.dev/celeryhead/composer"
 	"celeryhead.dev/celeryhead/controller"
+	"celeryhead.dev/celeryhead/messenger"
 	"celeryhead.dev/celeryhead/responder"
 	"celeryhead.dev/celeryhead/spooler"
 	"celeryhead.dev/celeryhead/timer"
+	"celeryhead.dev/celeryhead/tracker"
 )
 
 // Parts of the request path that work alone.
@@ -128,3 +131,8 @@
 func (s *Server) Probe(ctx context.Context, a netip.AddrPort, path string) balancer.Signal {
 	return s.probe(ctx, a, path)
 }
+
+// LinkTo returns a client of the peer at an address.
+func LinkTo(t *tls.Config, a netip.AddrPort) messenger.Peer {
+	return newLinks(func() *tls.Config { return t }, nil).Peer(tracker.Instance{Peer: a})
+}
--- a/server/links.go
+++ b/server/links.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"celeryhead.dev/celeryhead/chunker"
 	"celeryhead.dev/celeryhead/messenger"
 	"celeryhead.dev/celeryhead/tracker"
 )
@@ -60,15 +61,19 @@
 	k := &link{}
 	// A transport with its own TLS settings does not use HTTP/2, so calls do not share one connection that may be silent.
 	k.transport = &http.Transport{
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     10 * time.Second,
-		DialTLSContext:      l.dial,
+		MaxIdleConnsPerHost:    4,
+		IdleConnTimeout:        10 * time.Second,
+		DialTLSContext:         l.dial,
+		MaxResponseHeaderBytes: messenger.MaxResponseHeader,
 	}
-	k.Peer = messenger.NewPeerProtobufClient("https://"+a.String(), &http.Client{Transport: k})
+	k.Peer = messenger.NewPeerProtobufClient("https://"+a.String(), &http.Client{Transport: messenger.LimitResponses(k, maxPeerResponse)})
 	l.peers[a] = k
 	return k
 }
 
+// maxPeerResponse bounds the answer of a peer in bytes: a whole configuration and what comes with it.
+const maxPeerResponse = chunker.MaxText + 1<<20
+
 // dialTimeout bounds opening a connection to a peer, TLS handshake included.
 const dialTimeout = time.Second
 
