End the status command when an instance never ends its answer

Operators saw, or would see: `celeryhead instance` waits for ever when the instance is silent or sends its answer byte by byte, just when they look what is wrong with it.

Cause: the command's context has no deadline, and Fetch set none.

Evidence: TestStatusWithoutEndIsGivenUp, 13 answers without end, fast and one byte at a time; eight slow ones had no end within the test's 15 s. The other cases passed before and are kept as proof.

Change: Fetch ends after 5 s.

Output on the code before:

--- FAIL: TestStatusWithoutEndIsGivenUp (0.00s) fetch_test.go:31: no end (8 times)

After: go test -race ./informer passes (12.8 s on a busy machine).

--- a/informer/status.go
+++ b/informer/status.go
@@ -19,6 +19,9 @@
 // maxStatusBytes is the size of the largest status that Fetch reads.
 const maxStatusBytes = 16 << 20
 
+// fetchTimeout bounds Fetch.
+const fetchTimeout = 5 * time.Second
+
 // ErrStatus means that an instance returned no status.
 var ErrStatus = merry.Sentinel("no status")
 
@@ -104,6 +107,8 @@
 
 // Fetch reads the status from an instance's metrics address.
 func Fetch(ctx context.Context, a netip.AddrPort) (Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.String()+Path, http.NoBody)
 	if err != nil {
 		return Status{}, err
