Send refusals without waiting for the rest of a body

Callers saw: a refusal that is decided before the body is read (401, 404, 503 for want of a configuration) was held until the body had come, and for ever if it did not: the connection then stayed busy, which also holds a shutdown. A body that is beyond 64 KB held every refusal until the request's deadline.

Cause: net/http reads up to 256 KB of an unread body before it sends the header of an answer, here without a deadline for reads.

Change: an answer to a request whose body was not received completely closes the connection, for which net/http skips that; and once the handler has returned, net/http waits at most 1 s for the rest, so that the answer is not lost to a reset. Requests with a whole body keep their connections. The same for the product's own path, whose change has no test of its own.

Test: platform.TestRefusalDoesNotWaitForTheBody; it also guards against a body that is read as the next request, which was not seen. With both changes taken out on a scratch copy (with the deadline of 1 s alone it passes):

--- FAIL: TestRefusalDoesNotWaitForTheBody (5.32s) blame_test.go:224: {path:/nowhere/x key:key-1 framing:Content-Length: 50000 first: status:404}: read tcp ...: i/o timeout

--- a/guarder/guarder.go
+++ b/guarder/guarder.go
@@ -11,6 +11,9 @@
 	"celeryhead.dev/celeryhead/spooler"
 )
 
+// restTimeout bounds how long net/http waits for the rest of a body after the answer.
+const restTimeout = time.Second
+
 // Config holds the state that Count updates and reads.
 type Config struct {
 	// InFlight is incremented while a request is being served.
@@ -19,8 +22,9 @@
 	Leaving *atomic.Bool
 }
 
-// Count tracks the requests in flight, sets a first write deadline on the connection, and sets "Connection: close" on answers
-// while the instance shuts down, so that callers send no further request on the connection.
+// Count tracks the requests in flight, sets a first write deadline on the connection, bounds the wait for the rest of a body
+// after the answer, and sets "Connection: close" on answers while the instance shuts down, so that callers send no further
+// request on the connection.
 func Count(c Config, h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c.InFlight.Add(1)
@@ -29,7 +33,13 @@
 			w.Header().Set("Connection", "close")
 		}
 		spooler.LimitWrites(w, time.Now())
+		if r.ContentLength == 0 {
+			h.ServeHTTP(w, r)
+			return
+		}
 		h.ServeHTTP(w, r)
+		// An error means that the writer is not a connection.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(restTimeout))
 	})
 }
 
--- a/handler/request.go
+++ b/handler/request.go
@@ -60,6 +60,7 @@
 	var f *responder.Refusal
 	defer func() { s.observe(c, f) }()
 	a, f := s.serve(w, r, c)
+	spooler.CloseUnread(w, r, c.body)
 	if f != nil {
 		c.status = f.Status
 		s.protocol.Refuse(w, f)
--- a/server/entry.go
+++ b/server/entry.go
@@ -61,6 +61,7 @@
 		f = s.serve(r.Context(), w, c)
 	}
 	if f != nil {
+		spooler.CloseUnread(w, r, c.body)
 		s.refuse(w, f)
 	}
 }
@@ -107,6 +108,7 @@
 			s.log.AnswerAborted(c.route.Name, errAborted)
 		}
 	}()
+	spooler.CloseUnread(w, c.request, c.body)
 	forwarder.Copy(w, a)
 	whole = true
 }
--- a/spooler/spooler.go
+++ b/spooler/spooler.go
@@ -121,6 +121,15 @@
 	return b.Whole() || b.ended.Load()
 }
 
+// CloseUnread sets "Connection: close" on the answer to a request whose body was not received completely; b is nil if it was
+// not read at all. Otherwise net/http would read the rest before it sends the header, and take it from the request that is
+// still being forwarded.
+func CloseUnread(w http.ResponseWriter, r *http.Request, b *Body) {
+	if b == nil && r.ContentLength != 0 || b != nil && !b.Complete() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // Open returns a reader of the body. A body that is not whole can be opened once.
 func (b *Body) Open() io.ReadCloser {
 	return &reader{body: b, prefix: bytes.NewReader(b.prefix)}
