Forward paths that begin with two slashes unchanged

Callers saw: on a route with the prefix "/", a proper request whose path begins with two slashes was ended with an unsigned "400 Bad Request", which looks like an answer of this instance.

Cause: the path is forwarded as url.URL.Opaque so that it stays as sent, but URL.RequestURI puts the (empty) scheme and a colon before an opaque path that begins with "//". The target's HTTP server got ":" and the path, and refused the line as malformed.

Change: such a path is forwarded as Path and RawPath if that gives the same bytes. Not covered: two slashes at the beginning together with bytes that a URL would escape, such as a quote; they are refused by the target as before.

Test: platform.TestPathsAreForwardedUnchanged. On the code before:

--- FAIL: TestPathsAreForwardedUnchanged (2.33s) blame_test.go:262: "//": 400, ran as "[]" blame_test.go:262: "//map/x": 400, ran as "[]" blame_test.go:262: "///a//b?c=//d": 400, ran as "[]" blame_test.go:262: "//a%2Fb;c/../d/./?": 400, ran as "[]" blame_test.go:262: "//a.example:80/b": 400, ran as "[]"

--- a/handler/request.go
+++ b/handler/request.go
@@ -158,6 +158,10 @@
 // outgoing returns the request as it is forwarded; its path and query are those that the caller sent, byte by byte.
 func outgoing(r *http.Request, path string) *http.Request {
 	u := &url.URL{Opaque: path, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
+	// RequestURI puts a colon before an opaque path that begins with two slashes.
+	if v := (&url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath}); strings.HasPrefix(path, "//") && v.EscapedPath() == path {
+		u.Opaque, u.Path, u.RawPath = "", v.Path, v.RawPath
+	}
 	return &http.Request{Method: r.Method, URL: u, Host: r.Host, Header: r.Header, ContentLength: r.ContentLength, Trailer: r.Trailer}
 }
 
