Do not let net/http answer OPTIONS *

Callers saw: "OPTIONS *" was answered with 200 by net/http itself, without a target, its signature, a line in the log or a route.

Change: the general handler for it is off on all listeners; no route has the path "*", so that it is refused with 404 like other paths without a route.

Test: platform.TestOptionsAsteriskIsNotAnswered. On the code before:

--- FAIL: TestOptionsAsteriskIsNotAnswered (2.32s) blame_test.go:272: OPTIONS * was answered with {status:200 body: header:map[Content-Length:[0] ...]}

--- a/handler/server.go
+++ b/handler/server.go
@@ -238,10 +238,12 @@
 
 func (s *Server) httpServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           guarder.LogPanics(s.log, h),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    headerBytes,
+		Handler: guarder.LogPanics(s.log, h),
+		// net/http would answer "OPTIONS *" by itself.
+		DisableGeneralOptionsHandler: true,
+		ReadHeaderTimeout:            headerTimeout,
+		IdleTimeout:                  idleTimeout,
+		MaxHeaderBytes:               headerBytes,
 		// net/http writes only of broken connections of strangers.
 		ErrorLog: log.New(io.Discard, "", 0),
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -158,11 +158,13 @@
 
 func (s *Server) httpServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           guarder.LogPanics(s.log, h),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    s.settings.Limits.HeaderBytes,
-		ErrorLog:          discardLog,
+		Handler: guarder.LogPanics(s.log, h),
+		// net/http would answer "OPTIONS *" by itself.
+		DisableGeneralOptionsHandler: true,
+		ReadHeaderTimeout:            headerTimeout,
+		IdleTimeout:                  idleTimeout,
+		MaxHeaderBytes:               s.settings.Limits.HeaderBytes,
+		ErrorLog:                     discardLog,
 	}
 }
 
