Log polls that end by their time, and show the age of the configuration

Event 2013 names table, version and time of each poll whose answer was cut off by its time; configuration_seconds is the age of the time up to which the own configuration is known to be complete.

--- a/handler/status.go
+++ b/handler/status.go
@@ -23,7 +23,16 @@
 		Leaving:       s.leaving.Load(),
 		InFlight:      s.inFlight.Load(),
 		ConfigVersion: k.Version,
-		Store:         informer.Store{Failing: s.rows.Failing(), AnsweredSeconds: -1, Calls: s.follows(), Versions: s.rows.Contents()},
+		Store: informer.Store{
+			Failing:              s.rows.Failing(),
+			AnsweredSeconds:      -1,
+			ConfigurationSeconds: -1,
+			Calls:                s.follows(),
+			Versions:             s.rows.Contents(),
+		},
+	}
+	if c := s.rows.CompleteAsOf(s.configuration); !c.IsZero() {
+		t.Store.ConfigurationSeconds = now.Sub(c).Seconds()
 	}
 	if c := s.contact(); !c.IsZero() {
 		t.Store.AnsweredSeconds = now.Sub(c).Seconds()
--- a/informer/status.go
+++ b/informer/status.go
@@ -49,6 +49,9 @@
 	// AnsweredSeconds is the time since the store last answered any instance, as far as this one knows; -1 means
 	// never.
 	AnsweredSeconds float64 `json:"answered_seconds"`
+	// ConfigurationSeconds is the age of the time up to which this instance's configuration is known to be complete; -1
+	// means that it is not known.
+	ConfigurationSeconds float64 `json:"configuration_seconds"`
 	// Calls is true if this instance is one of those that call the store.
 	Calls bool `json:"calls"`
 	// Versions maps each table to the version of its newest row.
@@ -145,8 +148,8 @@
 	}
 	row(fmt.Sprintf("%s in %s (%s), started %s: ready %t, leaving %t, %d requests in flight, configuration %d", s.Instance,
 		s.FailureDomain, s.Region, s.Started.UTC().Format(time.RFC3339), s.Ready, s.Leaving, s.InFlight, s.ConfigVersion))
-	row(fmt.Sprintf("store: answered an instance %.1f s ago, failing here %t, called from here %t, rows %v", s.Store.AnsweredSeconds,
-		s.Store.Failing, s.Store.Calls, s.Store.Versions))
+	row(fmt.Sprintf("store: answered an instance %.1f s ago, configuration complete %.1f s ago, failing here %t, called from here %t, rows %v",
+		s.Store.AnsweredSeconds, s.Store.ConfigurationSeconds, s.Store.Failing, s.Store.Calls, s.Store.Versions))
 	row("\nINSTANCE", "ADDRESS", "REGION", "FAILURE DOMAIN", "READY", "HEARD S AGO")
 	for _, p := range s.Instances {
 		row(p.Name, p.Address, p.Region, p.FailureDomain, p.Ready, p.HeardSeconds)
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -223,6 +223,7 @@
 	after, _ := t.copy.Versions()
 	h, err := r.config.Source.Follow(c, t.Name, after, wait)
 	if err != nil && errors.Is(c.Err(), context.DeadlineExceeded) {
+		r.config.Log.ChangesLate(t.Name, after, r.config.Clock().Sub(start), err)
 		err = errors.Join(errFollowTimeout, err)
 	}
 	if len(h.Rows) > 0 {
