Date a claim of completeness once, however often it is passed on

Callers would have seen: 401 and 404 by configurations of over 4 s at instances that took theirs for 2.5 s old, and calls to the store that begin too late.

Cause: an instance passed on the age of its configuration as its own, without the time of the way. Claims that went round the fleet looked younger with each hop.

Change: a claim carries its origin, a sequence number and the version that it is for; each instance dates it once, at first receipt. A whole read and a poll take turns after an answer that came too late. A copy is complete only with what is in force, and claims count from 0.5 s after a suspension on. A denial looks at the catalog again after the age.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -48,6 +48,14 @@
 	AgeSeconds  int64  `json:"g"`
 }
 
+// Claim reports that a copy was complete.
+type Claim struct {
+	Origin          string `json:"o"`
+	Sequence        int64  `json:"s"`
+	Content         uint64 `json:"v"`
+	AgeMilliseconds int64  `json:"g"`
+}
+
 // State is what an instance reports about itself in each round.
 type State struct {
 	// Contents are the versions of the newest rows of the store's tables.
@@ -55,10 +63,9 @@
 	// ContactMilliseconds is the time since the store last answered an instance, as far as the sender knows; it is
 	// negative if the store never did.
 	ContactMilliseconds int64 `json:"c"`
-	// ConfigurationMilliseconds is the time since the sender's copy of the configuration was known to be complete; it is nil
-	// if that is not known.
-	ConfigurationMilliseconds *int64   `json:"a,omitempty"`
-	Strikes                   []Strike `json:"x,omitempty"`
+	// Configuration is the newest claim that the sender's copy of the configuration is complete; it is nil if there is none.
+	Configuration *Claim   `json:"a,omitempty"`
+	Strikes       []Strike `json:"x,omitempty"`
 }
 
 // datagram is the message between instances; fields that do not apply are empty.
--- a/handler/peers.go
+++ b/handler/peers.go
@@ -69,16 +69,13 @@
 	if c := s.contact(); !c.IsZero() {
 		age = now.Sub(c).Milliseconds()
 	}
-	// Taken before the versions: a change in between must not be covered by it.
-	complete := s.rows.CompleteAsOf(s.configuration)
 	t := gossiper.State{
 		Contents:            s.rows.Contents(),
 		ContactMilliseconds: age,
 		Strikes:             s.recentStrikes(now),
 	}
-	if !complete.IsZero() {
-		a := now.Sub(complete).Milliseconds()
-		t.ConfigurationMilliseconds = &a
+	if c, ok := s.rows.Claim(s.configuration); ok {
+		t.Configuration = &gossiper.Claim{Origin: c.Origin, Sequence: c.Sequence, Content: c.Content, AgeMilliseconds: now.Sub(c.AsOf).Milliseconds()}
 	}
 	return t
 }
@@ -142,8 +139,9 @@
 	for n, v := range t.Contents {
 		s.rows.Heard(n, v)
 	}
-	if a := t.ConfigurationMilliseconds; a != nil && *a >= 0 {
-		s.rows.Claimed(s.configuration, t.Contents[s.configuration], s.clock().Add(-time.Duration(*a)*time.Millisecond))
+	if c := t.Configuration; c != nil && c.AgeMilliseconds >= 0 {
+		at := s.clock().Add(-time.Duration(c.AgeMilliseconds) * time.Millisecond)
+		s.rows.Receive(s.configuration, replicator.Claim{Origin: c.Origin, Sequence: c.Sequence, Content: c.Content, AsOf: at})
 	}
 	s.hearStrikes(s.clock(), t.Strikes)
 }
--- a/handler/request.go
+++ b/handler/request.go
@@ -102,7 +102,7 @@
 	path := sentPath(r)
 	var ok bool
 	if c.route, ok = c.catalog.Find(r.Host, path); !ok {
-		return s.deny(http.StatusNotFound, responder.NoRoute, "no route has this host and path")
+		return s.deny(c, http.StatusNotFound, responder.NoRoute, "no route has this host and path")
 	}
 	if r.Method == http.MethodConnect {
 		return refusal(http.StatusBadRequest, responder.BadRequest, "CONNECT is not forwarded")
@@ -135,20 +135,22 @@
 		return nil
 	}
 	if c.envelope.Key == "" {
-		return s.deny(http.StatusUnauthorized, responder.KeyMissing, "this route needs a key")
+		return s.deny(c, http.StatusUnauthorized, responder.KeyMissing, "this route needs a key")
 	}
 	c.key = sha256.Sum256([]byte(c.envelope.Key))
 	var ok bool
 	if c.account, ok = c.catalog.Account(c.key); !ok {
-		return s.deny(http.StatusUnauthorized, responder.KeyInvalid, "the key is not valid")
+		return s.deny(c, http.StatusUnauthorized, responder.KeyInvalid, "the key is not valid")
 	}
 	return nil
 }
 
 // deny refuses a request because the configuration lacks its route or key. An instance that may have missed a change
 // cannot know that and refuses it for now, so that the caller tries another one.
-func (s *Server) deny(status int, r responder.Reason, message string) *responder.Refusal {
-	if c := s.rows.CompleteAsOf(s.configuration); !c.IsZero() && s.clock().Sub(c) <= denialAge {
+func (s *Server) deny(c *call, status int, r responder.Reason, message string) *responder.Refusal {
+	// The age is taken before the catalog is looked at again: a change in between means that the request's catalog is old.
+	complete := s.rows.CompleteAsOf(s.configuration)
+	if !complete.IsZero() && s.clock().Sub(complete) <= denialAge && s.book.Catalog().Version == c.catalog.Version {
 		return refusal(status, r, message)
 	}
 	f := unavailable(responder.Stale, message+", but this instance may have missed a change of the configuration; use another one")
--- a/handler/server.go
+++ b/handler/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -167,6 +168,7 @@
 		})),
 		Follows: s.follows,
 		Log:     c.Log,
+		Origin:  c.Settings.Name + "/" + strconv.FormatInt(s.started, 36),
 	})
 	var err error
 	s.gossip, err = gossiper.Listen(gossiper.Config{
--- a/logger/events.go
+++ b/logger/events.go
@@ -44,7 +44,7 @@
 	storeUp            = register(6002, log.InfoLevel, "store answers again")
 	listDown           = register(6003, log.WarnLevel, "instance list does not answer")
 	listUp             = register(6004, log.InfoLevel, "instance list answers again")
-	changesLate        = register(2013, log.WarnLevel, "changes of a table did not arrive in time; the table is read as a whole")
+	answerLate         = register(2013, log.WarnLevel, "answer of the store did not arrive in time")
 	historyLost        = register(2008, log.WarnLevel, "history of a table was dropped; the table is read as a whole")
 	peerCopyFailed     = register(2009, log.WarnLevel, "rows could not be had from a peer")
 	entryRejected      = register(2010, log.WarnLevel, "row of the store is not usable")
@@ -252,9 +252,10 @@
 	l.emit(shiftHeld, log.Fields{"shift": name, "reason": reason})
 }
 
-// ChangesLate reports that the changes of a table after a version did not arrive in time, d after the call.
-func (l *Logger) ChangesLate(table string, after uint64, d time.Duration, err error) {
-	l.emit(changesLate, log.Fields{"table": table, "after": after, "seconds": seconds(d), "error": err.Error()})
+// AnswerLate reports that the store's answer for a table, whole or with the changes after a version, did not arrive in time, d after
+// the call.
+func (l *Logger) AnswerLate(table string, whole bool, after uint64, d time.Duration, err error) {
+	l.emit(answerLate, log.Fields{"table": table, "whole": whole, "after": after, "seconds": seconds(d), "error": err.Error()})
 }
 
 // HistoryLost reports that the store dropped the history that a copy follows.
--- a/replicator/freshness.go
+++ b/replicator/freshness.go
@@ -1,22 +1,41 @@
 package replicator
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
 
-// suspension is the pause between two beats from which the process counts as suspended; a starved one misses beats too.
-const suspension = time.Second
+const (
+	// suspension is the pause between two beats from which the process counts as suspended; a starved one misses beats too.
+	suspension = time.Second
+	// backlog is how long after a suspension claims are read that arrived during it.
+	backlog = 500 * time.Millisecond
+	// claimLife is how long the claims of an origin are remembered.
+	claimLife = time.Minute
+)
+
+// Claim states that a copy held all rows that the store had at a time. It keeps its origin when it is passed on, so that an
+// instance never takes an older claim, delayed by others, for a newer one.
+type Claim struct {
+	// Origin identifies the process that the store answered.
+	Origin string
+	// Sequence increases with the claims of an origin.
+	Sequence int64
+	// Content is the version of the newest row of the origin's copy.
+	Content uint64
+	// AsOf is the time by the clock of this instance.
+	AsOf time.Time
+}
 
-// freshness tracks up to when a copy is known to be complete. What was heard before a suspension of the process proves
+// freshness tracks up to when a copy is known to be complete. What was received before a suspension of the process proves
 // nothing afterwards, although it may be read only then.
 type freshness struct {
 	mu sync.Mutex
-	// asOf is the latest time at which the store is known to have had nothing newer than the copy.
-	asOf time.Time
-	// claimed is the latest such time of a peer's copy, whose newest row has the version content.
-	claimed time.Time
-	content uint64
+	// own is the claim of this instance's own copy, from an answer of the store.
+	own Claim
+	// claims are the newest ones of other origins.
+	claims map[string]Claim
 	// last is the last beat, resumed the end of the last suspension.
 	last, resumed time.Time
 }
@@ -35,34 +54,44 @@
 	return !f.last.IsZero() && now.Sub(f.last) > suspension
 }
 
-// confirm records that the copy was complete at a time.
-func (f *freshness) confirm(asOf time.Time) {
+// confirm records that the own copy, whose newest row has the version content, was complete at a time.
+func (f *freshness) confirm(origin string, content uint64, asOf time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if asOf.After(f.asOf) {
-		f.asOf = asOf
+	if asOf.After(f.own.AsOf) {
+		f.own = Claim{Origin: origin, Sequence: asOf.UnixNano(), Content: content, AsOf: asOf}
 	}
 }
 
-// claim records that a peer's copy, whose newest row has the version content, was complete at a time.
-func (f *freshness) claim(content uint64, asOf time.Time) {
+// receive records a claim of another instance unless it is known already, whoever passed it on.
+func (f *freshness) receive(now time.Time, c Claim) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if asOf.After(f.claimed) {
-		f.claimed, f.content = asOf, content
+	if k, ok := f.claims[c.Origin]; c.Origin == f.own.Origin || ok && k.Sequence >= c.Sequence {
+		return
 	}
+	if f.claims == nil {
+		f.claims = map[string]Claim{}
+	}
+	maps.DeleteFunc(f.claims, func(_ string, k Claim) bool { return now.Sub(k.AsOf) > claimLife })
+	f.claims[c.Origin] = c
 }
 
-// completeAsOf returns the latest time at which a copy with the given newest version was complete, or zero if that is
-// not known.
-func (f *freshness) completeAsOf(now time.Time, content uint64) time.Time {
+// newest returns the newest claim that holds for a copy whose newest row has the version content; ok is false if there is
+// none.
+func (f *freshness) newest(now time.Time, content uint64) (best Claim, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if content >= f.content && f.claimed.After(f.asOf) {
-		f.asOf = f.claimed
+	if f.suspended(now) {
+		return best, false
+	}
+	if f.own.AsOf.After(f.resumed) {
+		best, ok = f.own, true
 	}
-	if f.suspended(now) || !f.asOf.After(f.resumed) {
-		return time.Time{}
+	for _, c := range f.claims {
+		if content >= c.Content && c.AsOf.After(f.resumed.Add(backlog)) && c.AsOf.After(best.AsOf) {
+			best, ok = c, true
+		}
 	}
-	return f.asOf
+	return best, ok
 }
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -15,8 +16,8 @@
 // ErrCompacted means that the store has dropped the history after the version asked for.
 var ErrCompacted = merry.Sentinel("history is no longer available")
 
-// errFollowTimeout means that the changes of a table did not arrive in time.
-var errFollowTimeout = merry.Sentinel("changes did not arrive in time")
+// errTimeout means that an answer of the store did not arrive in time.
+var errTimeout = merry.Sentinel("answer did not arrive in time")
 
 // Times of the calls to the store.
 const (
@@ -74,6 +75,8 @@
 	Follows func() bool
 	Log     *logger.Logger
 	Clock   timer.Clock
+	// Origin identifies this process in claims.
+	Origin string
 }
 
 // Replicator keeps the tables; it is safe for concurrent use.
@@ -99,6 +102,8 @@
 	wake chan struct{}
 
 	freshness freshness
+	// inForce is the version of the newest row for which Changed has returned.
+	inForce atomic.Uint64
 
 	mu      sync.Mutex
 	applied sync.Mutex
@@ -132,7 +137,9 @@
 // follow asks the store for changes, one call at a time.
 func (r *Replicator) follow(ctx context.Context, t *table) {
 	whole := true
+	// read is true once a whole read was tried since the last answer.
 	var answered time.Time
+	read := false
 	for ctx.Err() == nil {
 		// An instance that found the store down calls it until it is back, or it would never learn of that.
 		outage := t.first && r.Failing()
@@ -143,17 +150,18 @@
 			continue
 		}
 		resumed := r.outage()
-		// The changes since the store last answered may be too many for one answer in time; the table itself is bounded. A read
-		// also shows soonest that an outage is over.
-		whole = whole || outage || !t.copy.Known() || r.config.Clock().Sub(answered) > followGap
+		// The changes since the store last answered may be too many for one answer in time; the table itself is bounded.
+		if !read && r.config.Clock().Sub(answered) > followGap {
+			whole, read = true, true
+		}
 		h, asOf, err := r.call(ctx, t, whole, resumed)
 		switch {
 		case err == nil:
 			whole = false
 			r.answered(t.first)
 			r.apply(t, h)
-			t.freshness.confirm(asOf)
-			answered = r.config.Clock()
+			t.freshness.confirm(r.config.Origin, t.inForce.Load(), asOf)
+			answered, read = r.config.Clock(), false
 			if len(h.Rows) > 0 && t.Pause > 0 && timer.Sleep(ctx, t.Pause) != nil {
 				return
 			}
@@ -164,8 +172,9 @@
 			continue
 		case ctx.Err() != nil:
 			return
-		case errors.Is(err, errFollowTimeout):
-			whole = true
+		case errors.Is(err, errTimeout):
+			// The other kind of answer may be shorter.
+			whole = !whole || !t.copy.Known()
 		}
 		if t.first {
 			r.failed(err)
@@ -200,7 +209,8 @@
 // call asks the store once. Its answer holds all changes up to the returned time.
 func (r *Replicator) call(ctx context.Context, t *table, whole bool, resumed <-chan struct{}) (Change, time.Time, error) {
 	start, wait := r.config.Clock(), t.Wait
-	if whole {
+	if whole || t.first && r.Failing() {
+		// While the store fails, a short call shows its return soonest.
 		wait = 0
 	}
 	c, cancel := context.WithTimeout(ctx, wait+callTimeout)
@@ -216,15 +226,20 @@
 			}
 		}()
 	}
+	var h Change
+	var err error
+	after, _ := t.copy.Versions()
 	if whole {
-		h, err := r.config.Source.Read(c, t.Name)
-		return h, start, err
+		h, err = r.config.Source.Read(c, t.Name)
+	} else {
+		h, err = r.config.Source.Follow(c, t.Name, after, wait)
 	}
-	after, _ := t.copy.Versions()
-	h, err := r.config.Source.Follow(c, t.Name, after, wait)
 	if err != nil && errors.Is(c.Err(), context.DeadlineExceeded) {
-		r.config.Log.ChangesLate(t.Name, after, r.config.Clock().Sub(start), err)
-		err = errors.Join(errFollowTimeout, err)
+		r.config.Log.AnswerLate(t.Name, whole, after, r.config.Clock().Sub(start), err)
+		err = errors.Join(errTimeout, err)
+	}
+	if whole {
+		return h, start, err
 	}
 	if len(h.Rows) > 0 {
 		return h, start, err
@@ -285,12 +300,13 @@
 func (r *Replicator) apply(t *table, h Change) {
 	t.applied.Lock()
 	defer t.applied.Unlock()
-	if !t.copy.Apply(r.config.Clock(), h) {
-		return
-	}
-	if rs, known := t.copy.Rows(); known {
-		t.Changed(rs)
+	if t.copy.Apply(r.config.Clock(), h) {
+		if rs, known := t.copy.Rows(); known {
+			t.Changed(rs)
+		}
 	}
+	_, content := t.copy.Versions()
+	t.inForce.Store(content)
 }
 
 // Heard records the version of the newest row that a peer has of a table.
@@ -311,22 +327,27 @@
 	}
 }
 
-// Claimed records that a peer's copy of a table, whose newest row has the version content, was complete at a time.
-func (r *Replicator) Claimed(name string, content uint64, asOf time.Time) {
+// Receive records the claim of another instance for its copy of a table.
+func (r *Replicator) Receive(name string, c Claim) {
 	if t := r.tables[name]; t != nil {
-		t.freshness.claim(content, asOf)
+		t.freshness.receive(r.config.Clock(), c)
 	}
 }
 
-// CompleteAsOf returns the latest time at which the copy of a table is known to have held all that the store had, or
-// zero if that is not known. Until then an entry that it lacks did not exist.
-func (r *Replicator) CompleteAsOf(name string) time.Time {
+// Claim returns the newest claim that holds for the copy of a table, for other instances; ok is false if there is none.
+func (r *Replicator) Claim(name string) (c Claim, ok bool) {
 	t := r.tables[name]
 	if t == nil {
-		return time.Time{}
+		return c, false
 	}
-	_, content := t.copy.Versions()
-	return t.freshness.completeAsOf(r.config.Clock(), content)
+	return t.freshness.newest(r.config.Clock(), t.inForce.Load())
+}
+
+// CompleteAsOf returns the latest time at which the copy of a table is known to have held all that the store had, or
+// zero if that is not known. Until then an entry that it lacks did not exist.
+func (r *Replicator) CompleteAsOf(name string) time.Time {
+	c, _ := r.Claim(name)
+	return c.AsOf
 }
 
 // Contents returns the version of the newest row of each table.
