Count the reassignments of each member once its ticks are done

What was seen: TestSuccession failed in 4 of 100 runs (four processes of 25 runs) with succession_test.go:85: 2 reassignments before the answer, want 1

Trace (scratch copy that recorded member, fake time and stack of each call): in all failed runs the additional calls came at 00:01:08, the instant at which the test sends the heartbeat, from Controller.tick of a1, of a2 or of both (then 3 calls), and exactly one from Controller.Heartbeat of a1. Each member ticks every 100 ms and calls Hooks.Reassign in each tick, whether or not ownership changed; the test wakes at a multiple of 100 ms, so three goroutines become runnable at one instant and their order is the scheduler's. Reassign applies the ownership that the member has; no resource was given to two members: the check that exactly one of a1 and a2 acts on each resource passed in the failed runs too. A fault of the test.

The counter is now read after synctest.Wait, when the ticks of that instant are done, and counts each member: a1 reassigns exactly once before its answer, a0 and a2 not at all. The earlier check could not tell members apart, and a tick could stand in for the call that it asks for.

--- a/controller/links_test.go
+++ b/controller/links_test.go
@@ -37,17 +37,17 @@
 	// booting is true while an instance is listed that does not answer.
 	booting atomic.Bool
 	store   *emulator.Memory
-	// reassigned counts the calls of Hooks.Reassign.
-	reassigned atomic.Int64
+	// reassigned counts the calls of Hooks.Reassign by each member.
+	reassigned []atomic.Int64
 }
 
-// hooks counts reassignments.
+// hooks counts the reassignments of one member.
 type hooks struct {
 	noHooks
-	fleet *fleet
+	reassigned *atomic.Int64
 }
 
-func (h hooks) Reassign() { h.fleet.reassigned.Add(1) }
+func (h hooks) Reassign() { h.reassigned.Add(1) }
 
 // end is the fleet as one member sees it.
 type end struct {
@@ -149,7 +149,7 @@
 }
 
 func startFleet(ctx context.Context, t *testing.T, n int) *fleet {
-	f := &fleet{store: emulator.NewMemory()}
+	f := &fleet{store: emulator.NewMemory(), reassigned: make([]atomic.Int64, n)}
 	f.dead.Store(-1)
 	f.earlier.Store(-1)
 	l, err := logger.New(logger.Config{Level: "error", Format: "json", Writer: io.Discard})
@@ -159,7 +159,7 @@
 	for i := range n {
 		c, err := controller.New(controller.Config{
 			Self: identity(i), Store: f.store, StoreTimeout: time.Second, List: end{f, i}, Dialer: end{f, i},
-			Hooks: hooks{fleet: f}, Log: l, Clock: time.Now, Seed: uint64(i),
+			Hooks: hooks{reassigned: &f.reassigned[i]}, Log: l, Clock: time.Now, Seed: uint64(i),
 			Timing: loader.Timing{
 				Freshness: 3 * time.Second, Heartbeat: 500 * time.Millisecond, Suspicion: 1500 * time.Millisecond,
 				ListLag: 10 * time.Second, ListAge: 3 * time.Second,
--- a/controller/succession_test.go
+++ b/controller/succession_test.go
@@ -44,6 +44,15 @@
 	return r
 }
 
+// counts returns how often each member reassigned.
+func (f *fleet) counts() []int64 {
+	n := make([]int64, len(f.reassigned))
+	for i := range n {
+		n[i] = f.reassigned[i].Load()
+	}
+	return n
+}
+
 // Guards against resources without an owner in a store outage, against instances that ask another one than the
 // successor, and against a successor that answers the lost owner before its own work has stopped.
 func TestSuccession(t *testing.T) {
@@ -75,14 +84,22 @@
 				t.Errorf("%v: a1 acts: %v, a2 acts: %v; a1 asks %q, a2 asks %q", r, one, two, o.Name, p.Name)
 			}
 		}
-		before := f.reassigned.Load()
+		// Each member reassigns in its ticks too, which are due at this instant.
+		synctest.Wait()
+		before := f.counts()
 		m := controller.Member(identity(0))
 		m.State = "active"
 		if _, err := f.members[1].Heartbeat(ctx, &messenger.Beat{From: m, HeadsVersion: f.members[1].View().Row.Version}); err != nil {
 			t.Fatal(err)
 		}
-		if n := f.reassigned.Load() - before; n != 1 {
-			t.Errorf("%d reassignments before the answer, want 1", n)
+		for i, n := range f.counts() {
+			want := int64(0)
+			if i == 1 {
+				want = 1
+			}
+			if n -= before[i]; n != want {
+				t.Errorf("a%d: %d reassignments before the answer, want %d", i, n, want)
+			}
 		}
 		for _, r := range lost {
 			if f.members[1].MayAct(r, time.Now()) {
