--- a/replicator/peer_test.go
+++ b/replicator/peer_test.go
@@ -97,3 +97,32 @@
 		t.Errorf("%d rows, %v", len(h.Rows), err)
 	}
 }
+
+// Guards against a removed row that stays in a copy which learned of the row from a peer and missed its removal for longer than
+// peers remember it.
+func TestRowFromPeerIsRemovedByWholeCopy(t *testing.T) {
+	s := newStore()
+	s.write("a", "x")
+	p := &peers{copy: replicator.NewCopy()}
+	config := replicator.Config{Source: s, Peers: p, Follows: func() bool { return false }}
+	playTables(t, s, config, []string{"op"}, func(r *replicator.Replicator, w *watcher) {
+		time.Sleep(time.Second)
+		s.set(func() { s.write("b", "x") })
+		p.copy.Apply(time.Now(), s.whole())
+		r.Heard("op", 2)
+		time.Sleep(time.Second)
+		if w.get("b") != "x" {
+			t.Fatal("the peer's row is not there")
+		}
+		s.set(func() { s.remove("b") })
+		p.copy.Apply(time.Now(), s.since(2))
+		time.Sleep(2 * replicator.TombstoneLife)
+		s.set(func() { s.write("c", "x") })
+		p.copy.Apply(time.Now(), s.since(3))
+		r.Heard("op", 4)
+		time.Sleep(time.Second)
+		if w.get("c") != "x" || w.get("b") != "" {
+			t.Errorf("rows %v, want only a and c", w.rows)
+		}
+	})
+}
