Take over the version of a peer's copy together with its rows

What callers would see: nothing at once. An instance that restarted over a minute after the last change of a table, a removal, asked its peers for the whole copy five times a second until the next change, and no peer's claim held for it.

Cause: Copy.content was the version of the newest row that the copy has. The peers' content is that of the removal, which they forget after a minute; a table read whole from the store, and a peer's whole copy, do not hold it. So the copy counted as behind the peers although it equaled theirs, and could never catch up.

Fix: a peer has all rows up to the version in its answer, so Merge takes that version over. A whole read from the store does not: the store's version counts all tables, and other copies would count as behind it.

Test before: --- FAIL: TestForgottenRemovalIsAskedForOnce peer_test.go:159: 26 calls of the peer in 5 s, want 1 peer_test.go:163: age 6s although a peer has the same rows now

--- a/replicator/copy.go
+++ b/replicator/copy.go
@@ -33,7 +33,7 @@
 type Copy struct {
 	mu   sync.Mutex
 	rows map[string]Row
-	// followed is the version from which the table is followed; content is the version of the newest row.
+	// followed is the version from which the table is followed; content is the version of the newest row, removed ones included.
 	followed, content uint64
 	// forgotten is the version of the newest tombstone that was dropped.
 	forgotten uint64
@@ -61,7 +61,10 @@
 	if !c.known {
 		c.followed = max(c.followed, h.Version)
 	}
-	return c.merge(now, h)
+	changed := c.merge(now, h)
+	// The peer's newest change may be a removal that it has forgotten.
+	c.content = max(c.content, h.Version)
+	return changed
 }
 
 // merge merges a change; c.mu is held.
--- a/replicator/peer_test.go
+++ b/replicator/peer_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -126,3 +127,40 @@
 		}
 	})
 }
+
+// counted counts the calls of peers.
+type counted struct {
+	peers
+	calls atomic.Int64
+}
+
+func (c *counted) Newer(ctx context.Context, name string, after uint64) (replicator.Change, error) {
+	c.calls.Add(1)
+	return c.peers.Newer(ctx, name, after)
+}
+
+// Guards against an instance that asks a peer again and again, and takes no claim of it, because the newest change is a removal
+// that the peer has forgotten.
+func TestForgottenRemovalIsAskedForOnce(t *testing.T) {
+	s := newStore()
+	s.write("a", "x")
+	s.write("b", "x")
+	s.remove("b")
+	p := &counted{peers: peers{copy: replicator.NewCopy()}}
+	config := replicator.Config{Source: s, Peers: p, Follows: func() bool { return false }}
+	playTables(t, s, config, []string{"op"}, func(r *replicator.Replicator, _ *watcher) {
+		p.copy.Apply(time.Now().Add(-2*replicator.TombstoneLife), s.since(0))
+		p.copy.Apply(time.Now(), s.whole())
+		_, content := p.copy.Versions()
+		time.Sleep(time.Second)
+		r.Heard("op", content)
+		time.Sleep(5 * time.Second)
+		if n := p.calls.Load(); n != 1 {
+			t.Errorf("%d calls of the peer in 5 s, want 1", n)
+		}
+		r.Receive("op", replicator.Claim{Origin: "b", Sequence: 1, Content: content, AsOf: time.Now()})
+		if a := time.Since(r.CompleteAsOf("op")); a != 0 {
+			t.Errorf("age %v although a peer has the same rows now", a)
+		}
+	})
+}
