Count no attempt for a request that is stopped before its first byte

What callers would see: 503 no_owner for a request whose target left the list between the choice and the first byte, although another target has room: always on routes that allow one target, and on others when the budget of retries is used up, from which each such change took one.

Cause: call.sent counts targets that had a byte, but forward counted each outcome except Unreached. A refusal of mayRun ends as Canceled, although the forwarder asks it before the first byte and nothing was sent (Failure.Ran is NotRun).

Fix: the attempt keeps the refusal of mayRun. It is not counted, and the request goes to another target without a token of the retry budget if the target left. If the key was withdrawn it ends at once, since no target may have it; the second test guards that. maxTried still bounds the targets.

Test before: --- FAIL: TestTargetThatLeavesBeforeSendIsNoAttempt resend_test.go:97: status 503, map[Celeryhead-Reason:[no_owner]]; meant for 1 targets, want 2

--- a/handler/export_test.go
+++ b/handler/export_test.go
@@ -1,6 +1,7 @@
 package handler
 
 import (
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -59,3 +60,6 @@
 func (p *Peers) Newest(now time.Time, alive []gossiper.Member, after uint64) (netip.Addr, bool) {
 	return p.peers.newest(now, alive, p.region, "table", after)
 }
+
+// Enter serves a request of a caller.
+func (s *Server) Enter(w http.ResponseWriter, r *http.Request) { s.enter(w, r) }
--- a/handler/forward.go
+++ b/handler/forward.go
@@ -34,6 +34,8 @@
 	// failure is set if there is no answer.
 	failure *forwarder.Failure
 	outcome placer.Outcome
+	// refused is set if mayRun refused the request, so that the target got nothing of it.
+	refused *responder.Refusal
 	// next is the target to which the request goes because this one was given up.
 	next *placer.Lease
 }
@@ -57,7 +59,7 @@
 		if last.failure == nil || last.failure.Ran != responder.NotRun {
 			c.mayHaveRun = true
 		}
-		if last.outcome != placer.Unreached {
+		if last.outcome != placer.Unreached && last.refused == nil {
 			c.sent++
 		}
 		if !s.again(ctx, c, last) {
@@ -105,6 +107,9 @@
 		return false
 	case c.sent >= max(c.route.MaxTargets, 1), len(c.tried) >= maxTried:
 		return false
+	case a.refused != nil:
+		// Another target may still be there, but a withdrawn key is valid nowhere.
+		return a.refused.Reason == responder.NoOwner
 	case a.outcome == placer.Unreached:
 		// Nothing arrived anywhere.
 		return true
@@ -240,6 +245,9 @@
 	now := s.clock()
 	a := &attempt{failure: x, outcome: s.outcome(ctx, c, x), next: w.end()}
 	w.cancel()
+	if x.Ran == responder.NotRun {
+		_ = errors.As(x.Err, &a.refused)
+	}
 	if a.next != nil {
 		a.outcome = placer.Silent
 	}
--- /dev/null
+++ b/handler/resend_test.go
@@ -0,0 +1,111 @@
+package handler_test
+
+import (
+	"crypto/sha256"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"celeryhead.dev/celeryhead/authenticator"
+	"celeryhead.dev/celeryhead/cataloger"
+	"celeryhead.dev/celeryhead/forwarder"
+	"celeryhead.dev/celeryhead/handler"
+	"celeryhead.dev/celeryhead/logger"
+	"celeryhead.dev/celeryhead/placer"
+	"celeryhead.dev/celeryhead/responder"
+)
+
+// protocol is a protocol that adds nothing to HTTP; chosen is called with each target that a request is meant for.
+type protocol struct {
+	forwarder.Protocol
+	chosen func(*cataloger.Target)
+}
+
+func (protocol) Envelope(r *http.Request) handler.Envelope {
+	return handler.Envelope{ID: "id", Key: r.Header.Get("Authorization")}
+}
+
+func (p protocol) Address(_ http.Header, t *cataloger.Target, _ string) { p.chosen(t) }
+
+func (protocol) Load(http.Header) (placer.Load, bool) { return placer.Load{}, false }
+
+func (protocol) Signed(http.Header) bool { return true }
+
+func (protocol) Moved(int) bool { return false }
+
+func (protocol) Refuse(w http.ResponseWriter, f *responder.Refusal) {
+	w.Header().Set(responder.HeaderReason, string(f.Reason))
+	w.WriteHeader(f.Status)
+}
+
+// serveChanged serves a request of a route that allows one target, while two are there, and returns the answer and how many targets
+// the request was meant for. Change is called before the first of them has a byte.
+func serveChanged(t *testing.T, change func(*handler.Server, *cataloger.Target, map[string]cataloger.Target, cataloger.Configuration)) (*httptest.ResponseRecorder, int) {
+	t.Helper()
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") }))
+	t.Cleanup(target.Close)
+	ts := map[string]cataloger.Target{}
+	for _, n := range []string{"a", "b"} {
+		ts[n] = cataloger.Target{
+			Name: n, Service: "map", Address: target.Listener.Addr().(*net.TCPAddr).AddrPort(), Region: "almaty", FailureDomain: "arbat", Slots: 1,
+		}
+	}
+	c := cataloger.Configuration{
+		Version:  1,
+		Services: []cataloger.Service{{Name: "map"}},
+		Accounts: []cataloger.Account{{Name: "bakery", Keys: []authenticator.Digest{sha256.Sum256([]byte("k"))}}, {Name: "other"}},
+		Routes: []cataloger.Route{{
+			Name: "book", Host: "ice.example", Prefix: "/", Timeout: 5 * time.Second, Objective: time.Second, MaxTargets: 1,
+			Destinations: []cataloger.Destination{{Service: "map", Weight: 1}},
+		}},
+	}
+	var s *handler.Server
+	chosen := 0
+	p := protocol{Protocol: forwarder.InstanceProtocol(), chosen: func(k *cataloger.Target) {
+		if chosen++; chosen == 1 {
+			change(s, k, ts, c)
+		}
+	}}
+	s, err := handler.New(handler.Config{
+		Settings: handler.Settings{Name: "n", Region: "almaty", Peers: netip.MustParseAddrPort("127.0.0.1:0")},
+		Protocol: p,
+		Log:      logger.Discard(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Configure(c)
+	s.ListTargets(ts)
+	r := httptest.NewRequest(http.MethodPost, "http://ice.example/x", http.NoBody)
+	r.Header.Set("Authorization", "k")
+	w := httptest.NewRecorder()
+	s.Enter(w, r)
+	return w, chosen
+}
+
+// Guards against a request that is refused because its target left before it got a byte, although another target is there.
+func TestTargetThatLeavesBeforeSendIsNoAttempt(t *testing.T) {
+	w, n := serveChanged(t, func(s *handler.Server, k *cataloger.Target, ts map[string]cataloger.Target, _ cataloger.Configuration) {
+		delete(ts, k.Name)
+		s.ListTargets(ts)
+	})
+	if w.Code != http.StatusOK || n != 2 {
+		t.Errorf("status %d, %v; meant for %d targets, want 2", w.Code, w.Header(), n)
+	}
+}
+
+// Guards against a request that tries one target after the other although its key was withdrawn.
+func TestRequestWithWithdrawnKeyTriesOneTarget(t *testing.T) {
+	w, n := serveChanged(t, func(s *handler.Server, _ *cataloger.Target, _ map[string]cataloger.Target, c cataloger.Configuration) {
+		c.Version = 2
+		c.Accounts = []cataloger.Account{{Name: "bakery"}, {Name: "other", Keys: c.Accounts[0].Keys}}
+		s.Configure(c)
+	})
+	if w.Code != http.StatusServiceUnavailable || w.Header().Get(responder.HeaderReason) != string(responder.Stale) || n != 1 {
+		t.Errorf("status %d, %v; meant for %d targets, want 1", w.Code, w.Header(), n)
+	}
+}
