Write at most one line a second about unusable datagrams

What operators would see: whoever reaches the peers' port, or a peer of another version, writes one line for each datagram; the queue of the log then drops lines about requests. Failed sends do the same while the own network is away, 30 or so a second.

Cause: receive and send logged 3011 for each datagram.

Fix: package gossiper writes 3011 at most once a second, for the newest datagram, with the number of the others in `unlogged`; the rounds write what is left, so that each datagram is counted in a line.

Test before: --- FAIL: TestUnusableDatagramsDoNotFillLog gossiper_test.go:284: 400 lines about 400 datagrams in 595.37513ms, want one a second

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -114,8 +114,9 @@
 
 // Gossiper exchanges datagrams with other instances.
 type Gossiper struct {
-	config Config
-	socket *net.UDPConn
+	config   Config
+	socket   *net.UDPConn
+	refusals refusals
 
 	mu     sync.Mutex
 	nextID uint64
@@ -139,7 +140,10 @@
 		return nil, err
 	}
 	// Identifiers start at the current time so that they do not match those of an earlier process.
-	return &Gossiper{config: c, socket: s, nextID: uint64(time.Now().UnixNano()), pending: map[uint64]tokenRequest{}}, nil //nolint:gosec // The time is after 1970.
+	return &Gossiper{
+		config: c, socket: s, refusals: refusals{log: c.Log},
+		nextID: uint64(time.Now().UnixNano()), pending: map[uint64]tokenRequest{}, //nolint:gosec // The time is after 1970.
+	}, nil
 }
 
 // Run exchanges datagrams until ctx ends.
@@ -160,6 +164,7 @@
 	for _, m := range g.config.Members.Sweep(now, memberRetention) {
 		g.config.Log.MemberSilent(m.Name, m.Address)
 	}
+	g.refusals.flush(now)
 	g.expireRequests(now)
 	s := g.config.Hooks.State()
 	d := datagram{From: g.config.Hooks.Self(), State: &s, Relayed: g.config.Members.sample(now, relayedPerDatagram)}
@@ -202,11 +207,11 @@
 func (g *Gossiper) send(to netip.Addr, d datagram) {
 	b, err := json.Marshal(d)
 	if err != nil {
-		g.config.Log.DatagramRefused(to.String(), err)
+		g.refusals.add(g.config.Clock(), to, err)
 		return
 	}
 	if _, err := g.socket.WriteToUDPAddrPort(b, netip.AddrPortFrom(to, g.config.Listen.Port())); err != nil && !errors.Is(err, net.ErrClosed) {
-		g.config.Log.DatagramRefused(to.String(), err)
+		g.refusals.add(g.config.Clock(), to, err)
 	}
 }
 
@@ -223,11 +228,11 @@
 		}
 		var d datagram
 		if err := json.Unmarshal(b[:n], &d); err != nil {
-			g.config.Log.DatagramRefused(from.String(), err)
+			g.refusals.add(g.config.Clock(), from.Addr().Unmap(), err)
 			continue
 		}
 		if d.From.Address != from.Addr().Unmap() {
-			g.config.Log.DatagramRefused(from.String(), errSenderMismatch)
+			g.refusals.add(g.config.Clock(), from.Addr().Unmap(), errSenderMismatch)
 			continue
 		}
 		g.handle(d)
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -1,7 +1,10 @@
 package gossiper_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"net"
 	"net/netip"
 	"slices"
 	"sync"
@@ -104,6 +107,11 @@
 }
 
 func newNode(t *testing.T, n byte, port uint16, tokens int, seeds ...netip.Addr) *node {
+	t.Helper()
+	return newLoggedNode(t, n, port, tokens, logger.Discard(), seeds...)
+}
+
+func newLoggedNode(t *testing.T, n byte, port uint16, tokens int, l *logger.Logger, seeds ...netip.Addr) *node {
 	t.Helper()
 	self := member(n, "r")
 	k := &node{members: gossiper.NewMembers(self, seeds), tokens: tokens}
@@ -111,7 +119,7 @@
 	k.gossip, err = gossiper.Listen(gossiper.Config{
 		Listen:  netip.AddrPortFrom(self.Address, port),
 		Members: k.members,
-		Log:     logger.Discard(),
+		Log:     l,
 		Hooks: gossiper.Hooks{
 			Self:     func() gossiper.Member { return self },
 			State:    func() gossiper.State { return gossiper.State{ContactMilliseconds: -1} },
@@ -211,3 +219,68 @@
 		t.Errorf("alive %v", as)
 	}
 }
+
+// lines is a log in memory.
+type lines struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// refusals returns the number of lines about unusable datagrams, and of the datagrams that they report.
+func (l *lines) refusals(t *testing.T) (n, reported int) {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for s := range bytes.Lines(l.b.Bytes()) {
+		var e struct {
+			Fields struct {
+				Event    int `json:"event"`
+				Unlogged int `json:"unlogged"`
+			} `json:"fields"`
+		}
+		if err := json.Unmarshal(s, &e); err != nil {
+			t.Fatal(err)
+		}
+		if e.Fields.Event == 3011 {
+			n++
+			reported += 1 + e.Fields.Unlogged
+		}
+	}
+	return n, reported
+}
+
+// Guards against a log that unusable datagrams fill, and against ones that it leaves out unsaid.
+func TestUnusableDatagramsDoNotFillLog(t *testing.T) {
+	const port, sent = 39413, 400
+	var l lines
+	g, err := logger.New(logger.Config{Writer: &l, Level: "warn", Format: "json"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	newLoggedNode(t, 41, port, 0, g)
+	c, err := net.Dial("udp4", "127.0.0.41:39413")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	begin := time.Now()
+	for range sent {
+		if _, err := c.Write([]byte("{")); err != nil {
+			t.Fatal(err)
+		}
+		<-time.After(time.Millisecond)
+	}
+	eventually(t, "not all datagrams are reported", func() bool {
+		_, reported := l.refusals(t)
+		return reported == sent
+	})
+	if n, _ := l.refusals(t); n > 2+int(time.Since(begin)/time.Second) {
+		t.Errorf("%d lines about %d datagrams in %v, want one a second", n, sent, time.Since(begin))
+	}
+}
--- a/logger/events.go
+++ b/logger/events.go
@@ -382,9 +382,10 @@
 	l.emit(settingsRejected, log.Fields{"error": err.Error()})
 }
 
-// DatagramRefused reports a datagram that could not be sent or was not usable.
-func (l *Logger) DatagramRefused(peer string, err error) {
-	l.emit(datagramRefused, log.Fields{"peer": peer, "error": err.Error()})
+// DatagramRefused reports a datagram that could not be sent or was not usable, and how many others were not logged since
+// the last line.
+func (l *Logger) DatagramRefused(peer string, err error, unlogged int) {
+	l.emit(datagramRefused, log.Fields{"peer": peer, "error": err.Error(), "unlogged": unlogged})
 }
 
 // TargetSuspected reports a target that answered nothing since a request began, for longer than requests usually take.
