Bound the members that datagrams name

What operators would see: memory, and datagrams to addresses that nobody has, grow with what datagrams name. One datagram of 64 KB relays several hundred members, and each was kept for 10 minutes.

Cause: Members.record added each unknown address.

The bound is over twice the largest planned fleet of 880 instances.

Test before: --- FAIL: TestMembersAreBounded gossiper_test.go:299: 10000 members of 10000 offered, want at most 2048

--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -284,3 +284,31 @@
 		t.Errorf("%d lines about %d datagrams in %v, want one a second", n, sent, time.Since(begin))
 	}
 }
+
+// Guards against datagrams whose members fill the memory, and against an instance that is not known because they did.
+func TestMembersAreBounded(t *testing.T) {
+	const offered, most = 10_000, 2048
+	address := func(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}) }
+	listed, seed, later := netip.MustParseAddr("10.2.0.1"), netip.MustParseAddr("10.2.0.2"), netip.MustParseAddr("10.2.0.3")
+	m := gossiper.NewMembers(member(1, "r"), []netip.Addr{seed})
+	m.List([]netip.Addr{listed})
+	for i := range offered {
+		m.Hear(gossiper.Member{Address: address(i)}, start)
+	}
+	if n := len(m.Alive(start)); n > most || n < most/2 {
+		t.Errorf("%d members of %d offered, want at most %d", n, offered, most)
+	}
+	for _, a := range []netip.Addr{listed, seed} {
+		if !m.HearFirstHand(gossiper.Member{Address: a}, start) {
+			t.Errorf("%v is not taken up", a)
+		}
+	}
+	now := start.Add(gossiper.Silence + time.Millisecond)
+	m.Sweep(now, time.Hour)
+	if !m.HearFirstHand(gossiper.Member{Address: later}, now) {
+		t.Error("a member is not taken up after the others fell silent")
+	}
+	if _, ok := m.Silent(listed, now); !ok {
+		t.Error("a listed member was dropped")
+	}
+}
--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -13,6 +13,10 @@
 // several datagrams, and callers are not given instances that ended more than two look-up lifetimes ago.
 const Silence = 2500 * time.Millisecond
 
+// maxMembers is the number of members from which on only listed instances and seeds are added, since others can be named by
+// anybody who reaches the socket. It is over twice the largest planned fleet, so that instances which were replaced fit too.
+const maxMembers = 2048
+
 // Member describes an instance.
 type Member struct {
 	Name          string     `json:"n,omitempty"`
@@ -77,6 +81,9 @@
 	defer m.mu.Unlock()
 	p := m.peers[k.Address]
 	if p == nil {
+		if m.isFull() && !m.isConfigured(k.Address) {
+			return false
+		}
 		m.peers[k.Address] = &peer{Member: k, lastHeard: at}
 		return true
 	}
@@ -88,6 +95,15 @@
 	return changed
 }
 
+func (m *Members) isFull() bool {
+	return len(m.peers) >= maxMembers
+}
+
+// isConfigured reports whether an address is listed or a seed.
+func (m *Members) isConfigured(a netip.Addr) bool {
+	return m.listed[a] || slices.Contains(m.seeds, a)
+}
+
 // Alive returns the members heard from within Silence, sorted by address.
 func (m *Members) Alive(now time.Time) []Member {
 	m.mu.Lock()
@@ -103,18 +119,19 @@
 }
 
 // Sweep returns the members that have become silent since the last call, and removes those that have been silent for
-// longer than keep.
+// longer than keep. While there are too many members, it removes silent ones at once.
 func (m *Members) Sweep(now time.Time, keep time.Duration) []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var r []Member
+	full := m.isFull()
 	for a, p := range m.peers {
 		d := now.Sub(p.lastHeard)
 		if d > Silence && !p.silent {
 			p.silent = true
 			r = append(r, p.Member)
 		}
-		if d > keep {
+		if d > keep || full && d > Silence && !m.isConfigured(a) {
 			delete(m.peers, a)
 		}
 	}
