Do not blame a request for the rest of a body that is too large or missing

What callers saw (product's own path): 400 bad_request "unknown" when the rest of a body over 64 KiB was larger than accepted, and 400 or 504 deadline_exceeded when their connection ended before it, as the order of two goroutines had it. docs/callers.md says of 400 that it did not run and the request has to be corrected.

Cause: net/http hides the error of a body that fails while a request is written, so the forwarder reports all but time as a bad request; and the end of the connection also ends the context, which is reported as the deadline. The part of a body that is read before the request is sent was classified by spooler already.

Fix: spooler.Body keeps the refusal for a rest that cannot be read, by the same rules, and server.refusalOf passes its status on with what is known of the run: 413, and 408 body_incomplete, also if the context ended before the body was read. Times stay 504.

TestRefusalOf passes a whole body now, its cases are unchanged.

Test before: --- FAIL: TestRestOfBodyIsNotMalformed/ends request_test.go:225: status 504, deadline_exceeded (unknown): the deadline passed; want 408 body_incomplete (unknown) --- FAIL: TestRestOfBodyIsNotMalformed/is_too_large request_test.go:225: status 400, bad_request (unknown): the request cannot be forwarded; want 413 body_too_large (unknown) After: 20 of 20 runs with -race.

--- a/server/forward.go
+++ b/server/forward.go
@@ -129,7 +129,7 @@
 	if x.Ran == responder.Unknown {
 		s.log.RequestFailed(c.route.Name, o.name, err)
 	}
-	f := refusalOf(x)
+	f := refusalOf(x, c.body)
 	if x.Ran == responder.NotRun && f.Reason == responder.TargetUnreachable {
 		return noOwner()
 	}
--- a/server/owner.go
+++ b/server/owner.go
@@ -160,7 +160,7 @@
 	if x.Ran == responder.Unknown {
 		s.log.RequestFailed(c.route.Name, l.Target, err)
 	}
-	return refusalOf(x)
+	return refusalOf(x, c.body)
 }
 
 // outcome classifies the end of a request for the balancer.
--- a/server/refusals.go
+++ b/server/refusals.go
@@ -1,12 +1,14 @@
 package server
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"time"
 
 	"celeryhead.dev/celeryhead/forwarder"
 	"celeryhead.dev/celeryhead/responder"
+	"celeryhead.dev/celeryhead/spooler"
 )
 
 const (
@@ -83,12 +85,16 @@
 
 // refusalOf returns what the caller of a request without an answer is told. A refusal in the cause is passed on only
 // if the request did not run, since it says so.
-func refusalOf(x *forwarder.Failure) *responder.Refusal {
+func refusalOf(x *forwarder.Failure, b *spooler.Body) *responder.Refusal {
 	var f *responder.Refusal
 	if errors.As(x.Err, &f) && x.Ran == responder.NotRun {
 		return f
 	}
 	f = targetFailed(x.Ran)
+	if n := bodyRefusal(x, b); n != nil {
+		f.Status, f.Reason, f.Message = n.Status, n.Reason, n.Message
+		return f
+	}
 	f.Reason = x.Reason
 	switch x.Reason {
 	case responder.DeadlineExceeded:
@@ -101,3 +107,15 @@
 	}
 	return f
 }
+
+// bodyRefusal returns the refusal of a request that failed because the rest of its body is too large or did not arrive, or
+// nil. The end of the caller's connection may end the context before the body is read.
+func bodyRefusal(x *forwarder.Failure, b *spooler.Body) *responder.Refusal {
+	switch {
+	case x.Reason == responder.BadRequest:
+		return b.Failed()
+	case errors.Is(x.Err, context.Canceled) && !b.Complete():
+		return notRun(http.StatusRequestTimeout, responder.BodyIncomplete, "the connection ended before the body")
+	}
+	return nil
+}
--- a/server/request_test.go
+++ b/server/request_test.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -14,6 +16,7 @@
 	"celeryhead.dev/celeryhead/forwarder"
 	"celeryhead.dev/celeryhead/responder"
 	"celeryhead.dev/celeryhead/server"
+	"celeryhead.dev/celeryhead/spooler"
 )
 
 // buffered is the length of the part of a body that is buffered, in bytes.
@@ -134,7 +137,7 @@
 		"broken":                        {forwarder.Failure{Reason: responder.TargetFailed, Ran: responder.Unknown, Err: errors.New("reset")}, 502, responder.TargetFailed},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if f := server.RefusalOf(&c.failure); f.Status != c.status || f.Reason != c.reason || f.Ran != c.failure.Ran {
+			if f := server.RefusalOf(&c.failure, &spooler.Body{}); f.Status != c.status || f.Reason != c.reason || f.Ran != c.failure.Ran {
 				t.Errorf("refusal %d %v, want %d %s (%s)", f.Status, f, c.status, c.reason, c.failure.Ran)
 			}
 		})
@@ -160,3 +163,67 @@
 		}
 	}
 }
+
+// Guards against blaming a caller's request, or its target, when the rest of a long body is too large or does not arrive.
+func TestRestOfBodyIsNotMalformed(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = target.Close() }()
+	go func() {
+		for {
+			c, err := target.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(io.Discard, c) }()
+		}
+	}()
+	f := forwarder.New(forwarder.Config{Protocol: forwarder.InstanceProtocol()})
+	refused := make(chan *responder.Refusal, 1)
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b, n := spooler.Read(w, r, spooler.Limits{Left: 10 * time.Second, Bytes: 300_000})
+		if n != nil {
+			refused <- n
+			return
+		}
+		q := &http.Request{Method: r.Method, URL: &url.URL{Path: "/"}, Header: http.Header{}, Body: b.Open(), ContentLength: b.Length}
+		_, err := f.Do(r.Context(), forwarder.Call{
+			Address: target.Addr().(*net.TCPAddr).AddrPort(), Request: q, Deadline: time.Now().Add(10 * time.Second),
+		})
+		var x *forwarder.Failure
+		if !errors.As(err, &x) {
+			t.Errorf("error %v", err)
+			x = &forwarder.Failure{}
+		}
+		refused <- server.RefusalOf(x, b)
+	}))
+	defer front.Close()
+	for name, c := range map[string]struct {
+		head   string
+		status int
+		reason responder.Reason
+	}{
+		"ends":         {"Content-Length: 250000\r\n\r\n", http.StatusRequestTimeout, responder.BodyIncomplete},
+		"is too large": {"Transfer-Encoding: chunked\r\n\r\n100000\r\n", http.StatusRequestEntityTooLarge, responder.BodyTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			k, err := net.Dial("tcp", front.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = k.Close() }()
+			_, _ = io.WriteString(k, "POST / HTTP/1.1\r\nHost: a\r\n"+c.head+strings.Repeat("x", 200_000))
+			if c.status == http.StatusRequestEntityTooLarge {
+				_, _ = io.WriteString(k, strings.Repeat("x", 200_000))
+			}
+			if err := k.(*net.TCPConn).CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
+			if n := <-refused; n.Status != c.status || n.Reason != c.reason || n.Ran != responder.Unknown {
+				t.Errorf("status %d, %v; want %d %s (unknown)", n.Status, n, c.status, c.reason)
+			}
+		})
+	}
+}
--- a/spooler/spooler.go
+++ b/spooler/spooler.go
@@ -29,7 +29,10 @@
 	ended atomic.Bool
 	// Length is the length of the body in bytes, or -1 if unknown.
 	Length int64
-	// clearReadDeadline removes the deadline for reads from the caller.
+	// failed is the refusal of a request whose rest could not be read.
+	failed atomic.Pointer[responder.Refusal]
+	// deadline is that of reads from the caller, and clearReadDeadline removes it.
+	deadline          time.Time
 	clearReadDeadline func()
 }
 
@@ -69,7 +72,7 @@
 	if r.ContentLength == 0 {
 		return b, nil
 	}
-	b.clearReadDeadline = limitReads(w, d)
+	b.deadline, b.clearReadDeadline = d, limitReads(w, d)
 	in := io.Reader(r.Body)
 	if m := l.Bytes; m > 0 {
 		if r.ContentLength > m {
@@ -121,6 +124,12 @@
 	return b.Whole() || b.ended.Load()
 }
 
+// Failed returns the refusal of a request whose rest could not be read, or nil. It says "not run", although the request may
+// have run by then.
+func (b *Body) Failed() *responder.Refusal {
+	return b.failed.Load()
+}
+
 // CloseUnread sets "Connection: close" on the answer to a request whose body was not received completely; b is nil if it was
 // not read at all. Otherwise net/http would read the rest before it sends the header, and take it from the request that is
 // still being forwarded.
@@ -155,10 +164,14 @@
 		return r.prefix.Read(p)
 	}
 	n, err := r.body.rest.Read(p)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF):
 		r.body.ended.Store(true)
 		r.body.clearReadDeadline()
 		authenticator.StripHeader(r.body.trailer)
+	default:
+		r.body.failed.Store(bodyRefusal(err, r.body.deadline))
 	}
 	return n, err
 }
