Reset the connections of HTTP/1.0 callers that the callers' listener wraps

Cause: reset looks for a *net.TCPConn, but the callers' listener returns connections of its own type since unhandled answers are reported. The type assertion failed silently, and the connection was closed with FIN.

Change: reset needs no more than SetLinger, which a wrapper that embeds the TCP connection has. TestAbortedAnswerIsResetForHTTP10 has a case with the wrapper.

Output on the code before:

--- FAIL: TestAbortedAnswerIsResetForHTTP10/reported (0.00s) guarder_test.go:76: looks complete: "HTTP/1.0 200 OK\r\n...\r\n\r\npart"

--- a/guarder/guarder.go
+++ b/guarder/guarder.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/tls"
 	"fmt"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -67,6 +66,11 @@
 	})
 }
 
+// lingerer is a TCP connection, which a listener may have wrapped.
+type lingerer interface {
+	SetLinger(seconds int) error
+}
+
 // reset resets the connection of an HTTP/1.0 caller. An answer without a length ends with its connection there, so an
 // orderly close would make a truncated one look complete.
 func reset(w http.ResponseWriter) {
@@ -78,7 +82,7 @@
 		// Without the alert of an orderly close.
 		c = t.NetConn()
 	}
-	if t, ok := c.(*net.TCPConn); ok {
+	if t, ok := c.(lingerer); ok {
 		_ = t.SetLinger(0)
 	}
 	_ = c.Close()
--- a/guarder/guarder_test.go
+++ b/guarder/guarder_test.go
@@ -48,7 +48,13 @@
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}))
-	for name, start := range map[string]func(*httptest.Server){"plain": (*httptest.Server).Start, "tls": (*httptest.Server).StartTLS} {
+	reported := func(s *httptest.Server) {
+		s.Listener = guarder.ReportUnhandled(s.Config, s.Listener, func(guarder.Unhandled) {})
+		s.Start()
+	}
+	for name, start := range map[string]func(*httptest.Server){
+		"plain": (*httptest.Server).Start, "tls": (*httptest.Server).StartTLS, "reported": reported,
+	} {
 		t.Run(name, func(t *testing.T) {
 			s := httptest.NewUnstartedServer(h)
 			start(s)
