Do not pass on a target's 503, 429 or 408 for a booking that may have run

Callers saw: a target that ran a request that may run once and answered it with 503, 429 or 408, without stating that it did not run, had that answer passed on. These statuses promise callers that the request has not run and never will, so they sent it again (REFUSED).

Cause: an answer with the request's id is passed on with whatever status it has. The statement of the target (Not-Executed or 421) was only used to send the request elsewhere, not to decide what its caller may be told.

Change: if the request is not idempotent, such an answer is replaced by 502 target_failed, unknown, without the target's signature. Requests that may be repeated get the target's answer as before, and so does each other status. The product's own path needs no change: its promise is Celeryhead-Ran, which is removed from answers of targets.

Output on the code before:

--- FAIL: TestAnswerOfTargetDoesNotPromiseThatBookingDidNotRun (2.34s) /book/x, which ran and was answered 503: {status:503 body:ran ... Server-Stamp:[stamp-of-target-0]]} /book/x, which ran and was answered 429: {status:429 body:ran ... /book/x, which ran and was answered 408: {status:408 body:ran ...

--- a/handler/forward.go
+++ b/handler/forward.go
@@ -118,6 +118,10 @@
 	switch {
 	case last == nil:
 		return nil, f
+	case last.answer != nil && !c.route.Idempotent && s.protocol.PromisesNotRun(last.answer.Status):
+		// The target did not state that, or its answer would have been a shed one.
+		_ = last.answer.Body.Close()
+		return nil, targetFailed("the target's answer does not state whether the request ran")
 	case last.answer != nil:
 		return last.answer, nil
 	case !c.mayHaveRun && f != nil:
@@ -133,7 +137,7 @@
 	case c.mayHaveRun && x.Reason == responder.DeadlineExceeded:
 		return &responder.Refusal{Status: http.StatusGatewayTimeout, Reason: x.Reason, Ran: responder.Unknown, Message: "the deadline passed"}
 	case c.mayHaveRun:
-		return &responder.Refusal{Status: http.StatusBadGateway, Reason: responder.TargetFailed, Ran: responder.Unknown, Message: "the target gave no whole answer"}
+		return targetFailed("the target gave no whole answer")
 	case errors.As(x.Err, &own):
 		return own
 	case x.Reason == responder.BadRequest:
@@ -144,6 +148,10 @@
 	return f
 }
 
+func targetFailed(message string) *responder.Refusal {
+	return &responder.Refusal{Status: http.StatusBadGateway, Reason: responder.TargetFailed, Ran: responder.Unknown, Message: message}
+}
+
 // send has one target run the request and ends the lease when the answer is there.
 func (s *Server) send(ctx context.Context, c *call, l *placer.Lease) *attempt {
 	r := *c.request
--- a/handler/protocol.go
+++ b/handler/protocol.go
@@ -34,6 +34,8 @@
 	Signed(h http.Header) bool
 	// Moved reports whether a shed answer says that another target has the address.
 	Moved(status int) bool
+	// PromisesNotRun reports whether callers take a status as the promise that their request has not run and never will.
+	PromisesNotRun(status int) bool
 	// Refuse answers a caller in place of a target.
 	Refuse(w http.ResponseWriter, f *responder.Refusal)
 }
