Refuse a body as too large only by a configuration that is known to be complete

Callers would see: 413 for a proper request whose body an old limit forbids and the new one allows, at an instance that missed the change. Callers do not repeat a request after 413.

Cause: checks the age of the configuration for 401 and 404 alone. The limit of bodies comes from the same configuration, and the refusal for it was given whatever its age. Same class: a negative answer from knowledge that may be stale.

Change: the refusal goes through the same check, which now takes the refusal itself. A request that an instance cannot judge is refused with 503 stale, not run. A body that is found to be too long only while it is forwarded is answered as before (502, unknown, by reading). The product's own path is not concerned: its limit is a setting of the process.

--- a/handler/request.go
+++ b/handler/request.go
@@ -102,7 +102,7 @@
 	path := sentPath(r)
 	var ok bool
 	if c.route, ok = c.catalog.Find(r.Host, path); !ok {
-		return s.deny(c, http.StatusNotFound, responder.NoRoute, "no route has this host and path")
+		return s.deny(c, refusal(http.StatusNotFound, responder.NoRoute, "no route has this host and path"))
 	}
 	if r.Method == http.MethodConnect {
 		return refusal(http.StatusBadRequest, responder.BadRequest, "CONNECT is not forwarded")
@@ -121,6 +121,9 @@
 	c.request = outgoing(r, path)
 	var f *responder.Refusal
 	c.body, f = spooler.Read(w, r, spooler.Limits{Left: c.deadline.Sub(s.clock()), Bytes: c.catalog.Limits.BodyBytes})
+	if f != nil && f.Reason == responder.BodyTooLarge {
+		return s.deny(c, f)
+	}
 	if f != nil {
 		return f
 	}
@@ -135,27 +138,27 @@
 		return nil
 	}
 	if c.envelope.Key == "" {
-		return s.deny(c, http.StatusUnauthorized, responder.KeyMissing, "this route needs a key")
+		return s.deny(c, refusal(http.StatusUnauthorized, responder.KeyMissing, "this route needs a key"))
 	}
 	c.key = sha256.Sum256([]byte(c.envelope.Key))
 	var ok bool
 	if c.account, ok = c.catalog.Account(c.key); !ok {
-		return s.deny(c, http.StatusUnauthorized, responder.KeyInvalid, "the key is not valid")
+		return s.deny(c, refusal(http.StatusUnauthorized, responder.KeyInvalid, "the key is not valid"))
 	}
 	return nil
 }
 
-// deny refuses a request because the configuration lacks its route or key. An instance that may have missed a change
-// cannot know that and refuses it for now, so that the caller tries another one.
-func (s *Server) deny(c *call, status int, r responder.Reason, message string) *responder.Refusal {
+// deny returns the refusal f of a request that the configuration does not allow. An instance that may have missed a change
+// cannot know that and refuses the request for now, so that the caller tries another one.
+func (s *Server) deny(c *call, f *responder.Refusal) *responder.Refusal {
 	// The age is taken before the catalog is looked at again: a change in between means that the request's catalog is old.
 	complete := s.rows.CompleteAsOf(s.configuration)
 	if !complete.IsZero() && s.clock().Sub(complete) <= denialAge && s.book.Catalog().Version == c.catalog.Version {
-		return refusal(status, r, message)
+		return f
 	}
-	f := unavailable(responder.Stale, message+", but this instance may have missed a change of the configuration; use another one")
-	f.RetryAfter = staleRetryAfter
-	return f
+	x := unavailable(responder.Stale, f.Message+", but this instance may have missed a change of the configuration; use another one")
+	x.RetryAfter = staleRetryAfter
+	return x
 }
 
 // admit takes a token of the account.
@@ -218,8 +221,8 @@
 	s.meter.Observe(meter.Request{Route: e.Route, Account: e.Account, Duration: e.Duration, Refusal: f, Admitted: c.admitted}, now)
 }
 
-// denialAge is the age of the configuration up to which a request may be refused because the configuration lacks its route
-// or key. Instances that reach the store or a peer that does stay below it; the platform grants 2.5 s or more for a change.
+// denialAge is the age of the configuration up to which a request may be refused because the configuration does not allow
+// it. Instances that reach the store or a peer that does stay below it; the platform grants 2.5 s or more for a change.
 const denialAge = 2500 * time.Millisecond
 
 // staleRetryAfter is when an instance without a configuration is expected to know one.
