Deny a route or method on the product's own path only with a proof of freshness

Callers would see: 404 or 405 for a route that was just added, at an instance whose configuration is older than the freshness that a proof allows, for as long as it is cut off. It said "not run, correct path or method".

Cause: Server.accept asked for the proof of freshness only before it looked at a key, so that a missing route was told from a view of any age. Besides, the proof was checked after the view had been taken: a view that was replaced in between was judged with the proof of its successor.

Change: the proof is checked before the view is taken, and a request without a route is refused with 503 stale, not run, if there is none. Open routes that the instance knows need no proof, as before.

server.TestInstanceWithoutProofDeniesNoRoute on the code before:

server_test.go:148: /orders: status 405, header map[... Celeryhead-Ran:[not-run] Celeryhead-Reason:[no_route] ...]; want 503, stale server_test.go:148: /returns: status 404, header map[... Celeryhead-Ran:[not-run] Celeryhead-Reason:[no_route] ...]; want 503, stale

The order of proof and view has no test of its own.

--- a/server/entry.go
+++ b/server/entry.go
@@ -127,13 +127,18 @@
 	if r.Method == http.MethodConnect || len(r.Header["Upgrade"]) > 0 {
 		return c, badRequest("CONNECT and Upgrade are not forwarded")
 	}
+	// The proof is checked before the view is taken, so that it holds for that one.
+	fresh := s.control.Valid(attester.Fleet, now)
 	v := s.control.View()
 	c.configVersion = v.Heads.ConfigVersion
 	if c.configVersion == 0 {
 		return c, stale()
 	}
 	t, found, allowed := v.Routes.Find(r.Method, r.URL.Path)
-	if !allowed {
+	switch {
+	case !allowed && !fresh:
+		return c, stale()
+	case !allowed:
 		return c, noRoute(found)
 	}
 	c.route = t
@@ -141,7 +146,7 @@
 	if c.deadline, f = deadline(r, t, now); f != nil {
 		return c, f
 	}
-	if f := s.authenticate(v, c, r, now); f != nil {
+	if f := authenticate(v, c, r, fresh); f != nil {
 		return c, f
 	}
 	if p, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
@@ -179,12 +184,12 @@
 	return d, nil
 }
 
-// authenticate finds the client account of a request to a keyed route.
-func (s *Server) authenticate(v *controller.View, c *call, r *http.Request, now time.Time) *responder.Refusal {
+// authenticate finds the client account of a request to a keyed route; fresh is true if v is proved to be the newest view.
+func authenticate(v *controller.View, c *call, r *http.Request, fresh bool) *responder.Refusal {
 	if c.route.Open {
 		return nil
 	}
-	if !s.control.Valid(attester.Fleet, now) {
+	if !fresh {
 		return stale()
 	}
 	k, err := authenticator.Extract(r)
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -137,6 +137,19 @@
 	}
 }
 
+// Guards against a path or method that is denied by an instance whose configuration may lack the newest routes.
+func TestInstanceWithoutProofDeniesNoRoute(t *testing.T) {
+	s := newServer(t)
+	s.Configure(7, composer.Config{Routes: []composer.Route{{Name: "order", PathPrefix: "/orders", Methods: []string{"POST"}, Pool: "stock", Deadline: time.Minute}}})
+	for _, path := range []string{"/orders", "/returns"} {
+		w := httptest.NewRecorder()
+		s.CallersHandler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, http.NoBody))
+		if h := w.Header(); w.Code != http.StatusServiceUnavailable || h.Get(responder.HeaderReason) != string(responder.Stale) || h.Get(responder.HeaderRan) != string(responder.NotRun) {
+			t.Errorf("%s: status %d, header %v; want 503, stale", path, w.Code, h)
+		}
+	}
+}
+
 // Guards P9: a ticket that cannot be decided where it was issued must not run, and must not be said not to have run.
 func TestTicketOfAnotherIncarnation(t *testing.T) {
 	s := newServer(t)
--- a/server/tickets.go
+++ b/server/tickets.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"celeryhead.dev/celeryhead/attester"
 	"celeryhead.dev/celeryhead/claimer"
 	"celeryhead.dev/celeryhead/responder"
 	"celeryhead.dev/celeryhead/tracker"
@@ -23,8 +24,9 @@
 // issueTicket gives a caller an Idempotency-Key that works without the store.
 func (s *Server) issueTicket(w http.ResponseWriter, r *http.Request) {
 	now := s.clock()
+	fresh := s.control.Valid(attester.Fleet, now)
 	c := &call{}
-	if f := s.authenticate(s.control.View(), c, r, now); f != nil {
+	if f := authenticate(s.control.View(), c, r, fresh); f != nil {
 		s.refuse(w, f)
 		return
 	}
