Guard the age and origin of claims, and what a denial needs, by tests

- handler.Server.follows by the contact of any instance in place of the age of the own configuration (TestFollowerTurnedAwayForConfigurationIsReplaced stays green, since contact is that of the first table alone): TestInstanceWithOldConfigurationCallsTheStore
- a copy complete as of the arrival of an answer, for empty polls, polls with rows and whole reads: TestLateAnswerDoesNotMakeCopyYounger
- a claim that is not passed on, passed on as own, or passed on with the age 0: TestClaimIsPassedOnWithItsOriginAndAge (TestFollowerKeepsOthersFresh looks at the status now and then and may miss the short calls)
- a denial without a second look at the catalog, or at an age of 20 s: TestDenialNeedsTheNewestConfiguration
- 401 in place of 503 for a key that was withdrawn long after acceptance: TestWithdrawnKeyOfWaitingRequestIsNotDenied

Left: spooler.CloseUnread without "Connection: close" passes TestRefusalDoesNotWaitForTheBody, as states: the deadline of 1 s for reads has the same effect, later.

No fault of the code was found by them.

--- a/handler/export_test.go
+++ b/handler/export_test.go
@@ -1,12 +1,16 @@
 package handler
 
 import (
+	"net/http"
 	"net/netip"
 	"time"
 
 	"celeryhead.dev/celeryhead/authenticator"
 	"celeryhead.dev/celeryhead/cataloger"
 	"celeryhead.dev/celeryhead/gossiper"
+	"celeryhead.dev/celeryhead/logger"
+	"celeryhead.dev/celeryhead/replicator"
+	"celeryhead.dev/celeryhead/responder"
 )
 
 // Shares returns how many of n requests of a route go to each of its destinations.
@@ -59,3 +63,60 @@
 func (p *Peers) Newest(now time.Time, alive []gossiper.Member, after uint64) (netip.Addr, bool) {
 	return p.peers.newest(now, alive, p.region, "table", after)
 }
+
+// Hearer is an instance that calls nobody and has an empty copy of the configuration's table.
+type Hearer struct {
+	server *Server
+	now    time.Time
+}
+
+// NewHearer returns an instance of a region.
+func NewHearer(name, region string) *Hearer {
+	h := &Hearer{now: time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)}
+	s := &Server{configuration: "op", book: cataloger.NewBook(), peers: newPeers(), clock: func() time.Time { return h.now }}
+	s.settings.Name, s.settings.Region = name, region
+	s.members = gossiper.NewMembers(s.self(), nil)
+	s.rows = replicator.New(replicator.Config{
+		Tables: []replicator.Table{{Name: s.configuration}},
+		Log:    logger.Discard(),
+		Clock:  s.clock,
+		Origin: name,
+	})
+	h.server = s
+	return h
+}
+
+// Hear takes over what another instance says.
+func (h *Hearer) Hear(m gossiper.Member, t gossiper.State) {
+	h.server.members.HearFirstHand(m, h.now)
+	h.server.hear(m, t)
+}
+
+// Pass lets time pass.
+func (h *Hearer) Pass(d time.Duration) { h.now = h.now.Add(d) }
+
+// Claim returns the claim that others are told.
+func (h *Hearer) Claim() *gossiper.Claim { return h.server.state().Configuration }
+
+// Follows reports whether the instance calls the store.
+func (h *Hearer) Follows() bool { return h.server.follows() }
+
+// Deny returns what a request without a route is told that was accepted by one version of the configuration while another
+// one is in force now.
+func (h *Hearer) Deny(accepted, current uint64) *responder.Refusal {
+	h.server.book.Configure(cataloger.Configuration{Version: accepted})
+	c := &call{catalog: h.server.book.Catalog()}
+	h.server.book.Configure(cataloger.Configuration{Version: current})
+	return h.server.deny(c, refusal(http.StatusNotFound, responder.NoRoute, "no route"))
+}
+
+// MayRun returns why a request with a key may not be sent under a configuration, some time after it was accepted.
+func (h *Hearer) MayRun(key authenticator.Digest, accepted *cataloger.Catalog, current cataloger.Configuration, waited time.Duration) error {
+	c := &call{key: key, catalog: accepted, arrival: h.now.Add(-waited)}
+	c.account, _ = accepted.Account(key)
+	t := cataloger.Target{Name: "target", Service: "map"}
+	current.Services = []cataloger.Service{{Name: t.Service}}
+	h.server.book.Configure(current)
+	h.server.book.Assign(map[string]cataloger.Target{t.Name: t})
+	return h.server.mayRun(c, &t)
+}
--- a/handler/handler_test.go
+++ b/handler/handler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"errors"
 	"net/netip"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"celeryhead.dev/celeryhead/cataloger"
 	"celeryhead.dev/celeryhead/gossiper"
 	"celeryhead.dev/celeryhead/handler"
+	"celeryhead.dev/celeryhead/responder"
 )
 
 // Guards against destinations that get more or less than their weight in a short run of requests.
@@ -102,3 +104,80 @@
 		t.Errorf("asks %v, which is not ahead", a)
 	}
 }
+
+// Guards against a claim that looks younger, or comes from another origin, once it was passed on.
+func TestClaimIsPassedOnWithItsOriginAndAge(t *testing.T) {
+	h := handler.NewHearer("b", "almaty")
+	a := gossiper.Member{Name: "a", Address: netip.AddrFrom4([4]byte{10, 0, 0, 1}), Region: "almaty"}
+	if c := h.Claim(); c != nil {
+		t.Errorf("claim %+v of an instance that heard nothing", c)
+	}
+	h.Hear(a, gossiper.State{Configuration: &gossiper.Claim{Origin: "o", Sequence: 7, AgeMilliseconds: 300}})
+	h.Pass(400 * time.Millisecond)
+	if c := h.Claim(); c == nil || *c != (gossiper.Claim{Origin: "o", Sequence: 7, AgeMilliseconds: 700}) {
+		t.Errorf("passes on %+v", c)
+	}
+}
+
+// Guards against an instance that leaves the calls to others although nobody proves that its configuration is new.
+func TestInstanceWithOldConfigurationCallsTheStore(t *testing.T) {
+	h := handler.NewHearer("b", "almaty")
+	a := gossiper.Member{Name: "a", Address: netip.AddrFrom4([4]byte{10, 0, 0, 1}), Region: "almaty"}
+	for _, c := range []struct {
+		claim *gossiper.Claim
+		want  bool
+	}{
+		{nil, true},
+		{&gossiper.Claim{Origin: "a", Sequence: 1, AgeMilliseconds: 100}, false},
+		{&gossiper.Claim{Origin: "a", Sequence: 2, Content: 1, AgeMilliseconds: 100}, true},
+	} {
+		h.Pass(2100 * time.Millisecond)
+		h.Hear(a, gossiper.State{Configuration: c.claim})
+		if got := h.Follows(); got != c.want {
+			t.Errorf("claim %+v: calls the store %t, want %t", c.claim, got, c.want)
+		}
+	}
+}
+
+// Guards against denials by a configuration that is old, or that was replaced after the request came.
+func TestDenialNeedsTheNewestConfiguration(t *testing.T) {
+	for _, c := range []struct {
+		age               time.Duration
+		accepted, current uint64
+		status            int
+	}{
+		{0, 8, 8, 404},
+		{2500 * time.Millisecond, 8, 8, 404},
+		{2501 * time.Millisecond, 8, 8, 503},
+		{0, 8, 9, 503},
+	} {
+		h := handler.NewHearer("b", "almaty")
+		if f := h.Deny(c.accepted, c.accepted); f.Status != 503 {
+			t.Errorf("denied with %+v by a configuration of unknown age", f)
+		}
+		h = handler.NewHearer("b", "almaty")
+		h.Hear(gossiper.Member{Name: "a"}, gossiper.State{Configuration: &gossiper.Claim{Origin: "a", Sequence: 1}})
+		h.Pass(c.age)
+		if f := h.Deny(c.accepted, c.current); f.Status != c.status || f.Ran != responder.NotRun || (f.RetryAfter > 0) != (c.status == 503) {
+			t.Errorf("age %v, version %d replaced by %d: %+v, want %d", c.age, c.accepted, c.current, f, c.status)
+		}
+	}
+}
+
+// Guards against a request that is refused as unauthorized although its key was valid when it came.
+func TestWithdrawnKeyOfWaitingRequestIsNotDenied(t *testing.T) {
+	k := authenticator.Digest(sha256.Sum256([]byte("k")))
+	b := cataloger.NewBook()
+	b.Configure(cataloger.Configuration{Version: 1, Accounts: []cataloger.Account{{Name: "bakery", Keys: []authenticator.Digest{k}}}})
+	for waited, want := range map[time.Duration]int{0: 0, 2 * time.Second: 503} {
+		status := 0
+		var f *responder.Refusal
+		err := handler.NewHearer("a", "almaty").MayRun(k, b.Catalog(), cataloger.Configuration{Version: 2, Accounts: []cataloger.Account{{Name: "bakery"}}}, waited)
+		if errors.As(err, &f) {
+			status = f.Status
+		}
+		if status != want || (err != nil) != (want != 0) {
+			t.Errorf("after %v: %v", waited, err)
+		}
+	}
+}
--- a/replicator/freshness_test.go
+++ b/replicator/freshness_test.go
@@ -201,3 +201,46 @@
 		g.Wait()
 	})
 }
+
+// late is a store whose answers are on their way for a time.
+type late struct {
+	*store
+	by time.Duration
+}
+
+func (l *late) Read(ctx context.Context, name string) (replicator.Change, error) {
+	h, err := l.store.Read(ctx, name)
+	time.Sleep(l.by)
+	return h, err
+}
+
+func (l *late) Follow(ctx context.Context, name string, after uint64, wait time.Duration) (replicator.Change, error) {
+	h, err := l.store.Follow(ctx, name, after, wait)
+	time.Sleep(l.by)
+	return h, err
+}
+
+// Guards against an answer that makes the copy look complete up to its arrival.
+func TestLateAnswerDoesNotMakeCopyYounger(t *testing.T) {
+	s := &late{store: newStore(), by: 400 * time.Millisecond}
+	s.write("config", "0")
+	playTables(t, s.store, replicator.Config{Source: s}, []string{"op"}, func(r *replicator.Replicator, _ *watcher) {
+		known := false
+		for i := range 800 {
+			time.Sleep(10 * time.Millisecond)
+			if i%300 == 299 {
+				s.set(func() { s.write("config", strconv.Itoa(i)) })
+			}
+			c := r.CompleteAsOf("op")
+			// A poll that ends by a change proves nothing after its start, so that the next one counts.
+			if a := time.Since(c); !c.IsZero() && a < s.by || known && a > 2*(time.Second+s.by) {
+				t.Errorf("age %v of a copy whose answers take %v", a, s.by)
+				return
+			}
+			known = known || !c.IsZero()
+		}
+		if !known {
+			t.Error("the copy was never complete")
+		}
+	})
+}
