Deny nothing by the configuration before one that cannot be read

Callers would see: 401 and 404 for keys and routes of a version of the configuration that an instance cannot read, for as long as it is the newest, while other instances serve them. The store accepts valid configurations alone, so that this needs a version with a field of a type that is new to a release.

Cause: a copy of a table counts as complete once all its rows arrived, although a row that cannot be decoded is not in force. Same class: freshness of one thing (the rows) taken as proof of another (what is in force).

Change: the adapter reports a configuration that it cannot read, and until one can be read no request is denied, but refused with 503 stale, not run. What the configuration in force allows is served as before. Claims for peers stay as they are: they are about rows, and a peer of another release may be able to read them.

--- a/handler/request.go
+++ b/handler/request.go
@@ -153,7 +153,8 @@
 func (s *Server) deny(c *call, f *responder.Refusal) *responder.Refusal {
 	// The age is taken before the catalog is looked at again: a change in between means that the request's catalog is old.
 	complete := s.rows.CompleteAsOf(s.configuration)
-	if !complete.IsZero() && s.clock().Sub(complete) <= denialAge && s.book.Catalog().Version == c.catalog.Version {
+	fresh := !complete.IsZero() && s.clock().Sub(complete) <= denialAge
+	if fresh && !s.unreadable.Load() && s.book.Catalog().Version == c.catalog.Version {
 		return f
 	}
 	x := unavailable(responder.Stale, f.Message+", but this instance may have missed a change of the configuration; use another one")
--- a/handler/rows.go
+++ b/handler/rows.go
@@ -42,7 +42,9 @@
 
 // Configure takes over a configuration; an older one is ignored.
 func (s *Server) Configure(c cataloger.Configuration) {
-	if !s.book.Configure(c) {
+	changed := s.book.Configure(c)
+	s.unreadable.Store(false)
+	if !changed {
 		return
 	}
 	s.log.ConfigAdopted(c.Version, "store")
@@ -50,6 +52,11 @@
 	s.checkReady()
 }
 
+// RejectConfiguration records that the newest configuration cannot be read; the one in force then denies no request.
+func (s *Server) RejectConfiguration() {
+	s.unreadable.Store(true)
+}
+
 // Evacuate replaces the failure domains whose targets get nothing.
 func (s *Server) Evacuate(domains map[string]bool) {
 	if s.book.Evacuate(domains) {
--- a/handler/server.go
+++ b/handler/server.go
@@ -110,6 +110,8 @@
 	meter   *meter.Meter
 
 	limits atomic.Pointer[Limits]
+	// unreadable is true while the newest configuration cannot be read, so that an older one is in force.
+	unreadable atomic.Bool
 
 	mu sync.Mutex
 	// roster and listed are changed by the tables and the ticks.
