Let a peer's whole copy remove no row that the store told meanwhile

Callers would see: requests at an evacuated failure domain (EVAC), or targets that get nothing, at an instance that lost a row of the operators' or targets' table: the row is back only when it changes again.

Cause: Replicator.catchUp gave a peer's change the version from which the own copy is followed, so that the store's history goes on from there. For a whole copy that version also decides which rows are removed because they are not listed. A row that the store told while the peer's answer was on its way is newer than that answer, but not newer than the own version: it was removed. On the other hand a row between the own version and the peer's stayed although the peer knew of its removal.

Change: Copy.Merge takes a peer's change with the version of the peer's copy, which decides about removals alone; the version to follow from stays.

--- a/replicator/copy.go
+++ b/replicator/copy.go
@@ -46,10 +46,26 @@
 	return &Copy{rows: map[string]Row{}, removed: map[string]time.Time{}}
 }
 
-// Apply merges a change and reports whether a row changed or the table became known.
+// Apply merges a change that the store told and reports whether a row changed or the table became known.
 func (c *Copy) Apply(now time.Time, h Change) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.followed = max(c.followed, h.Version)
+	return c.merge(now, h)
+}
+
+// Merge merges a change that a peer told from its copy, as Apply does. A known copy is still followed from the version that
+// the store itself told.
+func (c *Copy) Merge(now time.Time, h Change) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.known {
+		c.followed = max(c.followed, h.Version)
+	}
+	return c.merge(now, h)
+}
+
+func (c *Copy) merge(now time.Time, h Change) bool {
 	changed := !c.known && h.Whole
 	c.known = c.known || h.Whole
 	for _, r := range h.Rows {
@@ -58,7 +74,6 @@
 	if h.Whole {
 		changed = c.removeOthers(now, h) || changed
 	}
-	c.followed = max(c.followed, h.Version)
 	c.content = max(c.content, c.newest())
 	c.forget(now)
 	return changed
--- a/replicator/copy_test.go
+++ b/replicator/copy_test.go
@@ -105,8 +105,7 @@
 				// A peer tells what it has.
 				_, content := c.Versions()
 				if h, ok := cs[rapid.IntRange(0, len(cs)-1).Draw(t, "peer")].Since(content); ok && c.Known() {
-					h.Version, _ = c.Versions()
-					c.Apply(now, h)
+					c.Merge(now, h)
 				}
 			case 6:
 				if len(old) > 0 && c.Known() {
@@ -161,7 +160,7 @@
 	if !ok || !h.Whole {
 		t.Fatalf("change %+v, %v; want the whole copy", h, ok)
 	}
-	peer.Apply(start, h)
+	peer.Merge(start, h)
 	if got := rows(peer); !maps.Equal(got, map[string]string{"b": "y"}) {
 		t.Errorf("rows %v", got)
 	}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -159,7 +159,7 @@
 		case err == nil:
 			whole = false
 			r.answered(t.first)
-			r.apply(t, h)
+			r.apply(t, t.copy.Apply, h)
 			t.freshness.confirm(r.config.Origin, t.inForce.Load(), asOf)
 			answered, read = r.config.Clock(), false
 			if len(h.Rows) > 0 && t.Pause > 0 && timer.Sleep(ctx, t.Pause) != nil {
@@ -274,11 +274,7 @@
 			}
 			continue
 		}
-		// The store's history is followed from the version that the store itself told.
-		if t.copy.Known() {
-			h.Version, _ = t.copy.Versions()
-		}
-		r.apply(t, h)
+		r.apply(t, t.copy.Merge, h)
 	}
 }
 
@@ -297,10 +293,11 @@
 	return r.Failing() || !r.follows() || r.config.Clock().Sub(t.behind) >= behindPause
 }
 
-func (r *Replicator) apply(t *table, h Change) {
+// apply takes a change into the copy by merge and puts it in force.
+func (r *Replicator) apply(t *table, merge func(time.Time, Change) bool, h Change) {
 	t.applied.Lock()
 	defer t.applied.Unlock()
-	if t.copy.Apply(r.config.Clock(), h) {
+	if merge(r.config.Clock(), h) {
 		if rs, known := t.copy.Rows(); known {
 			t.Changed(rs)
 		}
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -296,3 +296,38 @@
 		<-done
 	})
 }
+
+// Guards against a peer's whole copy that removes a row which the store told while that copy was on its way.
+func TestPeerCopyRemovesNoNewerRow(t *testing.T) {
+	s := newStore()
+	s.write("config", "1")
+	s.write("evacuate/a", "")
+	c := replicator.NewCopy()
+	c.Apply(start, s.whole())
+	s.remove("evacuate/a")
+	c.Apply(start, s.whole())
+	// The peer has forgotten the removal and answers with all that it has.
+	c.Apply(start.Add(2*replicator.TombstoneLife), replicator.Change{})
+	_, content := c.Versions()
+	play(t, s, &slowPeers{peers{copy: c}, func() { s.set(func() { s.write("evacuate/b", "all") }) }}, func(r *replicator.Replicator, w *watcher) {
+		time.Sleep(100 * time.Millisecond)
+		r.Heard("op", content)
+		time.Sleep(time.Second)
+		if w.get("evacuate/b") != "all" || w.get("config") != "1" {
+			t.Errorf("rows %v", w.rows)
+		}
+	})
+}
+
+// slowPeers answer after a while, in which something happens.
+type slowPeers struct {
+	peers
+	meanwhile func()
+}
+
+func (p *slowPeers) Newer(ctx context.Context, table string, after uint64) (replicator.Change, error) {
+	h, err := p.peers.Newer(ctx, table, after)
+	p.meanwhile()
+	time.Sleep(100 * time.Millisecond)
+	return h, err
+}
