Let a copy catch up with a peer whose newest change is a forgotten removal

Seen by nobody; found in a review, as an instance that never counts as complete by the claims of others. It calls the store for as long as the table does not change, and takes the whole copy of a peer five times a second, 29 kB each for the configuration of the grown sites. Callers see nothing of it while the store answers it; in an outage its denials become 503.

Cause: the version of a copy's newest row outlives the row if that was a removal, which is forgotten after a minute. An instance that reads the table whole later can't reach that version, because no row has it, and a peer's whole copy did not raise it. So the claims of such a peer never hold for it. It takes the end of an evacuation, a minute without changes of the table, and a restart.

Change: what a peer's copy answers is all that it has up to its version, so the merged copy has that version too.

replicator.TestForgottenRemovalLeavesNoCopyBehind on the code before:

replicator_test.go:353: the peer was asked 49 times in 10 s replicator_test.go:356: content 1, that of the peer 3

--- a/replicator/copy.go
+++ b/replicator/copy.go
@@ -62,7 +62,10 @@
 	if !c.known {
 		c.followed = max(c.followed, h.Version)
 	}
-	return c.merge(now, h)
+	changed := c.merge(now, h)
+	// The peer's newest row may be a removal that it has forgotten.
+	c.content = max(c.content, h.Version)
+	return changed
 }
 
 func (c *Copy) merge(now time.Time, h Change) bool {
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -331,3 +331,40 @@
 	time.Sleep(100 * time.Millisecond)
 	return h, err
 }
+
+// Guards against a copy that stays behind a peer for ever, and asks it again and again, because the newest change of the
+// table is a removal that both the store and the peer have forgotten.
+func TestForgottenRemovalLeavesNoCopyBehind(t *testing.T) {
+	s := newStore()
+	s.write("config", "1")
+	s.write("evacuate/a", "")
+	c := replicator.NewCopy()
+	c.Apply(start, s.whole())
+	s.remove("evacuate/a")
+	c.Apply(start, s.whole())
+	c.Apply(start.Add(2*replicator.TombstoneLife), replicator.Change{})
+	p := &countingPeers{peers: peers{copy: c}}
+	play(t, s, p, func(r *replicator.Replicator, w *watcher) {
+		time.Sleep(100 * time.Millisecond)
+		_, content := c.Versions()
+		r.Heard("op", content)
+		time.Sleep(10 * time.Second)
+		if n := p.asked.Load(); n > 1 || w.get("config") != "1" {
+			t.Errorf("the peer was asked %d times in 10 s", n)
+		}
+		if got := r.Contents()["op"]; got != content {
+			t.Errorf("content %d, that of the peer %d", got, content)
+		}
+	})
+}
+
+// countingPeers counts the calls.
+type countingPeers struct {
+	peers
+	asked atomic.Int64
+}
+
+func (p *countingPeers) Newer(ctx context.Context, table string, after uint64) (replicator.Change, error) {
+	p.asked.Add(1)
+	return p.peers.Newer(ctx, table, after)
+}
