Do not take silent peers for a suspension of the process

Callers would see: 503 stale in place of 401 and 404 for requests that are wrong, at an instance that knows the newest configuration, and calls to the store by instances that need not call it.

Cause: the beat that notices a suspension came from the loop that also asks peers. A peer without an answer holds it for 0.5 s, and 0.4 s of pause follow; a peer that is heard to be ahead meanwhile starts the next call before the beat. After 1 s without a beat all claims of others count as received before a suspension, and the own ones as made before it. Class: silence of another taken for one of the own process.

Change: the beat has a loop of its own.

replicator.TestSilentPeerIsNoSuspension on the code before:

replicator_test.go:362: nothing is known of the age after 3000 ms

--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -34,6 +34,8 @@
 	// behindPause is how long a copy may be behind a peer before the peer is asked; usually the store's own answer is on
 	// its way.
 	behindPause = 200 * time.Millisecond
+	// beatInterval is how often a replicator notes that its process runs.
+	beatInterval = 200 * time.Millisecond
 	// peerTimeout bounds a call to a peer.
 	peerTimeout = 500 * time.Millisecond
 )
@@ -130,6 +132,7 @@
 	for _, t := range r.tables {
 		g.Go(func() { r.follow(ctx, t) })
 		g.Go(func() { r.catchUp(ctx, t) })
+		g.Go(func() { timer.Every(ctx, beatInterval, func(context.Context) { t.freshness.beat(r.config.Clock()) }) })
 	}
 	g.Wait()
 }
@@ -257,7 +260,6 @@
 		case <-ctx.Done():
 			return
 		case <-k.C:
-			t.freshness.beat(r.config.Clock())
 		case <-t.wake:
 		}
 		if r.config.Peers == nil || !r.asksPeer(t) {
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -368,3 +368,44 @@
 	p.asked.Add(1)
 	return p.peers.Newer(ctx, table, after)
 }
+
+// Guards against an instance that waits for peers without answers and takes that for a suspension of its process.
+func TestSilentPeerIsNoSuspension(t *testing.T) {
+	s := newStore()
+	s.write("config", "1")
+	synctest.Test(t, func(t *testing.T) {
+		s.changed = make(chan struct{})
+		r := replicator.New(replicator.Config{
+			Source:  s,
+			Peers:   silentPeers{},
+			Tables:  []replicator.Table{{Name: "op", Wait: time.Second, Changed: func([]replicator.Row) {}}},
+			Follows: func() bool { return false },
+			Log:     logger.Discard(),
+			Clock:   time.Now,
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			r.Run(ctx)
+		}()
+		for i := range uint64(300) {
+			time.Sleep(100 * time.Millisecond)
+			r.Heard("op", 10+i)
+			if i > 10 && r.CompleteAsOf("op").IsZero() {
+				t.Errorf("nothing is known of the age after %d ms", (i+1)*100)
+				break
+			}
+		}
+		cancel()
+		<-done
+	})
+}
+
+// silentPeers give no answer.
+type silentPeers struct{}
+
+func (silentPeers) Newer(ctx context.Context, _ string, _ uint64) (replicator.Change, error) {
+	<-ctx.Done()
+	return replicator.Change{}, ctx.Err()
+}
