--- a/handler/resend_test.go
+++ b/handler/resend_test.go
@@ -37,6 +37,8 @@
 
 func (protocol) Moved(int) bool { return false }
 
+func (protocol) PromisesNotRun(int) bool { return false }
+
 func (protocol) Refuse(w http.ResponseWriter, f *responder.Refusal) {
 	w.Header().Set(responder.HeaderReason, string(f.Reason))
 	w.WriteHeader(f.Status)
--- a/replicator/copy_test.go
+++ b/replicator/copy_test.go
@@ -160,7 +160,7 @@
 	if !ok || !h.Whole {
 		t.Fatalf("change %+v, %v; want the whole copy", h, ok)
 	}
-	peer.Apply(start, h)
+	peer.Merge(start, h)
 	if got := rows(peer); !maps.Equal(got, map[string]string{"b": "y"}) {
 		t.Errorf("rows %v", got)
 	}
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -296,3 +296,105 @@
 		<-done
 	})
 }
+
+// Guards against a peer's whole copy that removes a row which the store told while that copy was on its way.
+func TestPeerCopyRemovesNoNewerRow(t *testing.T) {
+	s := newStore()
+	s.write("config", "1")
+	s.write("evacuate/a", "")
+	c := replicator.NewCopy()
+	c.Apply(start, s.whole())
+	s.remove("evacuate/a")
+	c.Apply(start, s.whole())
+	// The peer has forgotten the removal and answers with all that it has.
+	c.Apply(start.Add(2*replicator.TombstoneLife), replicator.Change{})
+	_, content := c.Versions()
+	play(t, s, &slowPeers{peers{copy: c}, func() { s.set(func() { s.write("evacuate/b", "all") }) }}, func(r *replicator.Replicator, w *watcher) {
+		time.Sleep(100 * time.Millisecond)
+		r.Heard("op", content)
+		time.Sleep(time.Second)
+		if w.get("evacuate/b") != "all" || w.get("config") != "1" {
+			t.Errorf("rows %v", w.rows)
+		}
+	})
+}
+
+// slowPeers answer after a while, in which something happens.
+type slowPeers struct {
+	peers
+	meanwhile func()
+}
+
+func (p *slowPeers) Newer(ctx context.Context, table string, after uint64) (replicator.Change, error) {
+	h, err := p.peers.Newer(ctx, table, after)
+	p.meanwhile()
+	time.Sleep(100 * time.Millisecond)
+	return h, err
+}
+
+// Guards against a copy that stays behind a peer for ever, and asks it again and again, because the newest change of the
+// table is a removal that both the store and the peer have forgotten.
+func TestForgottenRemovalLeavesNoCopyBehind(t *testing.T) {
+	s := newStore()
+	s.write("config", "1")
+	s.write("evacuate/a", "")
+	c := replicator.NewCopy()
+	c.Apply(start, s.whole())
+	s.remove("evacuate/a")
+	c.Apply(start, s.whole())
+	c.Apply(start.Add(2*replicator.TombstoneLife), replicator.Change{})
+	p := &counted{peers: peers{copy: c}}
+	play(t, s, p, func(r *replicator.Replicator, w *watcher) {
+		time.Sleep(100 * time.Millisecond)
+		_, content := c.Versions()
+		r.Heard("op", content)
+		time.Sleep(10 * time.Second)
+		if n := p.calls.Load(); n > 1 || w.get("config") != "1" {
+			t.Errorf("the peer was asked %d times in 10 s", n)
+		}
+		if got := r.Contents()["op"]; got != content {
+			t.Errorf("content %d, that of the peer %d", got, content)
+		}
+	})
+}
+
+// Guards against an instance that waits for peers without answers and takes that for a suspension of its process.
+func TestSilentPeerIsNoSuspension(t *testing.T) {
+	s := newStore()
+	s.write("config", "1")
+	synctest.Test(t, func(t *testing.T) {
+		s.changed = make(chan struct{})
+		r := replicator.New(replicator.Config{
+			Source:  s,
+			Peers:   silentPeers{},
+			Tables:  []replicator.Table{{Name: "op", Wait: time.Second, Changed: func([]replicator.Row) {}}},
+			Follows: func() bool { return false },
+			Log:     logger.Discard(),
+			Clock:   time.Now,
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			r.Run(ctx)
+		}()
+		for i := range uint64(300) {
+			time.Sleep(100 * time.Millisecond)
+			r.Heard("op", 10+i)
+			if i > 10 && r.CompleteAsOf("op").IsZero() {
+				t.Errorf("nothing is known of the age after %d ms", (i+1)*100)
+				break
+			}
+		}
+		cancel()
+		<-done
+	})
+}
+
+// silentPeers give no answer.
+type silentPeers struct{}
+
+func (silentPeers) Newer(ctx context.Context, _ string, _ uint64) (replicator.Change, error) {
+	<-ctx.Done()
+	return replicator.Change{}, ctx.Err()
+}
