Run a request without an allowed region nowhere

What callers would see: a request whose route and account share no region runs at a target in a failure domain that the settings do not name (HOME), in place of a refusal.

Cause: Intersect returned one empty name for "no region", since an empty list allows all; a target in an unknown failure domain has an empty region, which that name matched.

Fix: a request with a limit runs in no unknown region. Intersect keeps its result, which a test states.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -220,6 +220,11 @@
 	return now.Add(c.wait + c.run + p.config.Trip(c.target.Region))
 }
 
+// allows reports whether the request may run in a region; a request with a limit runs in no unknown one.
+func (w Work) allows(region string) bool {
+	return len(w.Regions) == 0 || region != "" && slices.Contains(w.Regions, region)
+}
+
 // candidates estimates all targets that may run the request.
 func (p *Placer) candidates(now time.Time, pool *cataloger.Pool, w Work) []candidate {
 	e := p.timesFor(w)
@@ -228,7 +233,7 @@
 	cs := make([]candidate, 0, len(ts))
 	rank, left := 0, p.quotaFor(now, w, ts)
 	for _, t := range ts {
-		if len(w.Regions) > 0 && !slices.Contains(w.Regions, t.Region) || slices.Contains(w.Tried, t.Name) {
+		if !w.allows(t.Region) || slices.Contains(w.Tried, t.Name) {
 			continue
 		}
 		s := p.state(now, t)
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -205,6 +205,18 @@
 	}
 }
 
+// Guards against a request without an allowed region that runs at a target in a failure domain without a known region.
+func TestUnknownRegionIsNotAllowed(t *testing.T) {
+	l := baseline(1)
+	p, pool := newPlacer(openGate{}), l.pool(1)
+	pool.Targets[0].Region = ""
+	w := work(l, start, "a")
+	w.Regions = cataloger.Intersect([]string{"here"}, []string{"there"})
+	if c, f := p.Choose(start, pool, w); f == nil {
+		t.Errorf("chose %s although no region is allowed", c.Target.Name)
+	}
+}
+
 // Guards against rejections that delay the caller or carry no retry delay.
 func TestRejectionHasRetryAfter(t *testing.T) {
 	l := baseline(1)
