Bound the Retry-After of accounts with a low rate

What callers would see: an account with a rate below 0.5 a second is told to come back after 1/rate seconds (100 s at 0.01), although the longest delay is 2 s, since callers wait for at most a third of their time.

Cause: Shares.Wait raised the delay to the time in which a token is earned after it had bounded it.

Fix: the bound comes last.

Test before, 10 times each: shares_test.go:192: a retry delay of 1m40s at a rate of 0.01, want at most 2 s shares_test.go:192: a retry delay of 2.5s at a rate of 0.4, want at most 2 s

--- a/sharer/shares.go
+++ b/sharer/shares.go
@@ -183,7 +183,8 @@
 	if last := now.Add(maxRetryAfter); a.nextRetryAt.After(last) {
 		a.nextRetryAt = last
 	}
-	return max(a.nextRetryAt.Sub(now), time.Duration(float64(time.Second)/a.limit.Rate))
+	earned := time.Duration(float64(time.Second) / a.limit.Rate)
+	return min(max(a.nextRetryAt.Sub(now), earned), maxRetryAfter)
 }
 
 // Need returns the number of tokens of an account to request from another instance; it is 0 while backing off after
--- a/sharer/shares_test.go
+++ b/sharer/shares_test.go
@@ -182,3 +182,15 @@
 		t.Errorf("%d tokens with a burst of 3", n)
 	}
 }
+
+// Guards against a caller of an account with a low rate that is told to stay away for longer than it waits.
+func TestRetryAfterOfLowRateIsBounded(t *testing.T) {
+	for _, rate := range []float64{0.01, 0.4, 0.5, 20} {
+		f := newFleet(3, sharer.Limit{Rate: rate, Burst: 1}, start)
+		for range 10 {
+			if d := f.shares[0].Wait(start, "bakery"); d <= 0 || d > 2*time.Second {
+				t.Errorf("a retry delay of %v at a rate of %v, want at most 2 s", d, rate)
+			}
+		}
+	}
+}
