End the pause of a misaddressed target when its row names another address

What callers would see: for up to 10 s a target gets nothing at its new address, because another target was found at the former one; if it is the only one, requests are refused with no_owner.

Cause: Lose pauses a target by name and start of its process. A row that was corrected with the same start kept the pause. A row with another start, and one that is removed, did end it already (Placer.state, Placer.Keep).

Fix: the placer keeps the address at which another target was found, and drops the pause once the target has another one. The bound of 10 s stays for a row that is not corrected: one request then finds out again and goes elsewhere, since the answer says that it did not run; without the bound a single wrong answer would take a target out for good. The comments say so now.

Test before: --- FAIL: TestReplacedTargetIsNotPaused placer_test.go:284: at its new address: no_owner (not-run): no target may have this request at present

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -48,7 +48,7 @@
 	// minSamples is the number of samples from which on the mean processing time is used to reject requests.
 	minSamples = 10
 	// misaddressedPause is how long a target gets no requests after another target was found at its address; its row
-	// is removed within that time.
+	// should be removed within that time. If it is not, one request finds out again, and goes elsewhere as not run.
 	misaddressedPause = 10 * time.Second
 	// maxOrders bounds the number of cached target orders.
 	maxOrders = 4096
@@ -479,11 +479,13 @@
 	return true
 }
 
-// Lose pauses a target after another target was found at its address; the pause lasts until its row is removed.
+// Lose pauses a target after another target was found at its address. The pause ends early if its row names another address or
+// another process.
 func (p *Placer) Lose(now time.Time, t *cataloger.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state(now, t).pausedUntil = now.Add(misaddressedPause)
+	s := p.state(now, t)
+	s.lost, s.pausedUntil = t.Address, now.Add(misaddressedPause)
 }
 
 // Keep discards the state of targets that are no longer in the catalog.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -262,6 +263,28 @@
 	}
 }
 
+// Guards against a target that gets nothing although its row was replaced after another target was found at its address.
+func TestReplacedTargetIsNotPaused(t *testing.T) {
+	l := baseline(1)
+	p, pool := newPlacer(openGate{}), l.pool(1)
+	c, f := p.Choose(start, pool, work(l, start, "a"))
+	if f != nil {
+		t.Fatal(f)
+	}
+	p.End(start, c, placer.Shed)
+	p.Lose(start, c.Target)
+	now := start.Add(time.Second)
+	if c, f := p.Choose(now, pool, work(l, now, "a")); f == nil {
+		t.Errorf("chose %s, at whose address another target was found", c.Target.Name)
+	}
+	moved := *c.Target
+	moved.Address = netip.MustParseAddrPort("10.9.9.9:80")
+	pool = &cataloger.Pool{Service: pool.Service, Targets: []*cataloger.Target{&moved}}
+	if _, f := p.Choose(now, pool, work(l, now, "a")); f != nil {
+		t.Errorf("at its new address: %v", f)
+	}
+}
+
 // Guards against connection setup that counts as processing time and makes a target look slow.
 func TestConnectionSetupIsNotProcessingTime(t *testing.T) {
 	const opening, worked = 200 * time.Millisecond, 100 * time.Millisecond
--- a/placer/target.go
+++ b/placer/target.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"math"
+	"net/netip"
 	"time"
 
 	"celeryhead.dev/celeryhead/cataloger"
@@ -90,8 +91,10 @@
 	faultRate         float64
 	consecutiveFaults int
 	pausedUntil       time.Time
-	halfOpen          bool
-	lastUsed          time.Time
+	// lost is the address at which another target was found.
+	lost     netip.AddrPort
+	halfOpen bool
+	lastUsed time.Time
 	// lastAnswered is when the target last answered a request of this instance.
 	lastAnswered time.Time
 	// joinedAt is when the target was first seen; it is zero for targets that were known at the first request.
@@ -113,6 +116,9 @@
 		}
 		p.targets[t.Name] = s
 	}
+	if s.lost.IsValid() && s.lost != t.Address {
+		s.lost, s.pausedUntil = netip.AddrPort{}, time.Time{}
+	}
 	return s
 }
 
