--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -205,6 +206,18 @@
 	}
 }
 
+// Guards against a request without an allowed region that runs at a target in a failure domain without a known region.
+func TestUnknownRegionIsNotAllowed(t *testing.T) {
+	l := baseline(1)
+	p, pool := newPlacer(openGate{}), l.pool(1)
+	pool.Targets[0].Region = ""
+	w := work(l, start, "a")
+	w.Regions = cataloger.Intersect([]string{"here"}, []string{"there"})
+	if c, f := p.Choose(start, pool, w); f == nil {
+		t.Errorf("chose %s although no region is allowed", c.Target.Name)
+	}
+}
+
 // Guards against rejections that delay the caller or carry no retry delay.
 func TestRejectionHasRetryAfter(t *testing.T) {
 	l := baseline(1)
@@ -250,6 +263,28 @@
 	}
 }
 
+// Guards against a target that gets nothing although its row was replaced after another target was found at its address.
+func TestReplacedTargetIsNotPaused(t *testing.T) {
+	l := baseline(1)
+	p, pool := newPlacer(openGate{}), l.pool(1)
+	c, f := p.Choose(start, pool, work(l, start, "a"))
+	if f != nil {
+		t.Fatal(f)
+	}
+	p.End(start, c, placer.Shed)
+	p.Lose(start, c.Target)
+	now := start.Add(time.Second)
+	if c, f := p.Choose(now, pool, work(l, now, "a")); f == nil {
+		t.Errorf("chose %s, at whose address another target was found", c.Target.Name)
+	}
+	moved := *c.Target
+	moved.Address = netip.MustParseAddrPort("10.9.9.9:80")
+	pool = &cataloger.Pool{Service: pool.Service, Targets: []*cataloger.Target{&moved}}
+	if _, f := p.Choose(now, pool, work(l, now, "a")); f != nil {
+		t.Errorf("at its new address: %v", f)
+	}
+}
+
 // Guards against connection setup that counts as processing time and makes a target look slow.
 func TestConnectionSetupIsNotProcessingTime(t *testing.T) {
 	const opening, worked = 200 * time.Millisecond, 100 * time.Millisecond
