Take an answer with a part of the changes for no proof of completeness

Callers would see: 401, 404 and 413 by a configuration that is known to be complete and is not, if the store cuts an answer of rows-feed off as it does for rows-get (500 rows, 1 MB, truncated), which the platform does not state.

Cause: Client.Follow did not look at "truncated", so that an answer with rows counted as all that the store had at the start of the call. Class: a claim of completeness from partial knowledge.

Change: such an answer gives no time up to which the copy is complete, and is followed by the next call at once. Waits are cut to whole milliseconds, in which they are told to the store, so that the end of a wait is never dated too late.

replicator.TestPartOfChangesProvesNothing, with the new field and without the change:

freshness_test.go:296: complete 50ms after the last change with version "2" in force

--- a/replicator/copy.go
+++ b/replicator/copy.go
@@ -27,6 +27,8 @@
 	Version uint64
 	// Whole is true if rows that are not listed do not exist.
 	Whole bool
+	// More is true if the source had further changes.
+	More bool
 }
 
 // Copy is a copy of one table; it is safe for concurrent use.
--- a/replicator/freshness_test.go
+++ b/replicator/freshness_test.go
@@ -266,3 +266,41 @@
 		}
 	})
 }
+
+// parts is a store that tells one change at a time, slowly.
+type parts struct{ *store }
+
+func (p parts) Follow(ctx context.Context, name string, after uint64, wait time.Duration) (replicator.Change, error) {
+	h, err := p.store.Follow(ctx, name, after, wait)
+	if len(h.Rows) > 1 {
+		h.Rows, h.Version, h.More = h.Rows[:1], h.Rows[0].Version, true
+	}
+	time.Sleep(50 * time.Millisecond)
+	return h, err
+}
+
+// Guards against a copy that counts as complete after an answer with a part of the changes.
+func TestPartOfChangesProvesNothing(t *testing.T) {
+	s := newStore()
+	s.write("config", "0")
+	playTables(t, s, replicator.Config{Source: parts{s}}, []string{"op"}, func(r *replicator.Replicator, w *watcher) {
+		time.Sleep(2500 * time.Millisecond)
+		written := time.Now()
+		s.set(func() {
+			for i := range 9 {
+				s.write("config", strconv.Itoa(i+1))
+			}
+		})
+		for w.get("config") != "9" {
+			if c := r.CompleteAsOf("op"); c.After(written) {
+				t.Errorf("complete %v after the last change with version %q in force", c.Sub(written), w.get("config"))
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		if a := time.Since(r.CompleteAsOf("op")); a > 1200*time.Millisecond {
+			t.Errorf("age %v", a)
+		}
+	})
+}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -169,7 +169,7 @@
 			answered, read = r.config.Clock(), false
 			if t.first && len(h.Rows) > 0 {
 				// Others take the age of their copies from this one, which grows from the start of a poll that a change ended.
-				wait = max(0, t.Wait-answered.Sub(asOf))
+				wait = max(0, t.Wait-answered.Sub(asOf)).Truncate(time.Millisecond)
 			}
 			if len(h.Rows) > 0 && t.Pause > 0 && timer.Sleep(ctx, t.Pause) != nil {
 				return
@@ -215,7 +215,8 @@
 	return true
 }
 
-// call asks the store once, for at most wait until there is a change. Its answer holds all changes up to the returned time.
+// call asks the store once, for at most wait until there is a change. Its answer holds all changes up to the returned time,
+// which is zero if that is not known.
 func (r *Replicator) call(ctx context.Context, t *table, whole bool, wait time.Duration, resumed <-chan struct{}) (Change, time.Time, error) {
 	start := r.config.Clock()
 	if whole || t.first && r.Failing() {
@@ -247,10 +248,10 @@
 		r.config.Log.AnswerLate(t.Name, whole, after, r.config.Clock().Sub(start), err)
 		err = errors.Join(errTimeout, err)
 	}
-	if whole {
-		return h, start, err
-	}
-	if len(h.Rows) > 0 {
+	switch {
+	case h.More:
+		return h, time.Time{}, err
+	case whole, len(h.Rows) > 0:
 		return h, start, err
 	}
 	// The answer may have been read much later than it was written, but the store waited for changes.
