Read what targets say of further requests from their answers

Change: wire names and parsing stand in platform/; handler.Protocol tells the notice that an answer carries, and the handler takes it in for each answer that the forwarder attributes to its request: successes, failures, refusals, answers that break off after their head. Whole and fractional seconds count, up to 10 min, only with 503; 0, negative, text, a date, a list and an exponent are no rest; given twice, the longest counts. An answer 421 is another target's and says nothing. Late answers to earlier requests of a connection, and answers without a verdict, set nothing: nothing proves whose they are, and a target repeats in its next answer what still holds. Answers to callers that left count if their head still arrives; afterwards the connection is closed and nothing is read.

Result: platform.TestNotice, 26 cases. Nothing obeys yet.

--- a/handler/forward.go
+++ b/handler/forward.go
@@ -164,6 +164,7 @@
 	if err != nil {
 		return s.failed(ctx, c, l, w, err)
 	}
+	s.heed(l.Target, x.Status, x.Header)
 	if o, ok := s.protocol.Load(x.Header); ok {
 		s.placer.Told(s.clock(), l, o)
 	}
@@ -237,6 +238,9 @@
 	if !errors.As(err, &x) {
 		x = &forwarder.Failure{Reason: responder.TargetFailed, Ran: responder.Unknown, Err: err}
 	}
+	if x.Status != 0 {
+		s.heed(l.Target, x.Status, x.Header)
+	}
 	now := s.clock()
 	a := &attempt{failure: x, outcome: s.outcome(ctx, c, x), next: w.end()}
 	w.cancel()
--- a/handler/protocol.go
+++ b/handler/protocol.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"celeryhead.dev/celeryhead/abstainer"
 	"celeryhead.dev/celeryhead/cataloger"
 	"celeryhead.dev/celeryhead/forwarder"
 	"celeryhead.dev/celeryhead/placer"
@@ -30,6 +31,8 @@
 	Address(h http.Header, target *cataloger.Target, account string)
 	// Load reads the load that a target tells; ok is false if it tells none.
 	Load(h http.Header) (l placer.Load, ok bool)
+	// Notice reads what an answer that belongs to its request says about further requests to the target.
+	Notice(status int, h http.Header) abstainer.Notice
 	// Signed reports whether an answer has the signature of a target.
 	Signed(h http.Header) bool
 	// Moved reports whether a shed answer says that another target has the address.
--- a/handler/server.go
+++ b/handler/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/gorilla/mux"
 
+	"celeryhead.dev/celeryhead/abstainer"
 	"celeryhead.dev/celeryhead/breaker"
 	"celeryhead.dev/celeryhead/cataloger"
 	"celeryhead.dev/celeryhead/forwarder"
@@ -104,10 +105,12 @@
 	shares  *sharer.Shares
 	budget  *sharer.Budget
 	gate    *sharer.Gate
-	splits  *splits
-	trips   trips
-	strikes strikes
-	meter   *meter.Meter
+	// abstainer holds what targets said of further requests.
+	abstainer *abstainer.Abstainer
+	splits    *splits
+	trips     trips
+	strikes   strikes
+	meter     *meter.Meter
 
 	limits atomic.Pointer[Limits]
 
@@ -135,6 +138,7 @@
 		listeners: c.Listeners,
 		book:      cataloger.NewBook(),
 		gate:      sharer.NewGate(c.Settings.Name),
+		abstainer: abstainer.New(abstainer.Config{Instance: c.Settings.Name}),
 		budget:    sharer.NewBudget(c.Settings.Limits.Retries),
 		splits:    newSplits(),
 		trips:     trips{regions: map[string]*trip{}},
@@ -286,6 +290,7 @@
 		s.checkReady()
 		s.sweep(ctx, now)
 		s.targets.Tick()
+		s.endAbstentions(now)
 		s.strikes.tick(now)
 		k := s.book.Catalog()
 		s.placer.Keep(k.Has)
