Send nothing to targets that leave or rest, and refuse at once if all do

Callers and targets would have seen: requests at targets whose answers said that they leave, and at targets that wanted nothing for a while; 250 ms as Retry-After where the target had told the time.

Change: the placer takes no target that leaves or rests as a candidate, so first sends, retries, second sends and cold tokens pass it by. A request that was placed before is stopped by the check just before its first byte; one that waits for a connection is canceled at once. Both go on to another target, without a draw on the budget of retries since nothing arrived, or are refused as not run. The probe after a broken connection passes such targets by, so a crash there is counted a request later. A resting target keeps its objects and is not at fault; after the rest requests return one by one. If all targets rest or leave, the refusal comes at once and tells the earliest end, up to 1 s.

A leaving target gets nothing more at once, although `drain` would allow it some seconds: all its answers say so, and waiting gains little capacity.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -292,6 +292,9 @@
 	case Accepted:
 	}
 	RemoveHopByHop(a.Header)
+	if x.call.Answered != nil {
+		x.call.Answered(a.Status, a.Header)
+	}
 	if p.Body == http.NoBody {
 		a.Body = http.NoBody
 		x.complete(keep)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -67,6 +67,9 @@
 	// Before is called just before the first byte is written, if it is not nil. It must not block. If it returns an
 	// error, nothing is written.
 	Before func() error
+	// Answered is called with the head of the response that belongs to the request, before its connection can carry another
+	// one, if it is not nil. It must not block.
+	Answered func(status int, h http.Header)
 	// Informational is called with each 1xx response. If nil, they are discarded.
 	Informational func(status int, h http.Header)
 }
--- a/handler/abstain.go
+++ b/handler/abstain.go
@@ -2,16 +2,26 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"celeryhead.dev/celeryhead/abstainer"
 	"celeryhead.dev/celeryhead/cataloger"
+	"celeryhead.dev/celeryhead/responder"
 )
 
 // heed takes in what an answer of a target says about further requests. Late answers to earlier requests of the connection do
 // not get here: nothing proves whose they are, and a target repeats in its next answer what still holds.
 func (s *Server) heed(t *cataloger.Target, status int, h http.Header) {
-	s.abstainer.Hear(s.clock(), incarnation(t), s.protocol.Notice(status, h))
+	i := incarnation(t)
+	if es := s.abstainer.Hear(s.clock(), i, s.protocol.Notice(status, h)); len(es) > 0 {
+		s.waiting.cancel(i, errDeclines)
+	}
+}
+
+// rests reports whether an answer asks for no further requests for a while.
+func (s *Server) rests(status int, h http.Header) bool {
+	return s.protocol.Notice(status, h).Rest > 0
 }
 
 // endAbstentions discards the words of targets that no longer hold.
@@ -25,6 +35,53 @@
 	})
 }
 
+// errDeclines keeps a request from a target that asked for none after the request was placed there.
+var errDeclines = &responder.Refusal{
+	Status:     http.StatusServiceUnavailable,
+	Reason:     responder.NoOwner,
+	Ran:        responder.NotRun,
+	Message:    "the target asked for no more requests before this one was sent",
+	RetryAfter: shedRetryAfter,
+}
+
+// waiters holds the attempts that wait for a connection, by what they wait for.
+type waiters[K comparable] struct {
+	mu      sync.Mutex
+	waiting map[K]map[*watch]struct{}
+}
+
+func newWaiters[K comparable]() *waiters[K] {
+	return &waiters[K]{waiting: map[K]map[*watch]struct{}{}}
+}
+
+func (s *waiters[K]) add(k K, w *watch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiting[k] == nil {
+		s.waiting[k] = map[*watch]struct{}{}
+	}
+	s.waiting[k][w] = struct{}{}
+}
+
+// remove ends the wait of an attempt, which is not canceled from then on.
+func (s *waiters[K]) remove(k K, w *watch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiting[k], w)
+	if len(s.waiting[k]) == 0 {
+		delete(s.waiting, k)
+	}
+}
+
+// cancel cancels the attempts that still wait. The lock is held meanwhile, so that none of them is sent at the same moment.
+func (s *waiters[K]) cancel(k K, cause error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for w := range s.waiting[k] {
+		w.cancel(cause)
+	}
+}
+
 func incarnation(t *cataloger.Target) abstainer.Incarnation {
 	return abstainer.Incarnation{Name: t.Name, Started: t.Started}
 }
--- a/handler/forward.go
+++ b/handler/forward.go
@@ -36,6 +36,8 @@
 	outcome placer.Outcome
 	// next is the target to which the request goes because this one was given up.
 	next *placer.Lease
+	// turnedAway is true if the request was kept from the target at the last moment, so that nothing arrived there.
+	turnedAway bool
 }
 
 // forward has a request run on a target. A request that may have run is sent again only if it is idempotent.
@@ -57,7 +59,7 @@
 		if last.failure == nil || last.failure.Ran != responder.NotRun {
 			c.mayHaveRun = true
 		}
-		if last.outcome != placer.Unreached {
+		if last.outcome != placer.Unreached && !last.turnedAway {
 			c.sent++
 		}
 		if !s.again(ctx, c, last) {
@@ -105,7 +107,7 @@
 		return false
 	case c.sent >= max(c.route.MaxTargets, 1), len(c.tried) >= maxTried:
 		return false
-	case a.outcome == placer.Unreached:
+	case a.outcome == placer.Unreached, a.turnedAway:
 		// Nothing arrived anywhere.
 		return true
 	}
@@ -151,24 +153,28 @@
 	s.protocol.Address(r.Header, l.Target, c.accountName())
 	r.Body = c.body.Open()
 	ctx, w := s.watch(ctx, c, l)
+	i := incarnation(l.Target)
+	s.waiting.add(i, w)
+	defer s.waiting.remove(i, w)
 	x, err := s.targets.Do(ctx, forwarder.Call{
 		Address:  l.Target.Address,
 		Request:  &r,
 		Deadline: c.deadline,
 		Patience: answerPatience,
 		Before: func() error {
+			s.waiting.remove(i, w)
 			s.placer.Sent(s.clock(), l)
 			return s.mayRun(c, l.Target)
 		},
+		Answered: func(status int, h http.Header) { s.heed(l.Target, status, h) },
 	})
 	if err != nil {
 		return s.failed(ctx, c, l, w, err)
 	}
-	s.heed(l.Target, x.Status, x.Header)
 	if o, ok := s.protocol.Load(x.Header); ok {
 		s.placer.Told(s.clock(), l, o)
 	}
-	if err := buffer(x, w.cancel); err != nil {
+	if err := buffer(x, w.stop); err != nil {
 		return s.failed(ctx, c, l, w, err)
 	}
 	if n := w.end(); n != nil {
@@ -176,7 +182,10 @@
 		s.placer.End(s.clock(), n, placer.Canceled)
 	}
 	a := &attempt{answer: x, outcome: placer.Answered}
-	if x.Status >= http.StatusInternalServerError {
+	switch {
+	case s.rests(x.Status, x.Header):
+		a.outcome = placer.Declined
+	case x.Status >= http.StatusInternalServerError:
 		a.outcome = placer.Failed
 	}
 	s.placer.End(s.clock(), l, a.outcome)
@@ -214,6 +223,9 @@
 	if n, ok := k.Target(t.Service, t.Name); !ok || n.Started != t.Started {
 		return unavailable(responder.NoOwner, "the target left before the request was sent")
 	}
+	if s.abstainer.Share(s.clock(), incarnation(t)) == 0 {
+		return errDeclines
+	}
 	if !c.mayUseKey(k, s.clock()) {
 		return unavailable(responder.Stale, "the key was withdrawn before the request was sent")
 	}
@@ -238,12 +250,10 @@
 	if !errors.As(err, &x) {
 		x = &forwarder.Failure{Reason: responder.TargetFailed, Ran: responder.Unknown, Err: err}
 	}
-	if x.Status != 0 {
-		s.heed(l.Target, x.Status, x.Header)
-	}
 	now := s.clock()
 	a := &attempt{failure: x, outcome: s.outcome(ctx, c, x), next: w.end()}
-	w.cancel()
+	w.stop()
+	a.turnedAway = x.Ran == responder.NotRun && errors.Is(x.Err, errDeclines)
 	if a.next != nil {
 		a.outcome = placer.Silent
 	}
@@ -266,6 +276,8 @@
 // outcome classifies a failure for the placer.
 func (s *Server) outcome(ctx context.Context, c *call, x *forwarder.Failure) placer.Outcome {
 	switch {
+	case errors.Is(x.Err, forwarder.ErrShed) && s.rests(x.Status, x.Header):
+		return placer.Declined
 	case errors.Is(x.Err, forwarder.ErrShed):
 		return placer.Shed
 	case x.Ran == responder.NotRun && x.Reason == responder.TargetUnreachable:
--- a/handler/server.go
+++ b/handler/server.go
@@ -107,10 +107,12 @@
 	gate    *sharer.Gate
 	// abstainer holds what targets said of further requests.
 	abstainer *abstainer.Abstainer
-	splits    *splits
-	trips     trips
-	strikes   strikes
-	meter     *meter.Meter
+	// waiting holds the requests that wait for a connection to a target.
+	waiting *waiters[abstainer.Incarnation]
+	splits  *splits
+	trips   trips
+	strikes strikes
+	meter   *meter.Meter
 
 	limits atomic.Pointer[Limits]
 
@@ -139,6 +141,7 @@
 		book:      cataloger.NewBook(),
 		gate:      sharer.NewGate(c.Settings.Name),
 		abstainer: abstainer.New(abstainer.Config{Instance: c.Settings.Name}),
+		waiting:   newWaiters[abstainer.Incarnation](),
 		budget:    sharer.NewBudget(c.Settings.Limits.Retries),
 		splits:    newSplits(),
 		trips:     trips{regions: map[string]*trip{}},
@@ -159,7 +162,7 @@
 		DialTimeout:    targetDial,
 	})
 	s.peers = newPeers()
-	s.placer = placer.New(placer.Config{Region: c.Settings.Region, Trip: s.trips.to, Cold: s.gate})
+	s.placer = placer.New(placer.Config{Region: c.Settings.Region, Trip: s.trips.to, Cold: s.gate, Abstainer: s.abstainer})
 	s.members = gossiper.NewMembers(s.self(), c.Settings.Seeds)
 	s.rows = replicator.New(replicator.Config{
 		Source: c.Store,
--- a/handler/strikes.go
+++ b/handler/strikes.go
@@ -81,7 +81,11 @@
 }
 
 // crashed reports whether a target whose connection broke accepts no new one, and counts a strike if so.
+// A target that leaves ends its connections without a crash, and one that rests wants none.
 func (s *Server) crashed(c *call, t *cataloger.Target) bool {
+	if s.abstainer.Share(s.clock(), incarnation(t)) == 0 {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	if err := s.targets.Probe(ctx, t.Address); err == nil || errors.Is(err, forwarder.ErrDialTimeout) {
--- a/handler/watch.go
+++ b/handler/watch.go
@@ -11,7 +11,7 @@
 // watch looks after a request whose target may be gone: its connection stays open and silent.
 type watch struct {
 	timer  *time.Timer
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 
 	mu   sync.Mutex
 	over bool
@@ -23,7 +23,7 @@
 // requests then go elsewhere; this one does too if it may run twice and another target has room for it. Otherwise it
 // waits for its answer until its deadline, and so do all requests of a leaving instance.
 func (s *Server) watch(ctx context.Context, c *call, l *placer.Lease) (context.Context, *watch) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
 	w := &watch{cancel: cancel}
 	p := l.Patience()
 	w.timer = time.AfterFunc(p, func() {
@@ -38,12 +38,17 @@
 			return
 		}
 		if w.next = s.reserve(c); w.next != nil {
-			cancel()
+			cancel(nil)
 		}
 	})
 	return ctx, w
 }
 
+// stop ends the exchange.
+func (w *watch) stop() {
+	w.cancel(nil)
+}
+
 // reserve places a request on a further target within the budget of retries; nil means that there is none.
 func (s *Server) reserve(c *call) *placer.Lease {
 	l, f := s.place(c)
--- a/placer/doc.go
+++ b/placer/doc.go
@@ -9,6 +9,10 @@
 // cannot be reached get fewer requests or none, and are readmitted with one
 // request at a time.
 //
+// Targets that said that they leave, or that they want nothing for a while, get
+// nothing, as package abstainer knows. They keep their objects, and after a rest
+// requests return to their slots by degrees.
+//
 // For each candidate the placer estimates the time until the answer arrives: the
 // wait for a slot, the processing time, which is longer for an object that the
 // target has not cached, and the network round trip. The earliest answer wins.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"net/http"
 	"slices"
 	"sync"
@@ -9,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"celeryhead.dev/celeryhead/abstainer"
 	"celeryhead.dev/celeryhead/cataloger"
 	"celeryhead.dev/celeryhead/informer"
 	"celeryhead.dev/celeryhead/responder"
@@ -62,6 +64,8 @@
 	Trip func(region string) time.Duration
 	// Cold decides whether this instance may send to a cold target at all, and limits the rate.
 	Cold Gate
+	// Abstainer holds the targets that asked for no requests; nil stands for none.
+	Abstainer *abstainer.Abstainer
 }
 
 // Gate limits the requests that all instances together send to cold targets.
@@ -128,6 +132,9 @@
 
 // New returns a placer without measurements.
 func New(c Config) *Placer {
+	if c.Abstainer == nil {
+		c.Abstainer = abstainer.New(abstainer.Config{})
+	}
 	return &Placer{config: c, targets: map[string]*target{}, times: map[processingKey]*processingTimes{}, replication: map[string]*replicationBudget{}, orders: map[orderKey]order{}, demands: map[string]*demand{}}
 }
 
@@ -164,7 +171,7 @@
 		}
 		cs = slices.Delete(cs, i, i+1)
 	}
-	return nil, noTarget()
+	return nil, noTarget(p.returnAfter(now, pool, w))
 }
 
 // serviceHasHeadroom reports whether enough targets have a free slot for the service not to be overloaded.
@@ -237,7 +244,7 @@
 			continue
 		}
 		cold := now.Before(t.ColdUntil)
-		if cold && !p.config.Cold.Sends(t.Name) || !s.available(now) {
+		if cold && !p.config.Cold.Sends(t.Name) || !s.available(now) || !p.wanted(now, t, s) {
 			rank++
 			continue
 		}
@@ -264,6 +271,39 @@
 	return cs
 }
 
+// wanted reports whether a target wants a further request. After a rest its slots come into use again by degrees, one by one.
+func (p *Placer) wanted(now time.Time, t *cataloger.Target, s *target) bool {
+	share := p.config.Abstainer.Share(now, incarnation(t))
+	return share >= 1 || share > 0 && s.load(now)+1 <= max(share*float64(t.Slots), 1)
+}
+
+func incarnation(t *cataloger.Target) abstainer.Incarnation {
+	return abstainer.Incarnation{Name: t.Name, Started: t.Started}
+}
+
+// returnAfter returns when a target may have the request, as far as targets said so: the earliest end of a rest if all targets
+// rest or leave, and otherwise noTargetRetryAfter at most. Targets that were tried count, as the caller's next attempt may go
+// there.
+func (p *Placer) returnAfter(now time.Time, pool *cataloger.Pool, w Work) time.Duration {
+	earliest := time.Duration(math.MaxInt64)
+	for _, t := range pool.Targets {
+		if len(w.Regions) > 0 && !slices.Contains(w.Regions, t.Region) {
+			continue
+		}
+		switch leaving, rest := p.config.Abstainer.Left(now, incarnation(t)); {
+		case leaving:
+		case rest > 0:
+			earliest = min(earliest, rest)
+		default:
+			earliest = min(earliest, noTargetRetryAfter)
+		}
+	}
+	if earliest == math.MaxInt64 {
+		return noTargetRetryAfter
+	}
+	return min(max(earliest, minRetryAfter), maxRetryAfter)
+}
+
 // reject returns a refusal if the best candidate cannot answer in time.
 func (p *Placer) reject(now time.Time, w Work, c candidate) *responder.Refusal {
 	end := p.answerTime(now, c)
@@ -290,13 +330,13 @@
 	}
 }
 
-func noTarget() *responder.Refusal {
+func noTarget(after time.Duration) *responder.Refusal {
 	return &responder.Refusal{
 		Status:     http.StatusServiceUnavailable,
 		Reason:     responder.NoOwner,
 		Ran:        responder.NotRun,
 		Message:    "no target may have this request at present",
-		RetryAfter: noTargetRetryAfter,
+		RetryAfter: after,
 	}
 }
 
@@ -418,11 +458,11 @@
 	l.ended = true
 	s := p.state(now, l.Target)
 	s.inFlight--
-	if o == Answered || o == Failed || o == Shed {
+	if o == Answered || o == Failed || o == Shed || o == Declined {
 		s.lastAnswered = now
 	}
 	s.recordOutcome(now, o)
-	if o == Unreached || o == Shed {
+	if o == Unreached || o == Shed || o == Declined && !l.Known {
 		s.cache.remove(l.work.key)
 	}
 	if o != Answered {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"celeryhead.dev/celeryhead/abstainer"
 	"celeryhead.dev/celeryhead/cataloger"
 	"celeryhead.dev/celeryhead/placer"
 	"celeryhead.dev/celeryhead/responder"
@@ -250,6 +251,80 @@
 	}
 }
 
+// Guards against a resting target that counts as failed and loses its objects, and against all requests that return to it at once.
+func TestRestingTargetKeepsObjectsAndReturnsByDegrees(t *testing.T) {
+	l := baseline(1)
+	a := abstainer.New(abstainer.Config{})
+	p := placer.New(placer.Config{Region: "here", Trip: func(string) time.Duration { return 0 }, Cold: openGate{}, Abstainer: a})
+	pool := l.pool(1)
+	only := pool.Targets[0]
+	c, f := p.Choose(start, pool, work(l, start, "a"))
+	if f != nil {
+		t.Fatal(f)
+	}
+	p.End(start, c, placer.Answered)
+	if c, f = p.Choose(start, pool, work(l, start, "a")); f != nil {
+		t.Fatal(f)
+	}
+	i := abstainer.Incarnation{Name: only.Name, Started: only.Started}
+	a.Hear(start, i, abstainer.Notice{Rest: 2 * time.Second})
+	p.End(start, c, placer.Declined)
+	_, rest := a.Left(start, i)
+	if _, f := p.Choose(start, pool, work(l, start, "a")); f == nil || f.Ran != responder.NotRun || f.RetryAfter != time.Second {
+		t.Fatalf("refusal %+v while the only target rests for %v", f, rest)
+	}
+	end := start.Add(rest)
+	placed := func(now time.Time) int {
+		n := 0
+		for ; n <= l.slots; n++ {
+			c, f := p.Choose(now, pool, work(l, now, "a"))
+			if f != nil {
+				break
+			}
+			if !c.Known {
+				t.Error("the target lost its object")
+			}
+		}
+		return n
+	}
+	if n := placed(end); n != 1 {
+		t.Errorf("%d requests at the end of a rest, want 1", n)
+	}
+	if n := placed(end.Add(700 * time.Millisecond)); n != 1 {
+		t.Errorf("%d further requests in the middle of the ramp, want 1", n)
+	}
+	if n := placed(end.Add(time.Second)); n < l.slots-2 {
+		t.Errorf("%d further requests after the ramp", n)
+	}
+}
+
+// Guards against tokens of a cold target that are spent while it rests, and against a leaving target whose callers are told a time.
+func TestColdRestingTargetCostsNoToken(t *testing.T) {
+	l := baseline(1)
+	a := abstainer.New(abstainer.Config{})
+	g := &countingGate{}
+	p := placer.New(placer.Config{Region: "here", Trip: func(string) time.Duration { return 0 }, Cold: g, Abstainer: a})
+	pool := l.pool(1)
+	pool.Targets[0].ColdUntil = start.Add(time.Minute)
+	a.Hear(start, abstainer.Incarnation{Name: pool.Targets[0].Name, Started: pool.Targets[0].Started}, abstainer.Notice{Leaving: true})
+	if _, f := p.Choose(start, pool, work(l, start, "a")); f == nil || f.RetryAfter != 250*time.Millisecond {
+		t.Errorf("refusal %+v while the only target leaves", f)
+	}
+	if g.taken != 0 {
+		t.Errorf("%d tokens taken", g.taken)
+	}
+}
+
+type countingGate struct {
+	openGate
+	taken int
+}
+
+func (g *countingGate) Take(time.Time, string, float64) bool {
+	g.taken++
+	return true
+}
+
 // Guards against connection setup that counts as processing time and makes a target look slow.
 func TestConnectionSetupIsNotProcessingTime(t *testing.T) {
 	const opening, worked = 200 * time.Millisecond, 100 * time.Millisecond
--- a/placer/target.go
+++ b/placer/target.go
@@ -52,6 +52,8 @@
 	Failed
 	// Shed means that the target stated that it did not run the request.
 	Shed
+	// Declined means that the target did not answer the request because it wants none for a while; it is not at fault.
+	Declined
 	// Broken means that the connection broke after the request was sent.
 	Broken
 	// Silent means that no answer arrived in time.
@@ -182,7 +184,7 @@
 func (s *target) recordOutcome(now time.Time, o Outcome) {
 	fault := 0.0
 	switch o {
-	case Canceled:
+	case Canceled, Declined:
 		return
 	case Answered:
 		s.consecutiveFaults, s.halfOpen, s.consecutiveSheds = 0, false, 0
