Log, count and show which targets leave or rest

Purpose: on-call engineers have only logs and metrics, and a target that gets nothing although its row says ready would look like a fault.

Change: event 4105 when an answer of a target begins an abstention, with target, incarnation, kind, rest_seconds, status and the request that it answered; 4106 at its end. Further answers within one write no line, so the number of lines is bounded. Counters celeryhead_target_leaves_total and celeryhead_target_rests_total; LEAVING and REST S in `celeryhead instance`.

--- a/handler/abstain.go
+++ b/handler/abstain.go
@@ -12,11 +12,20 @@
 
 // heed takes in what an answer of a target says about further requests. Late answers to earlier requests of the connection do
 // not get here: nothing proves whose they are, and a target repeats in its next answer what still holds.
-func (s *Server) heed(t *cataloger.Target, status int, h http.Header) {
+func (s *Server) heed(c *call, t *cataloger.Target, status int, h http.Header) {
 	i := incarnation(t)
-	if es := s.abstainer.Hear(s.clock(), i, s.protocol.Notice(status, h)); len(es) > 0 {
+	es := s.abstainer.Hear(s.clock(), i, s.protocol.Notice(status, h))
+	if len(es) > 0 {
 		s.waiting.cancel(i, errDeclines)
 	}
+	for _, e := range es {
+		s.log.AbstentionBegan(i.Name, i.Started, string(e.Kind), e.Duration, c.envelope.ID, status)
+		if e.Kind == abstainer.Leaving {
+			s.meter.TargetLeaves()
+		} else {
+			s.meter.TargetRests()
+		}
+	}
 }
 
 // rests reports whether an answer asks for no further requests for a while.
@@ -29,10 +38,12 @@
 	s.mu.Lock()
 	all := s.roster.Targets()
 	s.mu.Unlock()
-	s.abstainer.Tick(now, func(name string) (int64, bool) {
+	for _, e := range s.abstainer.Tick(now, func(name string) (int64, bool) {
 		t, ok := all[name]
 		return t.Started, ok
-	})
+	}) {
+		s.log.AbstentionEnded(e.Incarnation.Name, e.Incarnation.Started, string(e.Kind), e.Duration)
+	}
 }
 
 // errDeclines keeps a request from a target that asked for none after the request was placed there.
--- a/handler/forward.go
+++ b/handler/forward.go
@@ -166,7 +166,7 @@
 			s.placer.Sent(s.clock(), l)
 			return s.mayRun(c, l.Target)
 		},
-		Answered: func(status int, h http.Header) { s.heed(l.Target, status, h) },
+		Answered: func(status int, h http.Header) { s.heed(c, l.Target, status, h) },
 	})
 	if err != nil {
 		return s.failed(ctx, c, l, w, err)
--- a/informer/status.go
+++ b/informer/status.go
@@ -80,6 +80,10 @@
 	Load     float64 `json:"load"`
 	// PausedSeconds is the remaining time for which the target gets no requests after faults.
 	PausedSeconds float64 `json:"paused_seconds"`
+	// Leaving is true if the target said in an answer to this instance that it leaves; RestSeconds is the remaining time for
+	// which it wants no requests, as it said in an answer. Both hold whatever its row says.
+	Leaving     bool    `json:"leaving"`
+	RestSeconds float64 `json:"rest_seconds"`
 	// ColdSeconds is the remaining time for which the target is cold.
 	ColdSeconds float64 `json:"cold_seconds"`
 	// Faults is the weighted fraction of faults among recent outcomes, Slowness the processing time relative to the
@@ -154,9 +158,9 @@
 	for _, p := range s.Instances {
 		row(p.Name, p.Address, p.Region, p.FailureDomain, p.Ready, p.HeardSeconds)
 	}
-	row("\nTARGET", "SERVICE", "FAILURE DOMAIN", "IN FLIGHT", "LOAD", "SLOTS", "PAUSED S", "COLD S", "FAULTS", "SLOWNESS", "OBJECTS")
+	row("\nTARGET", "SERVICE", "FAILURE DOMAIN", "IN FLIGHT", "LOAD", "SLOTS", "LEAVING", "REST S", "PAUSED S", "COLD S", "FAULTS", "SLOWNESS", "OBJECTS")
 	for _, t := range s.Targets {
-		row(t.Name, t.Service, t.FailureDomain, t.InFlight, t.Load, t.Slots, t.PausedSeconds, t.ColdSeconds, t.Faults, t.Slowness, t.Objects)
+		row(t.Name, t.Service, t.FailureDomain, t.InFlight, t.Load, t.Slots, t.Leaving, t.RestSeconds, t.PausedSeconds, t.ColdSeconds, t.Faults, t.Slowness, t.Objects)
 	}
 	row("\nACCOUNT", "RATE", "BURST", "PARTS", "TOKENS HERE")
 	for _, a := range s.Accounts {
--- a/logger/events.go
+++ b/logger/events.go
@@ -60,6 +60,8 @@
 	attemptFailed      = register(4102, log.InfoLevel, "attempt at a target failed")
 	targetSuspected    = register(4103, log.WarnLevel, "target suspected to be gone")
 	requestUnhandled   = register(4104, log.InfoLevel, "request answered before any handler")
+	abstentionBegan    = register(4105, log.InfoLevel, "target asked for no requests")
+	abstentionEnded    = register(4106, log.InfoLevel, "target may get requests again, or is gone")
 	readyChanged       = register(1009, log.InfoLevel, "readiness changed")
 	settingsReloaded   = register(1010, log.InfoLevel, "settings reloaded")
 	settingsRejected   = register(1011, log.ErrorLevel, "settings are not usable; the former ones stay in use")
@@ -392,6 +394,19 @@
 	l.emit(targetSuspected, log.Fields{"request_id": id, "target": target, "seconds": seconds(d)})
 }
 
+// AbstentionBegan reports that an answer of a target asked for no requests, because it leaves or rests. D is how long it rests,
+// or 0; request is the one that it answered.
+func (l *Logger) AbstentionBegan(target string, incarnation int64, kind string, d time.Duration, request string, status int) {
+	l.emit(abstentionBegan, log.Fields{
+		"target": target, "incarnation": incarnation, "kind": kind, "rest_seconds": seconds(d), "request_id": request, "status": status,
+	})
+}
+
+// AbstentionEnded reports, after d, the end of a rest, or that a target that left is gone.
+func (l *Logger) AbstentionEnded(target string, incarnation int64, kind string, d time.Duration) {
+	l.emit(abstentionEnded, log.Fields{"target": target, "incarnation": incarnation, "kind": kind, "seconds": seconds(d)})
+}
+
 // RequestUnhandled reports an answer that net/http gave by itself. Answer is the status line, requests the number of
 // earlier requests on the connection, and bytes what was read from it.
 func (l *Logger) RequestUnhandled(status int, answer, remote string, requests, bytes int64) {
--- a/meter/catalogue.go
+++ b/meter/catalogue.go
@@ -47,6 +47,8 @@
 	claimsDeclined     = "celeryhead_claims_declined_total"
 	unhandled          = "celeryhead_unhandled_answers_total"
 	retries            = "celeryhead_retries_total"
+	targetLeaves       = "celeryhead_target_leaves_total"
+	targetRests        = "celeryhead_target_rests_total"
 	shiftStep          = "celeryhead_shift_step"
 )
 
@@ -80,6 +82,8 @@
 		{claimsDeclined, Counter, "writes", ""},
 		{unhandled, Counter, "answers", "status"},
 		{retries, Counter, "sendings", ""},
+		{targetLeaves, Counter, "targets", ""},
+		{targetRests, Counter, "rests", ""},
 		{shiftStep, Gauge, "steps", "shift"},
 	}
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -244,6 +244,16 @@
 	m.set.GetOrCreateCounter(retries).Inc()
 }
 
+// TargetLeaves counts a target that said in an answer that it leaves.
+func (m *Meter) TargetLeaves() {
+	m.set.GetOrCreateCounter(targetLeaves).Inc()
+}
+
+// TargetRests counts a rest that a target asked for in an answer.
+func (m *Meter) TargetRests() {
+	m.set.GetOrCreateCounter(targetRests).Inc()
+}
+
 // TargetDrained records how long a target took from the start of its drain until its last request ended.
 func (m *Meter) TargetDrained(pool string, d time.Duration) {
 	m.set.GetOrCreateHistogram(metricName(targetDrain, "pool", pool)).Update(d.Seconds())
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -34,6 +34,8 @@
 		m.Observe(meter.Request{Route: "map", Account: "shared", Duration: 40 * time.Millisecond, Admitted: true}, now)
 		m.Lookup()
 		m.Retry()
+		m.TargetLeaves()
+		m.TargetRests()
 		m.Unhandled(400)
 		m.TargetDrained("pitch", time.Second)
 		var b bytes.Buffer
