--- a/abstainer/abstainer.go
+++ b/abstainer/abstainer.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -65,6 +66,8 @@
 // Abstainer keeps the words of targets; it is safe for concurrent use.
 type Abstainer struct {
 	config Config
+	// any is false while no target said anything, which is the usual case.
+	any atomic.Bool
 
 	mu    sync.Mutex
 	words map[Incarnation]*word
@@ -98,6 +101,7 @@
 	if w == nil {
 		w = &word{}
 		a.words[i] = w
+		a.any.Store(true)
 	}
 	w.listedAt = now
 	var es []Event
@@ -129,6 +133,9 @@
 // Share returns the fraction of an incarnation's slots that may be in use: 0 while it leaves or rests, growing after a rest,
 // and otherwise 1.
 func (a *Abstainer) Share(now time.Time, i Incarnation) float64 {
+	if !a.any.Load() {
+		return 1
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	w := a.words[i]
@@ -183,6 +190,7 @@
 			delete(a.words, i)
 		}
 	}
+	a.any.Store(len(a.words) > 0)
 	slices.SortFunc(es, func(x, y Event) int { return strings.Compare(x.Incarnation.Name, y.Incarnation.Name) })
 	return es
 }
--- a/handler/export_test.go
+++ b/handler/export_test.go
@@ -4,9 +4,11 @@
 	"net/netip"
 	"time"
 
+	"celeryhead.dev/celeryhead/abstainer"
 	"celeryhead.dev/celeryhead/authenticator"
 	"celeryhead.dev/celeryhead/cataloger"
 	"celeryhead.dev/celeryhead/gossiper"
+	"celeryhead.dev/celeryhead/timer"
 )
 
 // Shares returns how many of n requests of a route go to each of its destinations.
@@ -38,6 +40,12 @@
 	return c.mayUseKey(current, now)
 }
 
+// MayRun reports whether a request may be sent to a target, just before its first byte.
+func MayRun(b *cataloger.Book, a *abstainer.Abstainer, t *cataloger.Target) error {
+	s := &Server{book: b, abstainer: a, clock: timer.Now}
+	return s.mayRun(&call{}, t)
+}
+
 // Peers keeps what an instance of a region knows of the others' copies of one table.
 type Peers struct {
 	peers  peers
--- a/handler/handler_test.go
+++ b/handler/handler_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"crypto/sha256"
+	"errors"
+	"net/http"
 	"net/netip"
 	"testing"
 	"time"
 
+	"celeryhead.dev/celeryhead/abstainer"
 	"celeryhead.dev/celeryhead/authenticator"
 	"celeryhead.dev/celeryhead/cataloger"
 	"celeryhead.dev/celeryhead/gossiper"
 	"celeryhead.dev/celeryhead/handler"
+	"celeryhead.dev/celeryhead/responder"
+	"celeryhead.dev/celeryhead/timer"
 )
 
 // Guards against destinations that get more or less than their weight in a short run of requests.
@@ -66,6 +71,25 @@
 	}
 }
 
+// Guards against a request that was placed at a target before that asked for none, and is sent there.
+func TestPlacedRequestIsStopped(t *testing.T) {
+	g := cataloger.Target{Name: "oven", Service: "map", Started: 5}
+	b, a := cataloger.NewBook(), abstainer.New(abstainer.Config{})
+	b.Configure(cataloger.Configuration{Version: 1, Services: []cataloger.Service{{Name: "map"}}})
+	b.Assign(map[string]cataloger.Target{g.Name: g})
+	if err := handler.MayRun(b, a, &g); err != nil {
+		t.Error(err)
+	}
+	for _, n := range []abstainer.Notice{{Rest: time.Minute}, {Leaving: true}} {
+		a := abstainer.New(abstainer.Config{})
+		a.Hear(timer.Now(), abstainer.Incarnation{Name: g.Name, Started: g.Started}, n)
+		var f *responder.Refusal
+		if err := handler.MayRun(b, a, &g); !errors.As(err, &f) || f.Ran != responder.NotRun || f.Status != http.StatusServiceUnavailable {
+			t.Errorf("after %+v: %v, want 503, not run", n, err)
+		}
+	}
+}
+
 // Guards against an instance that asks a peer that ended again and again, while another peer has the newer configuration.
 func TestPeerWithoutAnswerIsNotAskedAgain(t *testing.T) {
 	now := time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
