--- a/handler/forward.go
+++ b/handler/forward.go
@@ -34,7 +34,7 @@
 	// failure is set if there is no answer.
 	failure *forwarder.Failure
 	outcome placer.Outcome
-	// refused is set if mayRun refused the request, so that the target got nothing of it.
+	// refused is set if the request was stopped before its first byte, so that the target got nothing of it.
 	refused *responder.Refusal
 	// next is the target to which the request goes because this one was given up.
 	next *placer.Lease
@@ -164,15 +164,20 @@
 	s.protocol.Address(r.Header, l.Target, c.accountName())
 	r.Body = c.body.Open()
 	ctx, w := s.watch(ctx, c, l)
+	i := incarnation(l.Target)
+	s.waiting.add(i, w)
+	defer s.waiting.remove(i, w)
 	x, err := s.targets.Do(ctx, forwarder.Call{
 		Address:  l.Target.Address,
 		Request:  &r,
 		Deadline: c.deadline,
 		Patience: answerPatience,
 		Before: func() error {
+			s.waiting.remove(i, w)
 			s.placer.Sent(s.clock(), l)
 			return s.mayRun(c, l.Target)
 		},
+		Answered: func(status int, h http.Header) { s.heed(c, l.Target, status, h) },
 	})
 	if err != nil {
 		return s.failed(ctx, c, l, w, err)
@@ -180,7 +185,7 @@
 	if o, ok := s.protocol.Load(x.Header); ok {
 		s.placer.Told(s.clock(), l, o)
 	}
-	if err := buffer(x, w.cancel); err != nil {
+	if err := buffer(x, w.stop); err != nil {
 		return s.failed(ctx, c, l, w, err)
 	}
 	if n := w.end(); n != nil {
@@ -188,7 +193,10 @@
 		s.placer.End(s.clock(), n, placer.Canceled)
 	}
 	a := &attempt{answer: x, outcome: placer.Answered}
-	if x.Status >= http.StatusInternalServerError {
+	switch {
+	case s.rests(x.Status, x.Header):
+		a.outcome = placer.Declined
+	case x.Status >= http.StatusInternalServerError:
 		a.outcome = placer.Failed
 	}
 	s.placer.End(s.clock(), l, a.outcome)
@@ -226,6 +234,9 @@
 	if n, ok := k.Target(t.Service, t.Name); !ok || n.Started != t.Started {
 		return unavailable(responder.NoOwner, "the target left before the request was sent")
 	}
+	if s.abstainer.Share(s.clock(), incarnation(t)) == 0 {
+		return errDeclines
+	}
 	if !c.mayUseKey(k, s.clock()) {
 		return unavailable(responder.Stale, "the key was withdrawn before the request was sent")
 	}
@@ -252,7 +263,7 @@
 	}
 	now := s.clock()
 	a := &attempt{failure: x, outcome: s.outcome(ctx, c, x), next: w.end()}
-	w.cancel()
+	w.stop()
 	if x.Ran == responder.NotRun {
 		_ = errors.As(x.Err, &a.refused)
 	}
@@ -278,6 +289,8 @@
 // outcome classifies a failure for the placer.
 func (s *Server) outcome(ctx context.Context, c *call, x *forwarder.Failure) placer.Outcome {
 	switch {
+	case errors.Is(x.Err, forwarder.ErrShed) && s.rests(x.Status, x.Header):
+		return placer.Declined
 	case errors.Is(x.Err, forwarder.ErrShed):
 		return placer.Shed
 	case x.Ran == responder.NotRun && x.Reason == responder.TargetUnreachable:
--- a/handler/resend_test.go
+++ b/handler/resend_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"celeryhead.dev/celeryhead/abstainer"
 	"celeryhead.dev/celeryhead/authenticator"
 	"celeryhead.dev/celeryhead/cataloger"
 	"celeryhead.dev/celeryhead/forwarder"
@@ -37,6 +38,8 @@
 
 func (protocol) Moved(int) bool { return false }
 
+func (protocol) Notice(int, http.Header) abstainer.Notice { return abstainer.Notice{} }
+
 func (protocol) PromisesNotRun(int) bool { return false }
 
 func (protocol) Refuse(w http.ResponseWriter, f *responder.Refusal) {
--- a/handler/server.go
+++ b/handler/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/gorilla/mux"
 
+	"celeryhead.dev/celeryhead/abstainer"
 	"celeryhead.dev/celeryhead/breaker"
 	"celeryhead.dev/celeryhead/cataloger"
 	"celeryhead.dev/celeryhead/forwarder"
@@ -104,6 +105,10 @@
 	shares  *sharer.Shares
 	budget  *sharer.Budget
 	gate    *sharer.Gate
+	// abstainer holds what targets said of further requests.
+	abstainer *abstainer.Abstainer
+	// waiting holds the requests that wait for a connection to a target.
+	waiting *waiters[abstainer.Incarnation]
 	splits  *splits
 	trips   trips
 	strikes strikes
@@ -137,6 +142,8 @@
 		listeners: c.Listeners,
 		book:      cataloger.NewBook(),
 		gate:      sharer.NewGate(c.Settings.Name),
+		abstainer: abstainer.New(abstainer.Config{Instance: c.Settings.Name}),
+		waiting:   newWaiters[abstainer.Incarnation](),
 		budget:    sharer.NewBudget(c.Settings.Limits.Retries),
 		splits:    newSplits(),
 		trips:     trips{regions: map[string]*trip{}},
@@ -157,7 +164,7 @@
 		DialTimeout:    targetDial,
 	})
 	s.peers = newPeers()
-	s.placer = placer.New(placer.Config{Region: c.Settings.Region, Trip: s.trips.to, Cold: s.gate})
+	s.placer = placer.New(placer.Config{Region: c.Settings.Region, Trip: s.trips.to, Cold: s.gate, Abstainer: s.abstainer})
 	s.members = gossiper.NewMembers(s.self(), c.Settings.Seeds)
 	s.rows = replicator.New(replicator.Config{
 		Source: c.Store,
@@ -288,6 +295,7 @@
 		s.checkReady()
 		s.sweep(ctx, now)
 		s.targets.Tick()
+		s.endAbstentions(now)
 		s.strikes.tick(now)
 		k := s.book.Catalog()
 		s.placer.Keep(k.Has)
