Learn how long connections to targets may rest before they are lost

Callers saw: where targets forget connections that rested, 502 or 504 for requests that had reached no target. A request that is not idempotent cannot be repeated after these.

Cause: a connection is reused up to 4 s (2 s in the product's own mode) after its last request, whatever became of others after such a rest. It looks open, and the reset that answers the request tells nothing about whether it ran.

Weighed: learning for each target alone does not help where it is needed. So losses at several targets lower the limit for all. The outcome of a lost request stays unknown as before.

--- a/forwarder/connection.go
+++ b/forwarder/connection.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -17,6 +18,8 @@
 	r        *bufio.Reader
 	w        *bufio.Writer
 	exchange *exchange
+	// trip is the time that opening the TCP connection took.
+	trip time.Duration
 	// shed holds the requests that the server shed on this connection.
 	shed idSet
 }
@@ -43,8 +46,8 @@
 	return len(l.shed) < maxShed
 }
 
-func newConnection(stream, tcp net.Conn) *connection {
-	l := &connection{stream: stream, tcp: tcp}
+func newConnection(stream, tcp net.Conn, trip time.Duration) *connection {
+	l := &connection{stream: stream, tcp: tcp, trip: trip}
 	l.r = bufio.NewReader(l)
 	l.w = bufio.NewWriter(l)
 	return l
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -216,6 +216,9 @@
 	if !x.writing.Load() {
 		return 0, ErrUnsolicited
 	}
+	if !x.responded && x.pooled.Reused {
+		x.f.rests.survived(x.call.Address, x.pooled.Rested)
+	}
 	x.responded = true
 	// Context timers do not advance while the machine is suspended; the clock does.
 	if x.f.config.Now().After(x.call.Deadline.Add(x.call.Patience)) {
@@ -399,6 +402,9 @@
 		f.Err = err
 		f.Broken = begun && isConnectionError(err)
 	}
+	if f.Broken {
+		x.learnFromLoss()
+	}
 	f.Reason = reasonOf(f.Err, x.defaultReason(begun))
 	f.Silent = begun && !x.responded && x.waitedInFull(f.Err)
 	if f.Silent {
@@ -407,6 +413,19 @@
 	return f
 }
 
+// learnFromLoss records a connection that ended as soon as the server received the first bytes; mu must be held. Later ends
+// have other causes than a connection that the server forgot.
+func (x *exchange) learnFromLoss() {
+	now := x.f.config.Now()
+	switch {
+	case x.responded, now.Sub(x.firstWriteAt) > 2*x.conn.trip+lossSlack:
+	case x.pooled.Reused:
+		x.f.rests.lost(now, x.call.Address, x.pooled.Rested)
+	default:
+		x.f.rests.lostNew()
+	}
+}
+
 // waitedInFull reports whether the server had the full time to send a first byte; mu must be held.
 func (x *exchange) waitedInFull(err error) bool {
 	if errors.Is(err, ErrDeadline) {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -67,6 +67,9 @@
 	// Before is called just before the first byte is written, if it is not nil. It must not block. If it returns an
 	// error, nothing is written.
 	Before func() error
+	// Once is true if the request cannot be sent again once it may have run. It is sent only on a connection that most
+	// likely still works.
+	Once bool
 	// Informational is called with each 1xx response. If nil, they are discarded.
 	Informational func(status int, h http.Header)
 }
@@ -74,6 +77,7 @@
 // Forwarder sends requests over a connection pool per address.
 type Forwarder struct {
 	config Config
+	rests  *rests
 
 	mu     sync.Mutex
 	closed bool
@@ -97,7 +101,7 @@
 	setDefault(&c.DialTimeout, DefaultDialTimeout)
 	setDefault(&c.UnresponsiveAfter, DefaultUnresponsiveAfter)
 	setDefault(&c.MaxHeader, DefaultMaxHeader)
-	return &Forwarder{config: c, pools: make(map[netip.AddrPort]*Pool[*connection])}
+	return &Forwarder{config: c, rests: newRests(c.IdleLimit), pools: make(map[netip.AddrPort]*Pool[*connection])}
 }
 
 // Do sends the request once and returns after the header of the response has arrived. Every error is a *Failure. The
@@ -114,11 +118,12 @@
 	p := f.pool(c.Address)
 	before, stop := context.WithTimeoutCause(ctx, left, ErrDeadline)
 	id := f.config.Protocol.ID(c.Request.Header)
-	h, err := p.Get(before)
+	rest := f.rests.limit(f.config.Now(), c.Address, c.Once)
+	h, err := p.Get(before, rest)
 	for err == nil && h.Conn.shed.contains(id) {
 		// A second shed response could not be distinguished from a repetition of the first one.
 		p.Discard(h)
-		h, err = p.Get(before)
+		h, err = p.Get(before, rest)
 	}
 	if err != nil && before.Err() != nil {
 		err = context.Cause(before)
@@ -160,6 +165,7 @@
 func (f *Forwarder) Tick() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.rests.tick(f.config.Now())
 	n := 0
 	for _, p := range f.pools {
 		n += p.Tick()
@@ -175,6 +181,7 @@
 		p.Close()
 		delete(f.pools, address)
 	}
+	f.rests.forget(address)
 }
 
 // Close closes idle connections and rejects new exchanges. Running exchanges end normally.
@@ -221,12 +228,14 @@
 }
 
 func (f *Forwarder) connect(ctx context.Context, a netip.AddrPort) (*connection, error) {
+	start := f.config.Now()
 	c, err := f.config.Dial(ctx, a)
 	if err != nil {
 		return nil, err
 	}
+	trip := f.config.Now().Sub(start)
 	if f.config.TLS == nil {
-		return newConnection(c, c), nil
+		return newConnection(c, c, trip), nil
 	}
 	s := f.config.TLS()
 	if s.ServerName == "" {
@@ -238,7 +247,7 @@
 		_ = c.Close()
 		return nil, err
 	}
-	return newConnection(t, c), nil
+	return newConnection(t, c, trip), nil
 }
 
 func dialTCP(ctx context.Context, a netip.AddrPort) (net.Conn, error) {
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -46,7 +46,9 @@
 type PooledConn[C io.Closer] struct {
 	Conn C
 	// Reused is true if an earlier exchange used the connection.
-	Reused     bool
+	Reused bool
+	// Rested is the time for which the connection was idle before this exchange.
+	Rested     time.Duration
 	generation uint64
 	idleSince  time.Time
 }
@@ -56,14 +58,15 @@
 	return &Pool[C]{config: c, permits: make(chan struct{}, c.MaxOpen)}
 }
 
-// Get returns the most recently used idle connection, or opens one. It waits while MaxOpen connections are in use.
-func (p *Pool[C]) Get(ctx context.Context) (*PooledConn[C], error) {
+// Get returns the most recently used idle connection, or opens one if it has rested for longer than rest. It waits while
+// MaxOpen connections are in use.
+func (p *Pool[C]) Get(ctx context.Context, rest time.Duration) (*PooledConn[C], error) {
 	select {
 	case p.permits <- struct{}{}:
 	case <-ctx.Done():
 		return nil, context.Cause(ctx)
 	}
-	h, g, err := p.takeIdle()
+	h, g, err := p.takeIdle(rest)
 	if err != nil {
 		<-p.permits
 		return nil, err
@@ -128,13 +131,19 @@
 }
 
 // takeIdle returns a usable idle connection or nil, and the generation of connections opened from now on.
-func (p *Pool[C]) takeIdle() (*PooledConn[C], uint64, error) {
+func (p *Pool[C]) takeIdle(rest time.Duration) (*PooledConn[C], uint64, error) {
 	for {
 		h, g, err := p.popIdle()
 		if h == nil || err != nil {
 			return nil, g, err
 		}
-		late := p.expired(h, p.config.Now())
+		h.Rested = p.config.Now().Sub(h.idleSince)
+		late := h.Rested > p.config.IdleLimit
+		if !late && h.Rested > rest {
+			// The others have rested even longer, but may do for another request.
+			closeAll([]*PooledConn[C]{h})
+			return nil, g, nil
+		}
 		if !late && (p.config.Usable == nil || p.config.Usable(h.Conn)) {
 			return h, g, nil
 		}
--- a/handler/forward.go
+++ b/handler/forward.go
@@ -164,6 +164,7 @@
 		Request:  &r,
 		Deadline: c.deadline,
 		Patience: answerPatience,
+		Once:     c.lastTry(),
 		Before: func() error {
 			s.placer.Sent(s.clock(), l)
 			return s.mayRun(c, l.Target)
@@ -190,6 +191,11 @@
 	return a
 }
 
+// lastTry reports whether the request cannot go to a further target once the next one may have run it.
+func (c *call) lastTry() bool {
+	return !c.route.Idempotent || !c.body.Whole() || c.sent+1 >= c.route.MaxTargets
+}
+
 // buffer reads the beginning of an answer, so that one that breaks off early reaches no caller; closed is called when
 // the answer is closed.
 func buffer(x *forwarder.Answer, closed func()) error {
--- a/server/owner.go
+++ b/server/owner.go
@@ -105,6 +105,7 @@
 		Address:  t,
 		Request:  &r,
 		Deadline: c.deadline,
+		Once:     !c.route.Idempotent,
 		Before:   func() error { return s.admit(c, target) },
 	})
 	if err != nil {
