--- a/handler/export_test.go
+++ b/handler/export_test.go
@@ -81,7 +81,7 @@
 // NewHearer returns an instance of a region.
 func NewHearer(name, region string) *Hearer {
 	h := &Hearer{now: time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)}
-	s := &Server{configuration: "op", book: cataloger.NewBook(), peers: newPeers(), clock: func() time.Time { return h.now }}
+	s := &Server{configuration: "op", book: cataloger.NewBook(), peers: newPeers(), abstainer: abstainer.New(abstainer.Config{}), clock: func() time.Time { return h.now }}
 	s.settings.Name, s.settings.Region = name, region
 	s.members = gossiper.NewMembers(s.self(), nil)
 	s.rows = replicator.New(replicator.Config{
