Name abstentions and notices in the usual terms

A newcomer would stumble over the words of targets, hear, heed and left: what a target states is a notice, what an instance keeps of it an abstention. Names, comments and test names only; no behavior changes.

--- a/abstainer/abstainer.go
+++ b/abstainer/abstainer.go
@@ -20,9 +20,9 @@
 	delayShare = 0.25
 	// maxRamp bounds the time in which a target's slots come into use again after a rest; it spans several usual runs.
 	maxRamp = time.Second
-	// unlistedLife is how long the word of a target that is not listed any more is kept; rows that lapsed in an outage
+	// unlistedTTL is how long the state of a target that is not listed any more is kept; rows that lapsed in an outage
 	// come back with the same incarnation.
-	unlistedLife = time.Hour
+	unlistedTTL = time.Hour
 )
 
 // Incarnation is one start of a target.
@@ -63,62 +63,62 @@
 	Instance string
 }
 
-// Abstainer keeps the words of targets; it is safe for concurrent use.
+// Abstainer records which targets want no requests; it is safe for concurrent use.
 type Abstainer struct {
 	config Config
-	// any is false while no target said anything, which is the usual case.
+	// any is false while there are no abstentions, which is the usual case.
 	any atomic.Bool
 
-	mu    sync.Mutex
-	words map[Incarnation]*word
+	mu          sync.Mutex
+	abstentions map[Incarnation]*abstention
 }
 
-// word is what an incarnation said.
-type word struct {
-	// leftAt is when it first said that it leaves; zero if it did not.
-	leftAt time.Time
-	// restedAt is when its present rest began, and restUntil when it ends for this instance; zero if there was none.
-	restedAt, restUntil time.Time
-	// restEnded is true once the end of the rest was reported.
-	restEnded bool
-	// listedAt is when the incarnation was last listed or heard.
-	listedAt time.Time
+// abstention is what an incarnation stated.
+type abstention struct {
+	// leavingSince is when it first stated that it leaves; zero if it did not.
+	leavingSince time.Time
+	// restStart is when its present rest began, and restEnd when it ends for this instance; zero if there was none.
+	restStart, restEnd time.Time
+	// endReported is true once the end of the rest was reported.
+	endReported bool
+	// lastSeen is when the incarnation was last listed or heard.
+	lastSeen time.Time
 }
 
-// New returns an abstainer that heard no target.
+// New returns an abstainer without abstentions.
 func New(c Config) *Abstainer {
-	return &Abstainer{config: c, words: map[Incarnation]*word{}}
+	return &Abstainer{config: c, abstentions: map[Incarnation]*abstention{}}
 }
 
-// Hear takes in what an answer said and returns the abstentions that begin with it. A rest that is already known only grows.
-func (a *Abstainer) Hear(now time.Time, i Incarnation, n Notice) []Event {
+// Record takes in what an answer said and returns the abstentions that begin with it. A rest that is already known only grows.
+func (a *Abstainer) Record(now time.Time, i Incarnation, n Notice) []Event {
 	if !n.Leaving && n.Rest <= 0 {
 		return nil
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	w := a.words[i]
+	w := a.abstentions[i]
 	if w == nil {
-		w = &word{}
-		a.words[i] = w
+		w = &abstention{}
+		a.abstentions[i] = w
 		a.any.Store(true)
 	}
-	w.listedAt = now
+	w.lastSeen = now
 	var es []Event
-	if n.Leaving && w.leftAt.IsZero() {
-		w.leftAt = now
+	if n.Leaving && w.leavingSince.IsZero() {
+		w.leavingSince = now
 		es = append(es, Event{Incarnation: i, Kind: Leaving})
 	}
 	if n.Rest <= 0 {
 		return es
 	}
 	rest := min(n.Rest, MaxRest)
-	if until := now.Add(rest + a.delay(i, rest)); until.After(w.restUntil) {
-		if !now.Before(w.restUntil) {
-			w.restedAt, w.restEnded = now, false
+	if until := now.Add(rest + a.delay(i, rest)); until.After(w.restEnd) {
+		if !now.Before(w.restEnd) {
+			w.restStart, w.endReported = now, false
 			es = append(es, Event{Incarnation: i, Kind: Resting, Duration: rest})
 		}
-		w.restUntil = until
+		w.restEnd = until
 	}
 	return es
 }
@@ -138,32 +138,32 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	w := a.words[i]
+	w := a.abstentions[i]
 	switch {
 	case w == nil:
 		return 1
-	case !w.leftAt.IsZero(), now.Before(w.restUntil):
+	case !w.leavingSince.IsZero(), now.Before(w.restEnd):
 		return 0
-	case w.restUntil.IsZero():
+	case w.restEnd.IsZero():
 		return 1
 	}
-	ramp := min(maxRamp, w.restUntil.Sub(w.restedAt))
+	ramp := min(maxRamp, w.restEnd.Sub(w.restStart))
 	// Just after its rest a target may get one request.
-	return max(min(float64(now.Sub(w.restUntil))/float64(ramp), 1), minShare)
+	return max(min(float64(now.Sub(w.restEnd))/float64(ramp), 1), minShare)
 }
 
 // minShare is the fraction of the slots in use at the end of a rest; any positive one allows one request.
 const minShare = 1e-3
 
-// Left reports whether an incarnation leaves, and how long it still rests.
-func (a *Abstainer) Left(now time.Time, i Incarnation) (leaving bool, rest time.Duration) {
+// State reports whether an incarnation leaves, and how long it still rests.
+func (a *Abstainer) State(now time.Time, i Incarnation) (leaving bool, rest time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	w := a.words[i]
+	w := a.abstentions[i]
 	if w == nil {
 		return false, 0
 	}
-	return !w.leftAt.IsZero(), max(w.restUntil.Sub(now), 0)
+	return !w.leavingSince.IsZero(), max(w.restEnd.Sub(now), 0)
 }
 
 // Tick discards what no longer matters and returns the abstentions that ended. listed returns the incarnation of a name that a
@@ -172,25 +172,25 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var es []Event
-	for i, w := range a.words {
+	for i, w := range a.abstentions {
 		started, ok := listed(i.Name)
 		if ok && started == i.Started {
-			w.listedAt = now
+			w.lastSeen = now
 		}
 		// An older incarnation in the directory is out of date.
-		gone := ok && started > i.Started || now.Sub(w.listedAt) > unlistedLife
-		if !w.restUntil.IsZero() && !w.restEnded && (gone || !now.Before(w.restUntil)) {
-			w.restEnded = true
-			es = append(es, Event{Incarnation: i, Kind: Resting, Duration: now.Sub(w.restedAt)})
+		gone := ok && started > i.Started || now.Sub(w.lastSeen) > unlistedTTL
+		if !w.restEnd.IsZero() && !w.endReported && (gone || !now.Before(w.restEnd)) {
+			w.endReported = true
+			es = append(es, Event{Incarnation: i, Kind: Resting, Duration: now.Sub(w.restStart)})
 		}
-		if gone && !w.leftAt.IsZero() {
-			es = append(es, Event{Incarnation: i, Kind: Leaving, Duration: now.Sub(w.leftAt)})
+		if gone && !w.leavingSince.IsZero() {
+			es = append(es, Event{Incarnation: i, Kind: Leaving, Duration: now.Sub(w.leavingSince)})
 		}
-		if gone || w.leftAt.IsZero() && now.Sub(w.restUntil) > maxRamp {
-			delete(a.words, i)
+		if gone || w.leavingSince.IsZero() && now.Sub(w.restEnd) > maxRamp {
+			delete(a.abstentions, i)
 		}
 	}
-	a.any.Store(len(a.words) > 0)
+	a.any.Store(len(a.abstentions) > 0)
 	slices.SortFunc(es, func(x, y Event) int { return strings.Compare(x.Incarnation.Name, y.Incarnation.Name) })
 	return es
 }
--- a/abstainer/abstainer_test.go
+++ b/abstainer/abstainer_test.go
@@ -27,9 +27,9 @@
 	Convey("Given a target that says that it leaves", t, func() {
 		a := abstainer.New(abstainer.Config{Instance: "here"})
 		So(a.Share(start, oven), ShouldEqual, 1)
-		So(a.Hear(start, oven, abstainer.Notice{}), ShouldBeEmpty)
-		So(a.Hear(start, oven, abstainer.Notice{Leaving: true}), ShouldResemble, []abstainer.Event{{Incarnation: oven, Kind: abstainer.Leaving}})
-		So(a.Hear(start, oven, abstainer.Notice{Leaving: true}), ShouldBeEmpty)
+		So(a.Record(start, oven, abstainer.Notice{}), ShouldBeEmpty)
+		So(a.Record(start, oven, abstainer.Notice{Leaving: true}), ShouldResemble, []abstainer.Event{{Incarnation: oven, Kind: abstainer.Leaving}})
+		So(a.Record(start, oven, abstainer.Notice{Leaving: true}), ShouldBeEmpty)
 		later := start.Add(30 * time.Minute)
 
 		Convey("it gets nothing, however often it is listed, and also while it is not", func() {
@@ -37,13 +37,13 @@
 			So(a.Tick(later, empty), ShouldBeEmpty)
 			So(a.Tick(later.Add(time.Minute), listing(oven)), ShouldBeEmpty)
 			So(a.Share(later.Add(time.Minute), oven), ShouldEqual, 0)
-			leaving, rest := a.Left(later, oven)
+			leaving, rest := a.State(later, oven)
 			So(leaving, ShouldBeTrue)
 			So(rest, ShouldEqual, 0)
 		})
 
 		Convey("an answer that no longer says so takes nothing back", func() {
-			a.Hear(start, oven, abstainer.Notice{Rest: time.Second})
+			a.Record(start, oven, abstainer.Notice{Rest: time.Second})
 			So(a.Share(later, oven), ShouldEqual, 0)
 		})
 
@@ -67,9 +67,9 @@
 func TestRest(t *testing.T) {
 	Convey("Given a target that wants nothing for 2 s", t, func() {
 		a := abstainer.New(abstainer.Config{Instance: "here"})
-		So(a.Hear(start, oven, abstainer.Notice{Rest: 2 * time.Second}), ShouldResemble,
+		So(a.Record(start, oven, abstainer.Notice{Rest: 2 * time.Second}), ShouldResemble,
 			[]abstainer.Event{{Incarnation: oven, Kind: abstainer.Resting, Duration: 2 * time.Second}})
-		_, left := a.Left(start, oven)
+		_, left := a.State(start, oven)
 		So(left, ShouldBeBetweenOrEqual, 2*time.Second, 2500*time.Millisecond)
 		end := start.Add(left)
 
@@ -81,9 +81,9 @@
 		})
 
 		Convey("a shorter rest does not end it sooner, a longer one extends it without a further report", func() {
-			So(a.Hear(start.Add(time.Second), oven, abstainer.Notice{Rest: 100 * time.Millisecond}), ShouldBeEmpty)
+			So(a.Record(start.Add(time.Second), oven, abstainer.Notice{Rest: 100 * time.Millisecond}), ShouldBeEmpty)
 			So(a.Share(end.Add(-1), oven), ShouldEqual, 0)
-			So(a.Hear(start.Add(time.Second), oven, abstainer.Notice{Rest: 9 * time.Second}), ShouldBeEmpty)
+			So(a.Record(start.Add(time.Second), oven, abstainer.Notice{Rest: 9 * time.Second}), ShouldBeEmpty)
 			So(a.Share(start.Add(10*time.Second-1), oven), ShouldEqual, 0)
 		})
 
@@ -91,7 +91,7 @@
 			So(a.Tick(end.Add(-1), listing(oven)), ShouldBeEmpty)
 			So(a.Tick(end, listing(oven)), ShouldResemble, []abstainer.Event{{Incarnation: oven, Kind: abstainer.Resting, Duration: left}})
 			So(a.Tick(end.Add(10*time.Millisecond), listing(oven)), ShouldBeEmpty)
-			So(a.Hear(end.Add(20*time.Millisecond), oven, abstainer.Notice{Rest: time.Second}), ShouldHaveLength, 1)
+			So(a.Record(end.Add(20*time.Millisecond), oven, abstainer.Notice{Rest: time.Second}), ShouldHaveLength, 1)
 			So(a.Tick(end.Add(time.Minute), listing(oven)), ShouldHaveLength, 1)
 			So(a.Tick(end.Add(2*time.Minute), listing(oven)), ShouldBeEmpty)
 			So(a.Share(end.Add(2*time.Minute), oven), ShouldEqual, 1)
@@ -105,13 +105,13 @@
 	})
 	Convey("A rest without end lasts MaxRest", t, func() {
 		a := abstainer.New(abstainer.Config{})
-		a.Hear(start, oven, abstainer.Notice{Rest: 1 << 62})
+		a.Record(start, oven, abstainer.Notice{Rest: 1 << 62})
 		So(a.Share(start.Add(abstainer.MaxRest-1), oven), ShouldEqual, 0)
 		So(a.Share(start.Add(abstainer.MaxRest+2*time.Second), oven), ShouldEqual, 1)
 	})
 	Convey("A rest of no time, or of less, is none", t, func() {
 		a := abstainer.New(abstainer.Config{})
-		So(a.Hear(start, oven, abstainer.Notice{Rest: -time.Second}), ShouldBeEmpty)
+		So(a.Record(start, oven, abstainer.Notice{Rest: -time.Second}), ShouldBeEmpty)
 		So(a.Share(start, oven), ShouldEqual, 1)
 	})
 }
@@ -121,8 +121,8 @@
 	ends := map[time.Duration]bool{}
 	for i := range 34 {
 		a := abstainer.New(abstainer.Config{Instance: fmt.Sprint("entry-", i)})
-		a.Hear(start, oven, abstainer.Notice{Rest: 4 * time.Second})
-		_, d := a.Left(start, oven)
+		a.Record(start, oven, abstainer.Notice{Rest: 4 * time.Second})
+		_, d := a.State(start, oven)
 		ends[d.Truncate(100*time.Millisecond)] = true
 	}
 	if len(ends) < 4 {
@@ -131,7 +131,7 @@
 }
 
 // Guards against any course of answers and listings after which a target gets requests that it did not want.
-func TestNoWordIsBroken(t *testing.T) {
+func TestNoNoticeIsIgnored(t *testing.T) {
 	for seed := range uint64(200) {
 		r := rand.New(rand.NewPCG(seed, 1))
 		a := abstainer.New(abstainer.Config{Instance: "here"})
@@ -143,7 +143,7 @@
 			switch r.IntN(6) {
 			case 0:
 				n := abstainer.Notice{Leaving: r.IntN(20) == 0, Rest: time.Duration(r.Int64N(int64(4*time.Second))) - time.Second}
-				a.Hear(now, i, n)
+				a.Record(now, i, n)
 				left[i] = left[i] || n.Leaving
 				if e := now.Add(n.Rest); e.After(until[i]) {
 					until[i] = e
--- a/handler/abstain.go
+++ b/handler/abstain.go
@@ -10,13 +10,13 @@
 	"celeryhead.dev/celeryhead/responder"
 )
 
-// heed takes in what an answer of a target says about further requests. Late answers to earlier requests of the connection do
-// not get here: nothing proves whose they are, and a target repeats in its next answer what still holds.
-func (s *Server) heed(c *call, t *cataloger.Target, status int, h http.Header) {
+// recordNotice records what an answer of a target states about further requests. Late answers to earlier requests of the
+// connection are not passed to it: nothing proves whose they are, and a target repeats in its next answer what still holds.
+func (s *Server) recordNotice(c *call, t *cataloger.Target, status int, h http.Header) {
 	i := incarnation(t)
-	es := s.abstainer.Hear(s.clock(), i, s.protocol.Notice(status, h))
+	es := s.abstainer.Record(s.clock(), i, s.protocol.Notice(status, h))
 	if len(es) > 0 {
-		s.waiting.cancel(i, errDeclines)
+		s.waiting.cancel(i, errDeclined)
 	}
 	for _, e := range es {
 		s.log.AbstentionBegan(i.Name, i.Started, string(e.Kind), e.Duration, c.envelope.ID, status)
@@ -33,7 +33,7 @@
 	return s.protocol.Notice(status, h).Rest > 0
 }
 
-// endAbstentions discards the words of targets that no longer hold.
+// endAbstentions discards abstentions that no longer hold and logs their end.
 func (s *Server) endAbstentions(now time.Time) {
 	s.mu.Lock()
 	all := s.roster.Targets()
@@ -46,8 +46,8 @@
 	}
 }
 
-// errDeclines keeps a request from a target that asked for none after the request was placed there.
-var errDeclines = &responder.Refusal{
+// errDeclined keeps a request from a target that asked for none after the request was placed there.
+var errDeclined = &responder.Refusal{
 	Status:     http.StatusServiceUnavailable,
 	Reason:     responder.NoOwner,
 	Ran:        responder.NotRun,
--- a/handler/forward.go
+++ b/handler/forward.go
@@ -178,7 +178,7 @@
 			s.placer.Sent(s.clock(), l)
 			return s.mayRun(c, l.Target)
 		},
-		Answered: func(status int, h http.Header) { s.heed(c, l.Target, status, h) },
+		Answered: func(status int, h http.Header) { s.recordNotice(c, l.Target, status, h) },
 	})
 	if err != nil {
 		return s.failed(ctx, c, l, w, err)
@@ -241,7 +241,7 @@
 		return unavailable(responder.NoOwner, "the target left before the request was sent")
 	}
 	if s.abstainer.Share(s.clock(), incarnation(t)) == 0 {
-		return errDeclines
+		return errDeclined
 	}
 	if !c.mayUseKey(k, s.clock()) {
 		return unavailable(responder.Stale, "the key was withdrawn before the request was sent")
--- a/handler/handler_test.go
+++ b/handler/handler_test.go
@@ -82,7 +82,7 @@
 	}
 	for _, n := range []abstainer.Notice{{Rest: time.Minute}, {Leaving: true}} {
 		a := abstainer.New(abstainer.Config{})
-		a.Hear(timer.Now(), abstainer.Incarnation{Name: g.Name, Started: g.Started}, n)
+		a.Record(timer.Now(), abstainer.Incarnation{Name: g.Name, Started: g.Started}, n)
 		var f *responder.Refusal
 		if err := handler.MayRun(b, a, &g); !errors.As(err, &f) || f.Ran != responder.NotRun || f.Status != http.StatusServiceUnavailable {
 			t.Errorf("after %+v: %v, want 503, not run", n, err)
--- a/handler/status.go
+++ b/handler/status.go
@@ -49,7 +49,7 @@
 			ColdSeconds: max(0, g.ColdUntil.Sub(now).Seconds()),
 		}
 		s.placer.Describe(now, g, &v)
-		leaving, rest := s.abstainer.Left(now, incarnation(g))
+		leaving, rest := s.abstainer.State(now, incarnation(g))
 		v.Leaving, v.RestSeconds = leaving, rest.Seconds()
 		t.Targets = append(t.Targets, v)
 	})
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -295,7 +295,7 @@
 		if len(w.Regions) > 0 && !slices.Contains(w.Regions, t.Region) {
 			continue
 		}
-		switch leaving, rest := p.config.Abstainer.Left(now, incarnation(t)); {
+		switch leaving, rest := p.config.Abstainer.State(now, incarnation(t)); {
 		case leaving:
 		case rest > 0:
 			earliest = min(earliest, rest)
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -302,9 +302,9 @@
 		t.Fatal(f)
 	}
 	i := abstainer.Incarnation{Name: only.Name, Started: only.Started}
-	a.Hear(start, i, abstainer.Notice{Rest: 2 * time.Second})
+	a.Record(start, i, abstainer.Notice{Rest: 2 * time.Second})
 	p.End(start, c, placer.Declined)
-	_, rest := a.Left(start, i)
+	_, rest := a.State(start, i)
 	if _, f := p.Choose(start, pool, work(l, start, "a")); f == nil || f.Ran != responder.NotRun || f.RetryAfter != time.Second {
 		t.Fatalf("refusal %+v while the only target rests for %v", f, rest)
 	}
@@ -341,7 +341,7 @@
 	p := placer.New(placer.Config{Region: "here", Trip: func(string) time.Duration { return 0 }, Cold: g, Abstainer: a})
 	pool := l.pool(1)
 	pool.Targets[0].ColdUntil = start.Add(time.Minute)
-	a.Hear(start, abstainer.Incarnation{Name: pool.Targets[0].Name, Started: pool.Targets[0].Started}, abstainer.Notice{Leaving: true})
+	a.Record(start, abstainer.Incarnation{Name: pool.Targets[0].Name, Started: pool.Targets[0].Started}, abstainer.Notice{Leaving: true})
 	if _, f := p.Choose(start, pool, work(l, start, "a")); f == nil || f.RetryAfter != 250*time.Millisecond {
 		t.Errorf("refusal %+v while the only target leaves", f)
 	}
