Ask for the allowed regions of a request in one place

returnAfter had its own check of the regions, without the rule of that a request with a limit runs in no unknown region.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -286,13 +286,13 @@
 	return abstainer.Incarnation{Name: t.Name, Started: t.Started}
 }
 
-// returnAfter returns when a target may have the request, as far as targets said so: the earliest end of a rest if all targets
-// rest or leave, and otherwise noTargetRetryAfter at most. Targets that were tried count, as the caller's next attempt may go
+// returnAfter returns the time until a target may have the request, as far as targets stated it: the earliest end of a rest if
+// all targets rest or leave, and otherwise noTargetRetryAfter at most. Targets that were tried count, as the caller's next attempt may go
 // there.
 func (p *Placer) returnAfter(now time.Time, pool *cataloger.Pool, w Work) time.Duration {
 	earliest := time.Duration(math.MaxInt64)
 	for _, t := range pool.Targets {
-		if len(w.Regions) > 0 && !slices.Contains(w.Regions, t.Region) {
+		if !w.allows(t.Region) {
 			continue
 		}
 		switch leaving, rest := p.config.Abstainer.State(now, incarnation(t)); {
