--- a/handler/export_test.go
+++ b/handler/export_test.go
@@ -72,15 +72,15 @@
 	return p.peers.newest(now, alive, p.region, "table", after)
 }
 
-// Hearer is an instance that calls nobody and has an empty copy of the configuration's table.
-type Hearer struct {
+// PassiveInstance is an instance that calls nobody and has an empty copy of the configuration's table.
+type PassiveInstance struct {
 	server *Server
 	now    time.Time
 }
 
-// NewHearer returns an instance of a region.
-func NewHearer(name, region string) *Hearer {
-	h := &Hearer{now: time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)}
+// NewPassiveInstance returns an instance of a region.
+func NewPassiveInstance(name, region string) *PassiveInstance {
+	h := &PassiveInstance{now: time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)}
 	s := &Server{configuration: "op", book: cataloger.NewBook(), peers: newPeers(), abstainer: abstainer.New(abstainer.Config{}), clock: func() time.Time { return h.now }}
 	s.settings.Name, s.settings.Region = name, region
 	s.members = gossiper.NewMembers(s.self(), nil)
@@ -94,24 +94,24 @@
 	return h
 }
 
-// Hear takes over what another instance says.
-func (h *Hearer) Hear(m gossiper.Member, t gossiper.State) {
+// ReceiveState takes over the state of another instance.
+func (h *PassiveInstance) ReceiveState(m gossiper.Member, t gossiper.State) {
 	h.server.members.HearFirstHand(m, h.now)
 	h.server.hear(m, t)
 }
 
-// Pass lets time pass.
-func (h *Hearer) Pass(d time.Duration) { h.now = h.now.Add(d) }
+// Advance advances the clock.
+func (h *PassiveInstance) Advance(d time.Duration) { h.now = h.now.Add(d) }
 
 // Claim returns the claim that others are told.
-func (h *Hearer) Claim() *gossiper.Claim { return h.server.state().Configuration }
+func (h *PassiveInstance) Claim() *gossiper.Claim { return h.server.state().Configuration }
 
 // Follows reports whether the instance calls the store.
-func (h *Hearer) Follows() bool { return h.server.follows() }
+func (h *PassiveInstance) Follows() bool { return h.server.follows() }
 
 // Deny returns what a request without a route is told that was accepted by one version of the configuration while another
 // one is in force now.
-func (h *Hearer) Deny(accepted, current uint64) *responder.Refusal {
+func (h *PassiveInstance) Deny(accepted, current uint64) *responder.Refusal {
 	h.server.book.Configure(cataloger.Configuration{Version: accepted})
 	c := &call{catalog: h.server.book.Catalog()}
 	h.server.book.Configure(cataloger.Configuration{Version: current})
@@ -119,7 +119,7 @@
 }
 
 // MayRun returns why a request with a key may not be sent under a configuration, some time after it was accepted.
-func (h *Hearer) MayRun(key authenticator.Digest, accepted *cataloger.Catalog, current cataloger.Configuration, waited time.Duration) error {
+func (h *PassiveInstance) MayRun(key authenticator.Digest, accepted *cataloger.Catalog, current cataloger.Configuration, waited time.Duration) error {
 	c := &call{key: key, catalog: accepted, arrival: h.now.Add(-waited)}
 	c.account, _ = accepted.Account(key)
 	t := cataloger.Target{Name: "target", Service: "map"}
--- a/handler/handler_test.go
+++ b/handler/handler_test.go
@@ -129,13 +129,13 @@
 
 // Guards against a claim that looks younger, or comes from another origin, once it was passed on.
 func TestClaimIsPassedOnWithItsOriginAndAge(t *testing.T) {
-	h := handler.NewHearer("b", "almaty")
+	h := handler.NewPassiveInstance("b", "almaty")
 	a := gossiper.Member{Name: "a", Address: netip.AddrFrom4([4]byte{10, 0, 0, 1}), Region: "almaty"}
 	if c := h.Claim(); c != nil {
 		t.Errorf("claim %+v of an instance that heard nothing", c)
 	}
-	h.Hear(a, gossiper.State{Configuration: &gossiper.Claim{Origin: "o", Sequence: 7, AgeMilliseconds: 300}})
-	h.Pass(400 * time.Millisecond)
+	h.ReceiveState(a, gossiper.State{Configuration: &gossiper.Claim{Origin: "o", Sequence: 7, AgeMilliseconds: 300}})
+	h.Advance(400 * time.Millisecond)
 	if c := h.Claim(); c == nil || *c != (gossiper.Claim{Origin: "o", Sequence: 7, AgeMilliseconds: 700}) {
 		t.Errorf("passes on %+v", c)
 	}
@@ -143,7 +143,7 @@
 
 // Guards against an instance that leaves the calls to others although nobody proves that its configuration is new.
 func TestInstanceWithOldConfigurationCallsTheStore(t *testing.T) {
-	h := handler.NewHearer("b", "almaty")
+	h := handler.NewPassiveInstance("b", "almaty")
 	a := gossiper.Member{Name: "a", Address: netip.AddrFrom4([4]byte{10, 0, 0, 1}), Region: "almaty"}
 	for _, c := range []struct {
 		claim *gossiper.Claim
@@ -153,8 +153,8 @@
 		{&gossiper.Claim{Origin: "a", Sequence: 1, AgeMilliseconds: 100}, false},
 		{&gossiper.Claim{Origin: "a", Sequence: 2, Content: 1, AgeMilliseconds: 100}, true},
 	} {
-		h.Pass(2100 * time.Millisecond)
-		h.Hear(a, gossiper.State{Configuration: c.claim})
+		h.Advance(2100 * time.Millisecond)
+		h.ReceiveState(a, gossiper.State{Configuration: c.claim})
 		if got := h.Follows(); got != c.want {
 			t.Errorf("claim %+v: calls the store %t, want %t", c.claim, got, c.want)
 		}
@@ -173,13 +173,13 @@
 		{2501 * time.Millisecond, 8, 8, 503},
 		{0, 8, 9, 503},
 	} {
-		h := handler.NewHearer("b", "almaty")
+		h := handler.NewPassiveInstance("b", "almaty")
 		if f := h.Deny(c.accepted, c.accepted); f.Status != 503 {
 			t.Errorf("denied with %+v by a configuration of unknown age", f)
 		}
-		h = handler.NewHearer("b", "almaty")
-		h.Hear(gossiper.Member{Name: "a"}, gossiper.State{Configuration: &gossiper.Claim{Origin: "a", Sequence: 1}})
-		h.Pass(c.age)
+		h = handler.NewPassiveInstance("b", "almaty")
+		h.ReceiveState(gossiper.Member{Name: "a"}, gossiper.State{Configuration: &gossiper.Claim{Origin: "a", Sequence: 1}})
+		h.Advance(c.age)
 		if f := h.Deny(c.accepted, c.current); f.Status != c.status || f.Ran != responder.NotRun || (f.RetryAfter > 0) != (c.status == 503) {
 			t.Errorf("age %v, version %d replaced by %d: %+v, want %d", c.age, c.accepted, c.current, f, c.status)
 		}
@@ -194,7 +194,7 @@
 	for waited, want := range map[time.Duration]int{0: 0, 2 * time.Second: 503} {
 		status := 0
 		var f *responder.Refusal
-		err := handler.NewHearer("a", "almaty").MayRun(k, b.Catalog(), cataloger.Configuration{Version: 2, Accounts: []cataloger.Account{{Name: "bakery"}}}, waited)
+		err := handler.NewPassiveInstance("a", "almaty").MayRun(k, b.Catalog(), cataloger.Configuration{Version: 2, Accounts: []cataloger.Account{{Name: "bakery"}}}, waited)
 		if errors.As(err, &f) {
 			status = f.Status
 		}
