Report which rows of a table an instance adopted, and from where

2014 gives table, version, source and number of rows at each change, so that the delay and the way of a change can be measured at each instance. 2009 names the peer and the time, the errors of 2009 and 2013 the bytes that had arrived. What a peer could not be sent is 2015 now; it was 2009 too.

--- a/handler/peers.go
+++ b/handler/peers.go
@@ -154,6 +154,7 @@
 		return replicator.Change{}, replicator.ErrPeer
 	}
 	h, err := replicator.Fetch(ctx, s.peers.client, netip.AddrPortFrom(a, s.settings.Peers.Port()), table, after)
+	h.Peer = a.String()
 	s.peers.answered(s.clock(), a, err == nil)
 	return h, err
 }
--- a/logger/events.go
+++ b/logger/events.go
@@ -49,6 +49,8 @@
 	peerCopyFailed     = register(2009, log.WarnLevel, "rows could not be had from a peer")
 	entryRejected      = register(2010, log.WarnLevel, "row of the store is not usable")
 	targetsListed      = register(2011, log.InfoLevel, "targets changed")
+	rowsAdopted        = register(2014, log.InfoLevel, "rows of a table adopted")
+	peerUnserved       = register(2015, log.WarnLevel, "rows could not be sent to a peer")
 	evacuated          = register(2012, log.InfoLevel, "evacuated failure domains changed")
 	memberHeard        = register(3006, log.InfoLevel, "instance heard")
 	memberSilent       = register(3007, log.WarnLevel, "instance fell silent")
@@ -265,9 +267,20 @@
 	l.emit(historyLost, log.Fields{"table": table})
 }
 
-// PeerCopyFailed reports that a peer gave no rows.
-func (l *Logger) PeerCopyFailed(table string, err error) {
-	l.emit(peerCopyFailed, log.Fields{"table": table, "error": err.Error()})
+// RowsAdopted reports a change of the copy of a table: its version, how many of its rows changed and how many exist, and the
+// peer that they came from, which is empty for the store.
+func (l *Logger) RowsAdopted(table, peer string, version uint64, whole bool, changed, rows int) {
+	l.emit(rowsAdopted, log.Fields{"table": table, "peer": peer, "version": version, "whole": whole, "changed": changed, "rows": rows})
+}
+
+// PeerCopyFailed reports that a peer gave no rows, d after it was asked.
+func (l *Logger) PeerCopyFailed(table, peer string, d time.Duration, err error) {
+	l.emit(peerCopyFailed, log.Fields{"table": table, "peer": peer, "seconds": seconds(d), "error": err.Error()})
+}
+
+// PeerUnserved reports that a peer could not be sent the rows that it asked for.
+func (l *Logger) PeerUnserved(table string, version uint64, err error) {
+	l.emit(peerUnserved, log.Fields{"table": table, "version": version, "error": err.Error()})
 }
 
 // EntryRejected reports a row that names nothing that can be used.
--- a/replicator/copy.go
+++ b/replicator/copy.go
@@ -22,6 +22,8 @@
 
 // Change is what a source tells about a table.
 type Change struct {
+	// Peer names the instance that told it; empty means the store.
+	Peer string
 	Rows []Row
 	// Version is the newest one that the source knew.
 	Version uint64
--- a/replicator/peer.go
+++ b/replicator/peer.go
@@ -68,7 +68,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(c); err != nil {
-		r.config.Log.PeerCopyFailed(q.FormValue("table"), err)
+		r.config.Log.PeerUnserved(q.FormValue("table"), h.Version, err)
 	}
 }
 
@@ -88,7 +88,25 @@
 	if p.StatusCode != http.StatusOK {
 		return Change{}, merry.Wrap(ErrPeer, merry.AppendMessagef("status %d", p.StatusCode))
 	}
-	return decodeChange(io.LimitReader(p.Body, maxCopyBytes))
+	b := &countingReader{Reader: io.LimitReader(p.Body, maxCopyBytes)}
+	h, err := decodeChange(b)
+	if err != nil {
+		return Change{}, merry.Prependf(err, "after %d bytes", b.n)
+	}
+	return h, nil
+}
+
+// countingReader counts the bytes read.
+type countingReader struct {
+	io.Reader
+	n int64
+}
+
+// Read reads and counts.
+func (r *countingReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	r.n += int64(n)
+	return n, err
 }
 
 // decodeChange decodes a change row by row, so that neither an unfinished text nor the rows it would have exceed the bounds.
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -51,7 +51,8 @@
 
 // Peers asks other instances.
 type Peers interface {
-	// Newer returns the change of a table after a version from the peer that knows most of it.
+	// Newer returns the change of a table after a version from the peer that knows most of it. The change names the peer, also
+	// if there is an error.
 	Newer(ctx context.Context, table string, after uint64) (Change, error)
 }
 
@@ -273,11 +274,12 @@
 			continue
 		}
 		_, content := t.copy.Versions()
+		start := r.config.Clock()
 		c, cancel := context.WithTimeout(ctx, peerTimeout)
 		h, err := r.config.Peers.Newer(c, t.Name, content)
 		cancel()
 		if err != nil {
-			r.config.Log.PeerCopyFailed(t.Name, err)
+			r.config.Log.PeerCopyFailed(t.Name, h.Peer, r.config.Clock().Sub(start), err)
 			if timer.Sleep(ctx, retryPause) != nil {
 				return
 			}
@@ -306,12 +308,14 @@
 func (r *Replicator) apply(t *table, h Change, merge func(time.Time, Change) bool) {
 	t.applied.Lock()
 	defer t.applied.Unlock()
-	if merge(r.config.Clock(), h) {
+	changed := merge(r.config.Clock(), h)
+	_, content := t.copy.Versions()
+	if changed {
 		if rs, known := t.copy.Rows(); known {
 			t.Changed(rs)
+			r.config.Log.RowsAdopted(t.Name, h.Peer, content, h.Whole, len(h.Rows), len(rs))
 		}
 	}
-	_, content := t.copy.Versions()
 	t.inForce.Store(content)
 }
 
