Tell peers the whole table below the version from which the history is known

One instance of a region calls the store for the others. While it restarted, the target's row was removed. Its new process read the table whole, so it had no tombstone, told the others only what was newer than their newest row, and they kept the removed row for good.

The class: the version of the newest row taken as proof that a copy holds all changes up to it. A removal without a tombstone is in no answer and raises no version.

A copy now knows from which version on its history is complete: that of its last whole read, or of the newest tombstone that it dropped. A peer below it gets the whole table, with only key and version of the rows that it has. A whole read raises the version of the copy, so that others ask although the newest change is a removal. Others that have the same rows take over the version by the digest that datagrams carry, without a call. If copies of one version differ, whatever the cause, the table is read whole from the store, logged as 2016 and counted in celeryhead_table_differences_total.

Two tests are replaced by as strict ones, since a whole read now covers forgotten removals: TestForgottenRemovalIsAskedForOnce and TestPeerCopyRemovesNoNewerRow have the instance fall behind after its first read. The latter still fails without the guard for newer rows.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -58,8 +58,9 @@
 
 // State is what an instance reports about itself in each round.
 type State struct {
-	// Contents are the versions of the newest rows of the store's tables.
+	// Contents are the versions of the newest changes of the store's tables, and Digests those of their rows.
 	Contents map[string]uint64 `json:"v"`
+	Digests  map[string]uint64 `json:"d,omitempty"`
 	// ContactMilliseconds is the time since the store last answered an instance, as far as the sender knows; it is
 	// negative if the store never did.
 	ContactMilliseconds int64 `json:"c"`
--- a/handler/peers.go
+++ b/handler/peers.go
@@ -70,10 +70,14 @@
 		age = now.Sub(c).Milliseconds()
 	}
 	t := gossiper.State{
-		Contents:            s.rows.Contents(),
+		Contents:            map[string]uint64{},
+		Digests:             map[string]uint64{},
 		ContactMilliseconds: age,
 		Strikes:             s.recentStrikes(now),
 	}
+	for n, v := range s.rows.Versions() {
+		t.Contents[n], t.Digests[n] = v.Content, v.Digest
+	}
 	if c, ok := s.rows.Claim(s.configuration); ok {
 		t.Configuration = &gossiper.Claim{Origin: c.Origin, Sequence: c.Sequence, Content: c.Content, AgeMilliseconds: now.Sub(c.AsOf).Milliseconds()}
 	}
@@ -137,7 +141,7 @@
 	}
 	s.peers.mu.Unlock()
 	for n, v := range t.Contents {
-		s.rows.Heard(n, v)
+		s.rows.Heard(n, m.Name, replicator.Version{Content: v, Digest: t.Digests[n]})
 	}
 	if c := t.Configuration; c != nil && c.AgeMilliseconds >= 0 {
 		at := s.clock().Add(-time.Duration(c.AgeMilliseconds) * time.Millisecond)
--- a/handler/server.go
+++ b/handler/server.go
@@ -280,7 +280,7 @@
 func (s *Server) metricsHandler() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
-		s.meter.Write(w, meter.State{InFlight: s.inFlight.Load(), ConfigVersion: s.book.Catalog().Version})
+		s.meter.Write(w, meter.State{InFlight: s.inFlight.Load(), ConfigVersion: s.book.Catalog().Version, TableDifferences: s.rows.Differences()})
 	}).Methods(http.MethodGet)
 	r.HandleFunc(informer.Path, s.serveStatus).Methods(http.MethodGet)
 	return r
--- a/handler/status.go
+++ b/handler/status.go
@@ -28,9 +28,12 @@
 			AnsweredSeconds:      -1,
 			ConfigurationSeconds: -1,
 			Calls:                s.follows(),
-			Versions:             s.rows.Contents(),
+			Versions:             map[string]uint64{},
 		},
 	}
+	for n, v := range s.rows.Versions() {
+		t.Store.Versions[n] = v.Content
+	}
 	if c := s.rows.CompleteAsOf(s.configuration); !c.IsZero() {
 		t.Store.ConfigurationSeconds = now.Sub(c).Seconds()
 	}
--- a/logger/events.go
+++ b/logger/events.go
@@ -50,6 +50,7 @@
 	entryRejected      = register(2010, log.WarnLevel, "row of the store is not usable")
 	targetsListed      = register(2011, log.InfoLevel, "targets changed")
 	rowsAdopted        = register(2014, log.InfoLevel, "rows of a table adopted")
+	tableDiffers       = register(2016, log.WarnLevel, "a peer has other rows of a table at the same version; the table is read whole")
 	peerUnserved       = register(2015, log.WarnLevel, "rows could not be sent to a peer")
 	evacuated          = register(2012, log.InfoLevel, "evacuated failure domains changed")
 	memberHeard        = register(3006, log.InfoLevel, "instance heard")
@@ -273,6 +274,11 @@
 	l.emit(rowsAdopted, log.Fields{"table": table, "peer": peer, "version": version, "whole": whole, "changed": changed, "rows": rows})
 }
 
+// TableDiffers reports that a peer has other rows of a table at the same version.
+func (l *Logger) TableDiffers(table, peer string, version uint64) {
+	l.emit(tableDiffers, log.Fields{"table": table, "peer": peer, "version": version})
+}
+
 // PeerCopyFailed reports that a peer gave no rows, d after it was asked.
 func (l *Logger) PeerCopyFailed(table, peer string, d time.Duration, err error) {
 	l.emit(peerCopyFailed, log.Fields{"table": table, "peer": peer, "seconds": seconds(d), "error": err.Error()})
--- a/meter/catalogue.go
+++ b/meter/catalogue.go
@@ -35,6 +35,7 @@
 	targetDrain        = "celeryhead_target_drain_seconds"
 	proofAge           = "celeryhead_proof_age_seconds"
 	configVersion      = "celeryhead_config_version"
+	tableDifferences   = "celeryhead_table_differences_total"
 	certExpiry         = "celeryhead_certificate_expiry_seconds"
 	storeFailures      = "celeryhead_store_failures"
 	claimCommits       = "celeryhead_claim_transactions_total"
@@ -70,6 +71,7 @@
 		{targetDrain, Histogram, "seconds", "pool"},
 		{proofAge, Gauge, "seconds", "scope"},
 		{configVersion, Gauge, "version", ""},
+		{tableDifferences, Counter, "events", ""},
 		{certExpiry, Gauge, "seconds", "certificate"},
 		{storeFailures, Gauge, "calls", ""},
 		{claimCommits, Counter, "transactions", ""},
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -279,12 +279,14 @@
 	InFlight      int64
 	ProofAges     map[string]time.Duration
 	ConfigVersion uint64
-	StoreFailures int
-	ClaimCommits  uint64
-	ClaimsLost    uint64
-	ClaimsRefused uint64
-	ClaimOwners   ClaimOwners
-	ShiftSteps    map[string]int
+	// TableDifferences is how often a peer had other rows of a table at the same version.
+	TableDifferences uint64
+	StoreFailures    int
+	ClaimCommits     uint64
+	ClaimsLost       uint64
+	ClaimsRefused    uint64
+	ClaimOwners      ClaimOwners
+	ShiftSteps       map[string]int
 	// CertificateExpiries holds the remaining validity of each certificate in use.
 	CertificateExpiries map[string]time.Duration
 }
@@ -308,6 +310,7 @@
 	m.gauge(float64(s.InFlight), inFlight)
 	m.gauge(float64(s.ConfigVersion), configVersion)
 	m.gauge(float64(s.StoreFailures), storeFailures)
+	m.set.GetOrCreateCounter(tableDifferences).Set(s.TableDifferences)
 	m.set.GetOrCreateCounter(claimCommits).Set(s.ClaimCommits)
 	m.set.GetOrCreateCounter(claimsDropped).Set(s.ClaimsLost)
 	m.set.GetOrCreateCounter(claimsUnavailable).Set(s.ClaimsRefused)
--- a/replicator/copy.go
+++ b/replicator/copy.go
@@ -1,11 +1,14 @@
 package replicator
 
 import (
+	"encoding/binary"
 	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // TombstoneLife is how long a copy remembers a removed row; a peer that is further behind gets the whole copy.
@@ -18,6 +21,17 @@
 	// Version is that of the last change; the store counts versions over all tables.
 	Version uint64
 	Removed bool
+	// Kept is true if the receiver of a change has the row in this version; the value is then left out.
+	Kept bool
+}
+
+// Version identifies the rows of a copy.
+type Version struct {
+	// Content is the version of the newest change in the copy.
+	Content uint64
+	// Digest is that of the keys and versions of the rows that exist; copies with the same content have the same. It is 0 if it
+	// is not known.
+	Digest uint64
 }
 
 // Change is what a source tells about a table.
@@ -31,23 +45,39 @@
 	Whole bool
 	// More is true if the source had further changes.
 	More bool
+	// Digest is that of the source's rows, or 0 if the source does not state it.
+	Digest uint64
 }
 
 // Copy is a copy of one table; it is safe for concurrent use.
 type Copy struct {
 	mu   sync.Mutex
 	rows map[string]Row
-	// followed is the version from which the table is followed; content is the version of the newest row, removed ones included.
+	// followed is the version from which the table is followed; content is the version of the newest change, as far as known.
 	followed, content uint64
-	// forgotten is the version of the newest tombstone that was dropped.
-	forgotten uint64
-	removed   map[string]time.Time
-	known     bool
+	// history is the version from which on the copy holds each change. Of older ones, removals are missing: those before the
+	// table was read whole, and those whose tombstone was dropped.
+	history uint64
+	removed map[string]time.Time
+	known   bool
+	// digest covers the rows that exist.
+	digest uint64
 }
 
 // NewCopy returns an empty copy.
 func NewCopy() *Copy {
-	return &Copy{rows: map[string]Row{}, removed: map[string]time.Time{}}
+	return &Copy{rows: map[string]Row{}, removed: map[string]time.Time{}, digest: emptyDigest}
+}
+
+// emptyDigest is that of a table without rows, since 0 means that a digest is not known.
+const emptyDigest = 1
+
+// digest returns the part of a row in the digest of its table, which is the exclusive or of all.
+func (r Row) digest() uint64 {
+	if r.Removed {
+		return 0
+	}
+	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(r.Key), r.Version))
 }
 
 // Apply merges a change of the store and reports whether a row changed or the table became known.
@@ -55,7 +85,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.followed = max(c.followed, h.Version)
-	return c.merge(now, h, 0)
+	changed := c.merge(now, h, 0)
+	if h.Whole {
+		// The newest change may be a removal, which a whole table does not show.
+		c.content = max(c.content, h.Version)
+	}
+	return changed
 }
 
 // Merge is like Apply for a change of a peer. A known table is still followed from the version that the store itself told, and
@@ -78,24 +113,32 @@
 	changed := !c.known && h.Whole
 	c.known = c.known || h.Whole
 	for _, r := range h.Rows {
-		changed = r.Version > after && c.put(now, r) || changed
+		changed = r.Version > after && !c.isOutdated(r, h) && c.put(now, r) || changed
 	}
 	if h.Whole {
 		changed = c.removeOthers(now, h) || changed
+		c.history = max(c.history, h.Version)
 	}
 	c.content = max(c.content, c.newest())
 	c.forget(now)
 	return changed
 }
 
+// isOutdated reports whether a row of a change that the copy lacks was removed before its history begins.
+func (c *Copy) isOutdated(r Row, h Change) bool {
+	_, ok := c.rows[r.Key]
+	return !ok && r.Version <= c.history && (r.Removed || h.Version < c.history)
+}
+
 func (c *Copy) put(now time.Time, r Row) bool {
 	o, ok := c.rows[r.Key]
-	if ok && o.Version >= r.Version {
+	if r.Kept || ok && o.Version >= r.Version {
 		return false
 	}
-	if r.Removed && !ok && r.Version <= c.forgotten {
-		return false
+	if ok {
+		c.digest ^= o.digest()
 	}
+	c.digest ^= r.digest()
 	c.rows[r.Key] = r
 	delete(c.removed, r.Key)
 	if r.Removed {
@@ -131,7 +174,7 @@
 func (c *Copy) forget(now time.Time) {
 	for k, t := range c.removed {
 		if now.Sub(t) > TombstoneLife {
-			c.forgotten = max(c.forgotten, c.rows[k].Version)
+			c.history = max(c.history, c.rows[k].Version)
 			delete(c.removed, k)
 			delete(c.rows, k)
 		}
@@ -152,21 +195,50 @@
 	return rs, c.known
 }
 
-// Since returns the change after a version, or the whole copy if removals after it were forgotten; ok is false while
-// the table is not known.
+// Since returns the change after a version for a copy that has all rows up to it. The change is whole if the history after that
+// version is not known here; it then names the rows that the other copy has without their values. ok is false while the table
+// is not known.
 func (c *Copy) Since(after uint64) (h Change, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	h.Version = c.content
-	h.Whole = after == 0 || after < c.forgotten
+	h.Version, h.Digest = c.content, c.digest
+	h.Whole = after == 0 || after < c.history
 	for r := range maps.Values(c.rows) {
-		if r.Version > after || h.Whole && !r.Removed {
+		switch {
+		case r.Version > after:
 			h.Rows = append(h.Rows, r)
+		case h.Whole && !r.Removed:
+			h.Rows = append(h.Rows, Row{Key: r.Key, Version: r.Version, Kept: true})
 		}
 	}
 	return h, c.known
 }
 
+// Version returns the version of the copy, which is zero while the table is not known.
+func (c *Copy) Version() Version {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.known {
+		return Version{}
+	}
+	return Version{Content: c.content, Digest: c.digest}
+}
+
+// Compare takes over the content of another copy that has the same rows. It reports whether the copies differ although they have
+// the same content, so that one of them is wrong.
+func (c *Copy) Compare(v Version) (differ bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.known || v.Digest == 0 {
+		return false
+	}
+	if v.Digest == c.digest {
+		c.content = max(c.content, v.Content)
+		return false
+	}
+	return v.Content == c.content
+}
+
 // Known reports whether the whole table was read from some source.
 func (c *Copy) Known() bool {
 	c.mu.Lock()
--- a/replicator/freshness_test.go
+++ b/replicator/freshness_test.go
@@ -76,7 +76,7 @@
 	playSuspended(t, s, false, func(r *replicator.Replicator, age func() time.Duration, suspend func(time.Duration)) {
 		suspend(7 * time.Second)
 		time.Sleep(250 * time.Millisecond)
-		r.Receive("op", replicator.Claim{Origin: "b", Sequence: 1, Content: r.Contents()["op"], AsOf: time.Now().Add(7*time.Second - 5*time.Millisecond)})
+		r.Receive("op", replicator.Claim{Origin: "b", Sequence: 1, Content: r.Versions()["op"].Content, AsOf: time.Now().Add(7*time.Second - 5*time.Millisecond)})
 		if a := age(); a != -1 {
 			t.Errorf("age %v by a claim that may have been sent before the suspension ended", a)
 		}
@@ -88,7 +88,7 @@
 	s := newStore()
 	s.write("config", "1")
 	playSuspended(t, s, false, func(r *replicator.Replicator, age func() time.Duration, _ func(time.Duration)) {
-		content := r.Contents()["op"]
+		content := r.Versions()["op"].Content
 		if a := age(); a < 5*time.Second {
 			t.Errorf("age %v without a call to the store for 5 s", a)
 		}
@@ -186,7 +186,7 @@
 		c.Apply(time.Now(), s.whole())
 		s.mu.Unlock()
 		_, content := c.Versions()
-		r.Heard("op", content)
+		r.Heard("op", "peer", replicator.Version{Content: content})
 		r.Receive("op", replicator.Claim{Origin: "b", Sequence: 1, Content: content, AsOf: time.Now()})
 		for inForce.Load() == "1" {
 			if a := time.Since(r.CompleteAsOf("op")); a < time.Second {
--- a/replicator/peer.go
+++ b/replicator/peer.go
@@ -42,12 +42,14 @@
 	Value   []byte `json:"value,omitempty"`
 	Version uint64 `json:"version"`
 	Removed bool   `json:"removed,omitempty"`
+	Kept    bool   `json:"kept,omitempty"`
 }
 
 type changeText struct {
 	Rows    []rowText `json:"rows"`
 	Version uint64    `json:"version"`
 	Whole   bool      `json:"whole"`
+	Digest  uint64    `json:"digest,omitempty"`
 }
 
 // ServeHTTP answers a peer with the rows of a table after a version.
@@ -62,7 +64,7 @@
 		http.Error(w, "the table is not known here", http.StatusServiceUnavailable)
 		return
 	}
-	c := changeText{Version: h.Version, Whole: h.Whole}
+	c := changeText{Version: h.Version, Whole: h.Whole, Digest: h.Digest}
 	for _, x := range h.Rows {
 		c.Rows = append(c.Rows, rowText(x))
 	}
@@ -128,6 +130,8 @@
 			err = d.Decode(&h.Version)
 		case "whole":
 			err = d.Decode(&h.Whole)
+		case "digest":
+			err = d.Decode(&h.Digest)
 		default:
 			// A newer peer may send more.
 			var ignored json.RawMessage
--- a/replicator/peer_test.go
+++ b/replicator/peer_test.go
@@ -110,7 +110,7 @@
 		time.Sleep(time.Second)
 		s.set(func() { s.write("b", "x") })
 		p.copy.Apply(time.Now(), s.whole())
-		r.Heard("op", 2)
+		r.Heard("op", "peer", replicator.Version{Content: 2})
 		time.Sleep(time.Second)
 		if w.get("b") != "x" {
 			t.Fatal("the peer's row is not there")
@@ -120,7 +120,7 @@
 		time.Sleep(2 * replicator.TombstoneLife)
 		s.set(func() { s.write("c", "x") })
 		p.copy.Apply(time.Now(), s.since(3))
-		r.Heard("op", 4)
+		r.Heard("op", "peer", replicator.Version{Content: 4})
 		time.Sleep(time.Second)
 		if w.get("c") != "x" || w.get("b") != "" {
 			t.Errorf("rows %v, want only a and c", w.rows)
@@ -145,15 +145,15 @@
 	s := newStore()
 	s.write("a", "x")
 	s.write("b", "x")
-	s.remove("b")
 	p := &counted{peers: peers{copy: replicator.NewCopy()}}
 	config := replicator.Config{Source: s, Peers: p, Follows: func() bool { return false }}
 	playTables(t, s, config, []string{"op"}, func(r *replicator.Replicator, _ *watcher) {
+		time.Sleep(time.Second)
+		s.set(func() { s.remove("b") })
 		p.copy.Apply(time.Now().Add(-2*replicator.TombstoneLife), s.since(0))
 		p.copy.Apply(time.Now(), s.whole())
 		_, content := p.copy.Versions()
-		time.Sleep(time.Second)
-		r.Heard("op", content)
+		r.Heard("op", "peer", replicator.Version{Content: content})
 		time.Sleep(5 * time.Second)
 		if n := p.calls.Load(); n != 1 {
 			t.Errorf("%d calls of the peer in 5 s, want 1", n)
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -16,8 +16,12 @@
 // ErrCompacted means that the store has dropped the history after the version asked for.
 var ErrCompacted = merry.Sentinel("history is no longer available")
 
-// errTimeout means that an answer of the store did not arrive in time.
-var errTimeout = merry.Sentinel("answer did not arrive in time")
+var (
+	// errTimeout means that an answer of the store did not arrive in time.
+	errTimeout = merry.Sentinel("answer did not arrive in time")
+	// errReread ends a poll of a table that has to be read whole.
+	errReread = merry.Sentinel("the table is read again")
+)
 
 // Times of the calls to the store.
 const (
@@ -36,6 +40,8 @@
 	behindPause = 200 * time.Millisecond
 	// beatInterval is how often a replicator notes that its process runs.
 	beatInterval = 200 * time.Millisecond
+	// rereadPause is the time between two readings of a table because it differs from that of a peer.
+	rereadPause = 5 * time.Second
 	// peerTimeout bounds a call to a peer.
 	peerTimeout = 500 * time.Millisecond
 )
@@ -95,6 +101,8 @@
 	contact  time.Time
 	// resumed is closed when an outage ends.
 	resumed chan struct{}
+
+	differences atomic.Uint64
 }
 
 type table struct {
@@ -113,6 +121,12 @@
 	// peerContent is the newest version of a row of which a peer told, and since when the copy is behind it.
 	peerContent uint64
 	behind      time.Time
+	// differs is true while the table has to be read whole because a peer has other rows at the same version; read is when that
+	// was last begun.
+	differs bool
+	read    time.Time
+	// reread is signaled when differs becomes true.
+	reread chan struct{}
 }
 
 // New returns a replicator with empty copies.
@@ -122,7 +136,7 @@
 	}
 	r := &Replicator{config: c, tables: map[string]*table{}, resumed: make(chan struct{})}
 	for i, t := range c.Tables {
-		r.tables[t.Name] = &table{Table: t, copy: NewCopy(), first: i == 0, wake: make(chan struct{}, 1)}
+		r.tables[t.Name] = &table{Table: t, copy: NewCopy(), first: i == 0, wake: make(chan struct{}, 1), reread: make(chan struct{}, 1)}
 	}
 	return r
 }
@@ -148,7 +162,8 @@
 	for ctx.Err() == nil {
 		// An instance that found the store down calls it until it is back, or it would never learn of that.
 		outage := t.first && r.Failing()
-		if t.copy.Known() && !outage && !r.follows() {
+		differs := t.startReread(r.config.Clock())
+		if t.copy.Known() && !outage && !differs && !r.follows() {
 			if timer.Sleep(ctx, followInterval) != nil {
 				return
 			}
@@ -159,6 +174,7 @@
 		if !read && r.config.Clock().Sub(answered) > followGap {
 			whole, read = true, true
 		}
+		whole = whole || differs
 		h, asOf, err := r.call(ctx, t, whole, wait, resumed)
 		wait = t.Wait
 		switch {
@@ -182,6 +198,8 @@
 			continue
 		case ctx.Err() != nil:
 			return
+		case errors.Is(err, errReread):
+			continue
 		case errors.Is(err, errTimeout):
 			// The other kind of answer may be shorter.
 			whole = !whole || !t.copy.Known()
@@ -226,17 +244,21 @@
 	}
 	c, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	if !t.first {
-		done := make(chan struct{})
-		defer close(done)
-		go func() {
-			select {
-			case <-resumed:
-				cancel()
-			case <-done:
-			}
-		}()
+	c, interrupt := context.WithCancelCause(c)
+	done := make(chan struct{})
+	defer close(done)
+	if t.first {
+		resumed = nil
 	}
+	go func() {
+		select {
+		case <-resumed:
+			interrupt(context.Canceled)
+		case <-t.reread:
+			interrupt(errReread)
+		case <-done:
+		}
+	}()
 	var h Change
 	var err error
 	after, _ := t.copy.Versions()
@@ -245,6 +267,9 @@
 	} else {
 		h, err = r.config.Source.Follow(c, t.Name, after, wait)
 	}
+	if err != nil && errors.Is(context.Cause(c), errReread) {
+		return h, time.Time{}, errReread
+	}
 	if err != nil && errors.Is(c.Err(), context.DeadlineExceeded) {
 		r.config.Log.AnswerLate(t.Name, whole, after, r.config.Clock().Sub(start), err)
 		err = errors.Join(errTimeout, err)
@@ -286,7 +311,52 @@
 			continue
 		}
 		r.apply(t, h, t.copy.Merge)
+		r.compare(t, h.Peer, Version{Content: h.Version, Digest: h.Digest})
+	}
+}
+
+// compare notices that a peer has other rows at the same version; the table is then read from the store.
+func (r *Replicator) compare(t *table, peer string, v Version) {
+	if !t.copy.Compare(v) || !t.requestReread(r.config.Clock()) {
+		return
+	}
+	r.differences.Add(1)
+	r.config.Log.TableDiffers(t.Name, peer, v.Content)
+}
+
+// requestReread has the table read whole, and reports whether that was not requested lately.
+func (t *table) requestReread(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.differs || now.Sub(t.read) < rereadPause {
+		return false
+	}
+	t.differs, t.read = true, now
+	select {
+	case t.reread <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// startReread reports whether the table has to be read whole.
+func (t *table) startReread(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := t.differs
+	if d {
+		t.differs, t.read = false, now
+		select {
+		case <-t.reread:
+		default:
+		}
 	}
+	return d
+}
+
+// Differences returns how often a table had other rows than that of a peer at the same version.
+func (r *Replicator) Differences() uint64 {
+	return r.differences.Load()
 }
 
 // asksPeer reports whether the copy is behind a peer for longer than the store's own answer should take.
@@ -319,15 +389,21 @@
 	t.inForce.Store(content)
 }
 
-// Heard records the version of the newest row that a peer has of a table.
-func (r *Replicator) Heard(name string, content uint64) {
+// Heard records the version that a peer has of a table.
+func (r *Replicator) Heard(name, peer string, v Version) {
 	t := r.tables[name]
 	if t == nil {
 		return
 	}
+	// While a change is being applied the versions tell nothing yet; the peer repeats its own.
+	if t.applied.TryLock() {
+		r.compare(t, peer, v)
+		t.inForce.Store(t.copy.Version().Content)
+		t.applied.Unlock()
+	}
 	t.mu.Lock()
-	ahead := content > t.peerContent
-	t.peerContent = max(t.peerContent, content)
+	ahead := v.Content > t.peerContent
+	t.peerContent = max(t.peerContent, v.Content)
 	t.mu.Unlock()
 	if ahead {
 		select {
@@ -360,11 +436,11 @@
 	return c.AsOf
 }
 
-// Contents returns the version of the newest row of each table.
-func (r *Replicator) Contents() map[string]uint64 {
-	m := make(map[string]uint64, len(r.tables))
+// Versions returns the version of each table.
+func (r *Replicator) Versions() map[string]Version {
+	m := make(map[string]Version, len(r.tables))
 	for n, t := range r.tables {
-		_, m[n] = t.copy.Versions()
+		m[n] = t.copy.Version()
 	}
 	return m
 }
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -212,7 +212,7 @@
 		c.Apply(time.Now(), s.whole())
 		s.mu.Unlock()
 		_, content := c.Versions()
-		r.Heard("op", content)
+		r.Heard("op", "peer", replicator.Version{Content: content})
 		time.Sleep(300 * time.Millisecond)
 		if w.get("config") != "3" {
 			t.Error("the change was not taken from the peer")
@@ -304,14 +304,16 @@
 	s.write("evacuate/a", "")
 	c := replicator.NewCopy()
 	c.Apply(start, s.whole())
-	s.remove("evacuate/a")
-	c.Apply(start, s.whole())
-	// The peer has forgotten the removal and answers with all that it has.
-	c.Apply(start.Add(2*replicator.TombstoneLife), replicator.Change{})
-	_, content := c.Versions()
 	play(t, s, &slowPeers{peers{copy: c}, func() { s.set(func() { s.write("evacuate/b", "all") }) }}, func(r *replicator.Replicator, w *watcher) {
 		time.Sleep(100 * time.Millisecond)
-		r.Heard("op", content)
+		s.mu.Lock()
+		s.remove("evacuate/a")
+		s.mu.Unlock()
+		c.Apply(start, s.since(2))
+		// The peer has forgotten the removal and answers with all that it has.
+		c.Apply(start.Add(2*replicator.TombstoneLife), replicator.Change{})
+		_, content := c.Versions()
+		r.Heard("op", "peer", replicator.Version{Content: content})
 		time.Sleep(time.Second)
 		if w.get("evacuate/b") != "all" || w.get("config") != "1" {
 			t.Errorf("rows %v", w.rows)
@@ -347,12 +349,12 @@
 	play(t, s, p, func(r *replicator.Replicator, w *watcher) {
 		time.Sleep(100 * time.Millisecond)
 		_, content := c.Versions()
-		r.Heard("op", content)
+		r.Heard("op", "peer", replicator.Version{Content: content})
 		time.Sleep(10 * time.Second)
 		if n := p.calls.Load(); n > 1 || w.get("config") != "1" {
 			t.Errorf("the peer was asked %d times in 10 s", n)
 		}
-		if got := r.Contents()["op"]; got != content {
+		if got := r.Versions()["op"].Content; got != content {
 			t.Errorf("content %d, that of the peer %d", got, content)
 		}
 	})
@@ -380,7 +382,7 @@
 		}()
 		for i := range uint64(300) {
 			time.Sleep(100 * time.Millisecond)
-			r.Heard("op", 10+i)
+			r.Heard("op", "peer", replicator.Version{Content: 10 + i})
 			if i > 10 && r.CompleteAsOf("op").IsZero() {
 				t.Errorf("nothing is known of the age after %d ms", (i+1)*100)
 				break
--- a/replicator/slow_link_test.go
+++ b/replicator/slow_link_test.go
@@ -71,7 +71,7 @@
 	}
 	s.write("config", string(large))
 	p.Put("op", s.whole())
-	r.Heard("op", 2)
+	r.Heard("op", "peer", replicator.Version{Content: 2})
 	for end := time.Now().Add(20 * time.Second); w.get("config") != string(large); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(end) {
 			t.Error("the rows of the peer did not arrive")
