Bound calls for tables by their progress rather than by a fixed time

The table of the operator was one answer of 0.8 MB. A call to the store ended 0.6 s after it began, one to a peer after 0.5 s, whether or not bytes arrived, and the next one began anew. Over 10 Mbit/s the answer takes 0.64 s with nothing beside it. All instances with 200 Mbit/s had each version within 0.6 s. A new process on a slow link could not have started either.

Package pacer bounds a call by the time until its answer begins, the longest pause in it, and a smallest mean rate of 1 Mbit/s. The times stay 600 and 500 ms, so a silent store or peer is noticed as before, and an answer that trickles ends with them too.

Looked at for the same cause: collector (batches of bounded size, a repetition goes on with what arrived), storer and lister of the product's own mode (derived: the list of 880 instances, 144 KB, takes 0.12 s at 10 Mbit/s), informer (5 s, for people), handler's writes of one row.

--- a/replicator/peer.go
+++ b/replicator/peer.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"celeryhead.dev/celeryhead/pacer"
 )
 
 // PathRows is where an instance serves its copies to peers.
@@ -90,7 +92,7 @@
 	if p.StatusCode != http.StatusOK {
 		return Change{}, merry.Wrap(ErrPeer, merry.AppendMessagef("status %d", p.StatusCode))
 	}
-	b := &countingReader{Reader: io.LimitReader(p.Body, maxCopyBytes)}
+	b := &countingReader{Reader: io.LimitReader(pacer.Reader(ctx, p.Body), maxCopyBytes)}
 	h, err := decodeChange(b)
 	if err != nil {
 		return Change{}, merry.Prependf(err, "after %d bytes", b.n)
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -10,22 +10,20 @@
 	"github.com/ansel1/merry/v2"
 
 	"celeryhead.dev/celeryhead/logger"
+	"celeryhead.dev/celeryhead/pacer"
 	"celeryhead.dev/celeryhead/timer"
 )
 
 // ErrCompacted means that the store has dropped the history after the version asked for.
 var ErrCompacted = merry.Sentinel("history is no longer available")
 
-var (
-	// errTimeout means that an answer of the store did not arrive in time.
-	errTimeout = merry.Sentinel("answer did not arrive in time")
-	// errReread ends a poll of a table that has to be read whole.
-	errReread = merry.Sentinel("the table is read again")
-)
+// errReread ends a poll of a table that has to be read whole.
+var errReread = merry.Sentinel("the table is read again")
 
 // Times of the calls to the store.
 const (
-	// callTimeout bounds a call beyond its long poll; the platform states 4 ms for an answer, links add up to 110 ms.
+	// callTimeout is the time beyond its long poll until the answer of a call begins, and the longest pause in it; the platform
+	// states 4 ms for an answer, links add up to 110 ms.
 	callTimeout = 600 * time.Millisecond
 	// retryPause is the pause after a failed call; each call is charged to the platform's limits, refused ones too.
 	retryPause = 400 * time.Millisecond
@@ -42,8 +40,10 @@
 	beatInterval = 200 * time.Millisecond
 	// rereadPause is the time between two readings of a table because it differs from that of a peer.
 	rereadPause = 5 * time.Second
-	// peerTimeout bounds a call to a peer.
+	// peerTimeout is the time until the answer of a peer begins, and the longest pause in it.
 	peerTimeout = 500 * time.Millisecond
+	// answerRate is the smallest rate of an answer, in bytes a second: a tenth of the slowest links, which have 10 Mbit/s.
+	answerRate = 125_000
 )
 
 // Source answers for tables.
@@ -200,7 +200,7 @@
 			return
 		case errors.Is(err, errReread):
 			continue
-		case errors.Is(err, errTimeout):
+		case errors.Is(err, pacer.ErrStalled):
 			// The other kind of answer may be shorter.
 			whole = !whole || !t.copy.Known()
 		}
@@ -242,7 +242,7 @@
 		// While the store fails, a short call shows its return soonest.
 		wait = 0
 	}
-	c, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	c, cancel := pacer.Bound(ctx, pacer.Config{Begin: wait + callTimeout, Pause: callTimeout, Rate: answerRate})
 	defer cancel()
 	c, interrupt := context.WithCancelCause(c)
 	done := make(chan struct{})
@@ -270,9 +270,9 @@
 	if err != nil && errors.Is(context.Cause(c), errReread) {
 		return h, time.Time{}, errReread
 	}
-	if err != nil && errors.Is(c.Err(), context.DeadlineExceeded) {
+	if err != nil && errors.Is(context.Cause(c), pacer.ErrStalled) {
 		r.config.Log.AnswerLate(t.Name, whole, after, r.config.Clock().Sub(start), err)
-		err = errors.Join(errTimeout, err)
+		err = errors.Join(pacer.ErrStalled, err)
 	}
 	switch {
 	case h.More:
@@ -300,7 +300,7 @@
 		}
 		_, content := t.copy.Versions()
 		start := r.config.Clock()
-		c, cancel := context.WithTimeout(ctx, peerTimeout)
+		c, cancel := pacer.Bound(ctx, pacer.Config{Begin: peerTimeout, Pause: peerTimeout, Rate: answerRate})
 		h, err := r.config.Peers.Newer(c, t.Name, content)
 		cancel()
 		if err != nil {
