Pass nothing on late in the grace that could be cut at its end

Another operator reported that requests which came late in the grace of a planned stop were passed on and cut at its end without an answer, bookings among them. Here the listener closes 2.3 s after SIGTERM (look-ups live 2 s) and running requests are cut 5.25 s after it, at a grace of 6 s. Shown by a test on the code before:

--- FAIL: TestRequestLateInGraceIsNotCut/body_does_not_come (5.28s) grace_test.go:128: answer 0 after 5.250445481s, want one of [408 503] --- FAIL: TestRequestLateInGraceIsNotCut/body_comes_late (7.92s) grace_test.go:128: answer 0 after 5.251331167s, want one of [408 503] grace_test.go:132: ran on 1 targets, want at most 0 --- FAIL: TestRequestLateInGraceIsNotCut/tried_once_more (7.93s) grace_test.go:128: answer 0 after 5.251394749s, want one of [502] grace_test.go:132: ran on 2 targets, want at most 1

What becomes of a request now:

- It comes before the listener closes: taken, as before.
- It comes later, on a connection that is open: 503 "leaving", not run, with Connection: close.
Idle connections are closed, as before; a request behind one that runs is not read.
- 100 ms before the cut it still waits for its body or a connection: 408 or 503, not run.
- A target is at work at the cut: cut, as before.

--- a/handler/abstain.go
+++ b/handler/abstain.go
@@ -93,6 +93,17 @@
 	}
 }
 
+// cancelAll is like cancel for the attempts that wait for anything.
+func (s *waiters[K]) cancelAll(cause error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, ws := range s.waiting {
+		for w := range ws {
+			w.cancel(cause)
+		}
+	}
+}
+
 func incarnation(t *cataloger.Target) abstainer.Incarnation {
 	return abstainer.Incarnation{Name: t.Name, Started: t.Started}
 }
--- a/handler/drain.go
+++ b/handler/drain.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
+
+	"celeryhead.dev/celeryhead/placer"
+	"celeryhead.dev/celeryhead/responder"
 )
 
 const (
@@ -13,14 +17,49 @@
 	drainInterval = 20 * time.Millisecond
 	// lookupSlack is how long after the end of an answer's life callers may still begin a connection.
 	lookupSlack = 300 * time.Millisecond
+	// answerReserve is the time at the end of a drain for the answers to requests that no target got.
+	answerReserve = 100 * time.Millisecond
 )
 
-// drain lets callers go elsewhere, then waits for the requests that run.
+// draining is the state of a leaving instance.
+type draining struct {
+	// end is when the requests that still run are cut; nil until the instance leaves.
+	end atomic.Pointer[time.Time]
+	// closed is true once new requests are refused.
+	closed atomic.Bool
+	// ending is done shortly before the end, when requests that wait are refused.
+	ending context.Context //nolint:containedctx // It is a signal and belongs to no call.
+	finish context.CancelFunc
+}
+
+// allows reports whether a request that is sent now is expected to end before the instance does.
+func (d *draining) allows(now time.Time, l *placer.Lease) bool {
+	e := d.end.Load()
+	return e == nil || now.Add(l.Patience()).Before(*e)
+}
+
+// errLeaving is the refusal of a request that could be cut at the end of the drain.
+var errLeaving = &responder.Refusal{
+	Status:  http.StatusServiceUnavailable,
+	Reason:  responder.Leaving,
+	Ran:     responder.NotRun,
+	Message: "this instance ends; use another one",
+}
+
+// drain lets callers go elsewhere, then waits for the requests that run. Until the listener closes, requests are taken. Requests
+// that come later, on connections that are open, are refused, and so is what waits for its body, a connection or another attempt
+// once it cannot be expected to end in time.
 func (s *Server) drain(callers *http.Server) {
 	start := s.clock()
 	limit := s.limits.Load().Grace - s.limits.Load().Grace/drainReserve
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	end := start.Add(limit)
+	s.draining.end.Store(&end)
+	defer time.AfterFunc(limit-answerReserve, func() {
+		s.draining.finish()
+		s.waiting.cancelAll(errLeaving)
+	}).Stop()
 	s.log.Leaving(int(s.inFlight.Load()))
 	s.leaving.Store(true)
 	s.checkReady()
@@ -33,6 +72,7 @@
 		case <-k.C:
 		}
 	}
+	s.draining.closed.Store(true)
 	// Shutdown closes the listener and idle connections and waits for requests that run.
 	if err := callers.Shutdown(ctx); err != nil {
 		s.log.DrainCut(int(s.inFlight.Load()))
--- a/handler/request.go
+++ b/handler/request.go
@@ -93,6 +93,9 @@
 
 // accept finds route and account of a request and reads its body.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request, c *call) *responder.Refusal {
+	if s.draining.closed.Load() {
+		return errLeaving
+	}
 	c.catalog = s.book.Catalog()
 	if c.catalog.Version == 0 {
 		f := unavailable(responder.Stale, "this instance knows no configuration yet; use another one")
@@ -120,7 +123,11 @@
 	}
 	c.request = outgoing(r, path)
 	var f *responder.Refusal
-	c.body, f = spooler.Read(w, r, spooler.Limits{Left: c.deadline.Sub(s.clock()), Bytes: c.catalog.Limits.BodyBytes})
+	c.body, f = spooler.Read(w, r, spooler.Limits{
+		Left:  c.deadline.Sub(s.clock()),
+		Bytes: c.catalog.Limits.BodyBytes,
+		Stop:  s.draining.ending,
+	})
 	if f != nil && f.Reason == responder.BodyTooLarge {
 		return s.deny(c, f)
 	}
--- a/handler/server.go
+++ b/handler/server.go
@@ -126,6 +126,7 @@
 
 	ready    atomic.Bool
 	leaving  atomic.Bool
+	draining draining
 	inFlight atomic.Int64
 }
 
@@ -149,6 +150,7 @@
 		trips:     trips{regions: map[string]*trip{}},
 		meter:     meter.New(meter.Config{AccountHistograms: accountHistograms}),
 	}
+	s.draining.ending, s.draining.finish = context.WithCancel(context.Background())
 	if len(c.Tables) > 0 {
 		s.configuration = c.Tables[0].Name
 	}
--- a/spooler/spooler.go
+++ b/spooler/spooler.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/sha256"
 	"encoding/binary"
 	"errors"
@@ -61,6 +62,8 @@
 	Left time.Duration
 	// Bytes is the size of the largest accepted body; 0 accepts all.
 	Bytes int64
+	// Stop ends the wait for the buffered beginning of a body when it is done; nil never does.
+	Stop context.Context //nolint:containedctx // It is a signal and does not belong to the request.
 }
 
 // Read buffers the beginning of a body before the request gets a slot, so that a slow caller with a small body does
@@ -80,6 +83,9 @@
 		}
 		in = http.MaxBytesReader(w, r.Body, m)
 	}
+	if l.Stop != nil {
+		defer context.AfterFunc(l.Stop, func() { limitReads(w, time.Now()) })()
+	}
 	var err error
 	b.prefix, err = io.ReadAll(io.LimitReader(in, BufferedBytes+1))
 	if err != nil {
