Keep the requests of all instances to a target within the rate that it states

No code read `Server-Limit`.

sharer.Throttle: a target that states a rate has one issuer among the ready instances, which hands out permits at that rate. Others ask for them by datagram and name the statement. A permit is used within 1 s or lost. When instances come and go, a new issuer begins with an empty bucket. Every send takes a permit, second sends too, since all are placed. What finds no permit goes to another target; if nothing takes it, it waits for the answer of one issuer, 150 ms at most, and is refused as not run with a Retry-After of the mean interval or 250 ms.

Observability: 4107 for each change of a stated rate, celeryhead_target_rates_total, RATE in `celeryhead instance`.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -56,6 +56,14 @@
 	AgeMilliseconds int64  `json:"g"`
 }
 
+// PermitRequest asks the issuer of a target that states a rate for permits to send to it. Rate and AgeMilliseconds repeat the
+// statement.
+type PermitRequest struct {
+	Permits         int     `json:"n"`
+	Rate            float64 `json:"r"`
+	AgeMilliseconds int64   `json:"g"`
+}
+
 // State is what an instance reports about itself in each round.
 type State struct {
 	// Contents are the versions of the newest changes of the store's tables, and Digests those of their rows.
@@ -83,7 +91,10 @@
 	// repeats it.
 	WantedTokens map[string]int `json:"ask,omitempty"`
 	GivenTokens  map[string]int `json:"give,omitempty"`
-	ID           uint64         `json:"id,omitempty"`
+	// WantedPermits and GivenPermits do the same for permits, by target.
+	WantedPermits map[string]PermitRequest `json:"want_permits,omitempty"`
+	GivenPermits  map[string]int           `json:"give_permits,omitempty"`
+	ID            uint64                   `json:"id,omitempty"`
 }
 
 // Hooks connect the gossip to the rest of the instance; all must be safe for concurrent use.
@@ -102,6 +113,10 @@
 	Give func(wanted map[string]int) map[string]int
 	// Receive adds tokens to this instance's shares.
 	Receive func(given map[string]int)
+	// Issue hands out permits by target.
+	Issue func(wanted map[string]PermitRequest) map[string]int
+	// ReceivePermits adds permits that were asked for at a time.
+	ReceivePermits func(asked time.Time, given map[string]int)
 }
 
 // Config configures a Gossiper.
@@ -266,6 +281,10 @@
 		g.send(d.From.Address, datagram{From: g.sender(), GivenTokens: g.config.Hooks.Give(d.WantedTokens), ID: d.ID})
 		return
 	}
+	if len(d.WantedPermits) > 0 {
+		g.send(d.From.Address, datagram{From: g.sender(), GivenPermits: g.config.Hooks.Issue(d.WantedPermits), ID: d.ID})
+		return
+	}
 	if d.ID != 0 {
 		g.completeRequest(d)
 	}
@@ -273,14 +292,25 @@
 
 // Ask requests tokens from an instance; the returned channel is closed when the answer has been processed.
 func (g *Gossiper) Ask(to netip.Addr, wanted map[string]int) <-chan struct{} {
+	id, done := g.begin(to)
+	g.send(to, datagram{From: g.sender(), WantedTokens: wanted, ID: id})
+	return done
+}
+
+// AskPermits requests permits from an instance; the hook ReceivePermits gets the answer.
+func (g *Gossiper) AskPermits(to netip.Addr, wanted map[string]PermitRequest) {
+	id, _ := g.begin(to)
+	g.send(to, datagram{From: g.sender(), WantedPermits: wanted, ID: id})
+}
+
+// begin adds a pending request and returns its identifier and what is closed when its answer has been processed.
+func (g *Gossiper) begin(to netip.Addr) (uint64, <-chan struct{}) {
 	a := tokenRequest{to: to, sent: g.config.Clock(), done: make(chan struct{})}
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.nextID++
-	id := g.nextID
-	g.pending[id] = a
-	g.mu.Unlock()
-	g.send(to, datagram{From: g.sender(), WantedTokens: wanted, ID: id})
-	return a.done
+	g.pending[g.nextID] = a
+	return g.nextID, a.done
 }
 
 // sender identifies this instance by its address only, for datagrams without state.
@@ -288,7 +318,7 @@
 	return Member{Address: g.config.Hooks.Self().Address}
 }
 
-// completeRequest adds the tokens of an answer to a pending request; further answers are ignored.
+// completeRequest adds the tokens or permits of an answer to a pending request; further answers are ignored.
 func (g *Gossiper) completeRequest(d datagram) {
 	g.mu.Lock()
 	a, ok := g.pending[d.ID]
@@ -299,7 +329,11 @@
 	if !ok || a.to != d.From.Address {
 		return
 	}
-	g.config.Hooks.Receive(d.GivenTokens)
+	if len(d.GivenPermits) > 0 {
+		g.config.Hooks.ReceivePermits(a.sent, d.GivenPermits)
+	} else {
+		g.config.Hooks.Receive(d.GivenTokens)
+	}
 	close(a.done)
 }
 
--- a/handler/abstain.go
+++ b/handler/abstain.go
@@ -14,6 +14,9 @@
 // connection are not passed to it: nothing proves whose they are, and a target repeats in its next answer what still holds.
 func (s *Server) recordNotice(c *call, t *cataloger.Target, status int, h http.Header) {
 	i := incarnation(t)
+	if r, ok := s.protocol.Rate(status, h); ok {
+		s.recordRate(c, t, status, r)
+	}
 	es := s.abstainer.Record(s.clock(), i, s.protocol.Notice(status, h))
 	if len(es) > 0 {
 		s.waiting.cancel(i, errDeclined)
--- a/handler/forward.go
+++ b/handler/forward.go
@@ -45,7 +45,7 @@
 	s.budget.Count(c.arrival, c.service)
 	var last *attempt
 	for {
-		l, f := s.next(c, last)
+		l, f := s.next(ctx, c, last)
 		if f != nil {
 			return s.giveUp(c, last, f)
 		}
@@ -70,22 +70,30 @@
 }
 
 // next returns the target that was reserved for the request, or chooses one.
-func (s *Server) next(c *call, last *attempt) (*placer.Lease, *responder.Refusal) {
+func (s *Server) next(ctx context.Context, c *call, last *attempt) (*placer.Lease, *responder.Refusal) {
 	if last != nil && last.next != nil {
 		return last.next, nil
 	}
-	return s.place(c)
+	l, f := s.place(c)
+	if f != nil && s.awaitPermit(ctx, c) {
+		return s.place(c)
+	}
+	return l, f
 }
 
 // place chooses a target; the refusal says why none may have the request.
 func (s *Server) place(c *call) (*placer.Lease, *responder.Refusal) {
-	now := s.clock()
 	// The newest targets count, whatever the version by which the request was accepted.
 	p := s.book.Catalog().Pool(c.service)
 	if p == nil {
 		return nil, unavailable(responder.NoOwner, "the service is not configured any more")
 	}
-	return s.placer.Choose(now, p, placer.Work{
+	return s.placer.Choose(s.clock(), p, c.work())
+}
+
+// work returns the request as it is placed.
+func (c *call) work() placer.Work {
+	return placer.Work{
 		Route:     c.route,
 		Service:   c.service,
 		Object:    c.envelope.Object,
@@ -93,7 +101,7 @@
 		Objective: c.arrival.Add(c.route.Objective),
 		Deadline:  c.deadline,
 		Tried:     c.tried,
-	})
+	}
 }
 
 // again reports whether a request may go to another target, and takes it from the budget of retries if so.
--- a/handler/protocol.go
+++ b/handler/protocol.go
@@ -33,6 +33,9 @@
 	Load(h http.Header) (l placer.Load, ok bool)
 	// Notice reads what an answer that belongs to its request says about further requests to the target.
 	Notice(status int, h http.Header) abstainer.Notice
+	// Rate reads the rate that a target takes from all instances together, in requests per second, or 0 if its answer states
+	// that there is no limit; ok is false if the answer says nothing about it.
+	Rate(status int, h http.Header) (rate float64, ok bool)
 	// Signed reports whether an answer has the signature of a target.
 	Signed(h http.Header) bool
 	// Moved reports whether a shed answer says that another target has the address.
--- a/handler/resend_test.go
+++ b/handler/resend_test.go
@@ -36,6 +36,8 @@
 
 func (protocol) Signed(http.Header) bool { return true }
 
+func (protocol) Rate(int, http.Header) (float64, bool) { return 0, false }
+
 func (protocol) Moved(int) bool { return false }
 
 func (protocol) Notice(int, http.Header) abstainer.Notice { return abstainer.Notice{} }
--- a/handler/server.go
+++ b/handler/server.go
@@ -105,6 +105,8 @@
 	shares  *sharer.Shares
 	budget  *sharer.Budget
 	gate    *sharer.Gate
+	// throttle holds the rates that targets state.
+	throttle *sharer.Throttle
 	// abstainer holds what targets said of further requests.
 	abstainer *abstainer.Abstainer
 	// waiting holds the requests that wait for a connection to a target.
@@ -143,6 +145,7 @@
 		listeners: c.Listeners,
 		book:      cataloger.NewBook(),
 		gate:      sharer.NewGate(c.Settings.Name),
+		throttle:  sharer.NewThrottle(c.Settings.Name),
 		abstainer: abstainer.New(abstainer.Config{Instance: c.Settings.Name}),
 		waiting:   newWaiters[abstainer.Incarnation](),
 		budget:    sharer.NewBudget(c.Settings.Limits.Retries),
@@ -166,7 +169,7 @@
 		DialTimeout:    targetDial,
 	})
 	s.peers = newPeers()
-	s.placer = placer.New(placer.Config{Region: c.Settings.Region, Trip: s.trips.to, Cold: s.gate, Abstainer: s.abstainer})
+	s.placer = placer.New(placer.Config{Region: c.Settings.Region, Trip: s.trips.to, Cold: s.gate, Abstainer: s.abstainer, Throttle: s.throttle})
 	s.members = gossiper.NewMembers(s.self(), c.Settings.Seeds)
 	s.rows = replicator.New(replicator.Config{
 		Source: c.Store,
@@ -193,6 +196,10 @@
 			Load:     func(a netip.Addr, m map[string]int) { s.placer.Heard(s.clock(), a.String(), m) },
 			Give:     func(w map[string]int) map[string]int { return s.shares.Give(s.clock(), w) },
 			Receive:  func(g map[string]int) { s.shares.Receive(s.clock(), g) },
+			Issue:    s.issuePermits,
+			ReceivePermits: func(asked time.Time, g map[string]int) {
+				s.throttle.Receive(s.clock(), asked, g)
+			},
 		},
 		Log: c.Log,
 	})
@@ -237,7 +244,7 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var g sync.WaitGroup
-	for _, f := range []func(context.Context){s.rows.Run, s.gossip.Run, s.register, s.runTicks} {
+	for _, f := range []func(context.Context){s.rows.Run, s.gossip.Run, s.register, s.runTicks, s.askForPermits} {
 		g.Go(func() { f(work) })
 	}
 	s.log.Started(s.settings.Callers, s.settings.Peers, netip.AddrPort{}, uint64(s.started)) //nolint:gosec // The time is after 1970.
@@ -302,6 +309,8 @@
 		k := s.book.Catalog()
 		s.placer.Keep(k.Has)
 		s.gate.Keep(k.Has)
+		s.throttle.Adopt(s.issuers(now))
+		s.throttle.Tick(now)
 	})
 }
 
--- a/handler/status.go
+++ b/handler/status.go
@@ -54,6 +54,7 @@
 		s.placer.Describe(now, g, &v)
 		leaving, rest := s.abstainer.State(now, incarnation(g))
 		v.Leaving, v.RestSeconds = leaving, rest.Seconds()
+		v.Rate = s.throttle.Rate(g.Name, g.Started)
 		t.Targets = append(t.Targets, v)
 	})
 	slices.SortFunc(t.Targets, func(a, b informer.Target) int {
--- a/informer/status.go
+++ b/informer/status.go
@@ -84,6 +84,8 @@
 	// which it wants no requests, as it said in an answer. Both hold whatever its row says.
 	Leaving     bool    `json:"leaving"`
 	RestSeconds float64 `json:"rest_seconds"`
+	// Rate is the number of requests a second that the target takes from all instances together; 0 means that it states none.
+	Rate float64 `json:"rate"`
 	// ColdSeconds is the remaining time for which the target is cold.
 	ColdSeconds float64 `json:"cold_seconds"`
 	// Faults is the weighted fraction of faults among recent outcomes, Slowness the processing time relative to the
@@ -158,9 +160,9 @@
 	for _, p := range s.Instances {
 		row(p.Name, p.Address, p.Region, p.FailureDomain, p.Ready, p.HeardSeconds)
 	}
-	row("\nTARGET", "SERVICE", "FAILURE DOMAIN", "IN FLIGHT", "LOAD", "SLOTS", "LEAVING", "REST S", "PAUSED S", "COLD S", "FAULTS", "SLOWNESS", "OBJECTS")
+	row("\nTARGET", "SERVICE", "FAILURE DOMAIN", "IN FLIGHT", "LOAD", "SLOTS", "LEAVING", "REST S", "RATE", "PAUSED S", "COLD S", "FAULTS", "SLOWNESS", "OBJECTS")
 	for _, t := range s.Targets {
-		row(t.Name, t.Service, t.FailureDomain, t.InFlight, t.Load, t.Slots, t.Leaving, t.RestSeconds, t.PausedSeconds, t.ColdSeconds, t.Faults, t.Slowness, t.Objects)
+		row(t.Name, t.Service, t.FailureDomain, t.InFlight, t.Load, t.Slots, t.Leaving, t.RestSeconds, t.Rate, t.PausedSeconds, t.ColdSeconds, t.Faults, t.Slowness, t.Objects)
 	}
 	row("\nACCOUNT", "RATE", "BURST", "PARTS", "TOKENS HERE")
 	for _, a := range s.Accounts {
--- a/logger/events.go
+++ b/logger/events.go
@@ -64,6 +64,7 @@
 	targetSuspected    = register(4103, log.WarnLevel, "target suspected to be gone")
 	requestUnhandled   = register(4104, log.InfoLevel, "request answered before any handler")
 	abstentionBegan    = register(4105, log.InfoLevel, "target asked for no requests")
+	rateStated         = register(4107, log.InfoLevel, "target states another rate of requests")
 	abstentionEnded    = register(4106, log.InfoLevel, "target may get requests again, or is gone")
 	readyChanged       = register(1009, log.InfoLevel, "readiness changed")
 	settingsReloaded   = register(1010, log.InfoLevel, "settings reloaded")
@@ -422,6 +423,11 @@
 	})
 }
 
+// RateStated reports that an answer states another rate than a target's former one; 0 means no limit.
+func (l *Logger) RateStated(target string, incarnation int64, rate float64, request string, status int) {
+	l.emit(rateStated, log.Fields{"target": target, "incarnation": incarnation, "rate": rate, "request_id": request, "status": status})
+}
+
 // AbstentionEnded reports, after d, the end of a rest, or that a target that left is gone.
 func (l *Logger) AbstentionEnded(target string, incarnation int64, kind string, d time.Duration) {
 	l.emit(abstentionEnded, log.Fields{"target": target, "incarnation": incarnation, "kind": kind, "seconds": seconds(d)})
--- a/meter/catalogue.go
+++ b/meter/catalogue.go
@@ -50,6 +50,7 @@
 	retries            = "celeryhead_retries_total"
 	targetLeaves       = "celeryhead_target_leaves_total"
 	targetRests        = "celeryhead_target_rests_total"
+	targetRates        = "celeryhead_target_rates_total"
 	shiftStep          = "celeryhead_shift_step"
 )
 
@@ -86,6 +87,7 @@
 		{retries, Counter, "sendings", ""},
 		{targetLeaves, Counter, "targets", ""},
 		{targetRests, Counter, "rests", ""},
+		{targetRates, Counter, "statements", ""},
 		{shiftStep, Gauge, "steps", "shift"},
 	}
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -254,6 +254,11 @@
 	m.set.GetOrCreateCounter(targetRests).Inc()
 }
 
+// TargetStatesRate counts a statement of another rate of requests in an answer of a target.
+func (m *Meter) TargetStatesRate() {
+	m.set.GetOrCreateCounter(targetRates).Inc()
+}
+
 // TargetDrained records how long a target took from the start of its drain until its last request ended.
 func (m *Meter) TargetDrained(pool string, d time.Duration) {
 	m.set.GetOrCreateHistogram(metricName(targetDrain, "pool", pool)).Update(d.Seconds())
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -36,6 +36,7 @@
 		m.Retry()
 		m.TargetLeaves()
 		m.TargetRests()
+		m.TargetStatesRate()
 		m.Unhandled(400)
 		m.TargetDrained("pitch", time.Second)
 		var b bytes.Buffer
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -66,6 +66,8 @@
 	Cold Gate
 	// Abstainer holds the targets that asked for no requests; nil stands for none.
 	Abstainer *abstainer.Abstainer
+	// Throttle limits the rate to targets that state one; nil limits none.
+	Throttle Throttle
 }
 
 // Gate limits the requests that all instances together send to cold targets.
@@ -74,6 +76,20 @@
 	Take(now time.Time, target string, rate float64) bool
 }
 
+// Throttle limits the requests that all instances together send to targets that state a rate.
+type Throttle interface {
+	// Take reports whether a request may be sent now, and counts it if so.
+	Take(now time.Time, target string, started int64) bool
+	// Interval returns the mean time between two requests that a target takes, or 0 if it states no rate.
+	Interval(target string, started int64) time.Duration
+}
+
+// unthrottled limits no target.
+type unthrottled struct{}
+
+func (unthrottled) Take(time.Time, string, int64) bool   { return true }
+func (unthrottled) Interval(string, int64) time.Duration { return 0 }
+
 // Work is a request to place.
 type Work struct {
 	Route   *cataloger.Route
@@ -135,6 +151,9 @@
 	if c.Abstainer == nil {
 		c.Abstainer = abstainer.New(abstainer.Config{})
 	}
+	if c.Throttle == nil {
+		c.Throttle = unthrottled{}
+	}
 	return &Placer{config: c, targets: map[string]*target{}, times: map[processingKey]*processingTimes{}, replication: map[string]*replicationBudget{}, orders: map[orderKey]order{}, demands: map[string]*demand{}}
 }
 
@@ -166,7 +185,7 @@
 		if f := p.reject(now, w, c); f != nil {
 			return nil, f
 		}
-		if !now.Before(c.target.ColdUntil) || p.config.Cold.Take(now, c.target.Name, pool.ColdRate) {
+		if p.admits(now, pool, c.target) {
 			return p.start(now, w, c), nil
 		}
 		cs = slices.Delete(cs, i, i+1)
@@ -174,6 +193,30 @@
 	return nil, noTarget(p.returnAfter(now, pool, w))
 }
 
+// Throttled returns the targets that may have a request and state a rate, the one that would answer first at the beginning.
+func (p *Placer) Throttled(now time.Time, pool *cataloger.Pool, w Work) []*cataloger.Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w.key = objectKey(w)
+	cs := slices.DeleteFunc(p.candidates(now, pool, w), func(c candidate) bool {
+		return p.config.Throttle.Interval(c.target.Name, c.target.Started) == 0 || p.reject(now, w, c) != nil
+	})
+	slices.SortStableFunc(cs, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
+	ts := make([]*cataloger.Target, len(cs))
+	for i, c := range cs {
+		ts[i] = c.target
+	}
+	return ts
+}
+
+// admits reports whether the rate to a target that is cold or states one allows a further request, and counts it if so.
+func (p *Placer) admits(now time.Time, pool *cataloger.Pool, t *cataloger.Target) bool {
+	if now.Before(t.ColdUntil) && !p.config.Cold.Take(now, t.Name, pool.ColdRate) {
+		return false
+	}
+	return p.config.Throttle.Take(now, t.Name, t.Started)
+}
+
 // serviceHasHeadroom reports whether enough targets have a free slot for the service not to be overloaded.
 func serviceHasHeadroom(cs []candidate) bool {
 	n := 0
@@ -287,7 +330,7 @@
 }
 
 // returnAfter returns the time until a target may have the request, as far as targets stated it: the earliest end of a rest if
-// all targets rest or leave, and otherwise noTargetRetryAfter at most. Targets that were tried count, as the caller's next attempt may go
+// all targets rest or leave, and otherwise noTargetRetryAfter, or the interval of the fastest target if all state a rate. Targets that were tried count, as the caller's next attempt may go
 // there.
 func (p *Placer) returnAfter(now time.Time, pool *cataloger.Pool, w Work) time.Duration {
 	earliest := time.Duration(math.MaxInt64)
@@ -300,7 +343,7 @@
 		case rest > 0:
 			earliest = min(earliest, rest)
 		default:
-			earliest = min(earliest, noTargetRetryAfter)
+			earliest = min(earliest, max(noTargetRetryAfter, p.config.Throttle.Interval(t.Name, t.Started)))
 		}
 	}
 	if earliest == math.MaxInt64 {
