Do not wait for an issuer of permits that does not answer

While the issuer of a target was dead and still counted as alive (2.5 s), each request that found no other target waited 150 ms and was then refused, and each was added to the number of permits to ask for, so that one instance would have got many that expire.

An issuer that did not answer before it is asked again is asked every 200 ms and not waited for; requests are counted for one question. The test failed before:

--- FAIL: TestSilentIssuerIsNotWaitedFor throttle_test.go:225: 14 permits are asked for, for 4 requests in 200 ms

--- a/sharer/throttle.go
+++ b/sharer/throttle.go
@@ -69,10 +69,15 @@
 	// demand is the average rate of requests for which a permit was wanted, as of demandAt.
 	demand   float64
 	demandAt time.Time
-	// waiting is the number of requests that wait for a permit, and answered is closed when the issuer has answered.
+	// waiting is the number of requests for whose permits the issuer is still to be asked, and answered is closed when it has
+	// answered.
 	waiting  int
 	answered chan struct{}
 	wanted   bool
+	// asked is the number of permits that the issuer was last asked for, 0 once it has answered; isSilent is true if it did not
+	// answer before it was asked again.
+	asked    int
+	isSilent bool
 	// pausedUntil is the end of the pause until the issuer is asked again.
 	pausedUntil time.Time
 	backoff     time.Duration
@@ -185,6 +190,9 @@
 	}
 	t.waiting++
 	h.want(now, t)
+	if t.isSilent {
+		return nil
+	}
 	return t.answered
 }
 
@@ -247,6 +255,8 @@
 			continue
 		}
 		t.pausedUntil = now.Add(permitTimeout)
+		t.isSilent = t.asked > 0
+		t.asked, t.waiting = n, 0
 		if rs[t.issuer] == nil {
 			rs[t.issuer] = map[string]PermitRequest{}
 		}
@@ -295,18 +305,18 @@
 			close(t.answered)
 			t.answered = nil
 		}
+		wanted := t.asked
+		t.asked, t.isSilent = 0, false
 		if n <= 0 {
-			t.waiting = 0
 			t.backoff = min(max(2*t.backoff, minPermitBackoff), maxPermitBackoff)
 			t.pausedUntil = now.Add(t.backoff)
 			continue
 		}
 		t.backoff, t.pausedUntil = 0, time.Time{}
 		// An answer cannot bring more than was asked for.
-		for range min(n, t.missing()) {
+		for range min(n, wanted) {
 			t.permits = append(t.permits, asked.Add(permitTTL))
 		}
-		t.waiting = 0
 	}
 }
 
--- a/sharer/throttle_test.go
+++ b/sharer/throttle_test.go
@@ -200,6 +200,39 @@
 	}
 }
 
+// Guards against requests that wait for an issuer which has ended, and against permits for requests that have given up.
+func TestSilentIssuerIsNotWaitedFor(t *testing.T) {
+	h := sharer.NewThrottle("a")
+	h.Adopt([]string{"a", "b"})
+	target := ""
+	for i := 0; target == ""; i++ {
+		k := fmt.Sprintf("oven-%d", i)
+		h.State(start, k, 1, 5)
+		if h.Await(start, k, 1) != nil {
+			target = k
+		}
+	}
+	now := start
+	for range 100 {
+		now = now.Add(50 * time.Millisecond)
+		waits := h.Await(now, target, 1) != nil
+		if waits && now.Sub(start) > time.Second {
+			t.Fatalf("a request waits %v after the first", now.Sub(start))
+		}
+		for _, r := range h.Requests(now) {
+			for _, p := range r {
+				if p.Permits > 10 {
+					t.Fatalf("%d permits are asked for, for 4 requests in 200 ms", p.Permits)
+				}
+			}
+		}
+	}
+	h.Receive(now, now, map[string]int{target + "@1": 1})
+	if !h.Take(now, target, 1) {
+		t.Error("the permit of the next answer is not used")
+	}
+}
+
 // Guards against a new process of a target that is kept to the rate of the one before.
 func TestRateIsOfOneIncarnation(t *testing.T) {
 	h := sharer.NewThrottle("here")
