Charge the replication budget only for requests that are placed

For each request, a free target without a permit, or a cold one without a token, was charged to the budget for caching objects on further targets before it was passed over, and the next one again. With many targets that state a rate the budget was empty for nothing.

The budget is charged when the request is placed. The test failed before:

--- FAIL: TestTargetWithoutPermitCostsNoReplication placer_test.go:521: the free target does not get the request: no_slot (not-run): ...

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -180,12 +180,15 @@
 	cs := p.candidates(now, pool, w)
 	w.hasHeadroom = serviceHasHeadroom(cs)
 	for len(cs) > 0 {
-		i := p.best(now, w, cs)
+		i, replicates := p.best(now, w, cs)
 		c := cs[i]
 		if f := p.reject(now, w, c); f != nil {
 			return nil, f
 		}
 		if p.admits(now, pool, c.target) {
+			if replicates {
+				p.replicationFor(w.Service).spend(c.run)
+			}
 			return p.start(now, w, c), nil
 		}
 		cs = slices.Delete(cs, i, i+1)
@@ -230,9 +233,9 @@
 
 // best returns the index of the candidate to use. Targets that have cached the object take precedence. If one that
 // has not is cheaper, or the cheapest one that has would be late, a target with a free slot is chosen as long as the
-// service's replication budget covers the run.
-func (p *Placer) best(now time.Time, w Work, cs []candidate) int {
-	best, cached, free := 0, -1, -1
+// service's replication budget covers the run; replicates then reports that it has to be spent.
+func (p *Placer) best(now time.Time, w Work, cs []candidate) (best int, replicates bool) {
+	cached, free := -1, -1
 	for i, c := range cs {
 		if c.cost < cs[best].cost {
 			best = i
@@ -246,13 +249,13 @@
 	}
 	switch {
 	case cached < 0:
-		return best
+		return best, false
 	case cs[best].cached && !p.late(now, w, cs[cached]):
-		return best
-	case free >= 0 && p.replicationFor(w.Service).spend(cs[free].run):
-		return free
+		return best, false
+	case free >= 0 && p.replicationFor(w.Service).covers(cs[free].run):
+		return free, true
 	}
-	return cached
+	return cached, false
 }
 
 // late reports whether queueing would make a candidate's answer miss the objective. While the service is not
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -481,3 +481,43 @@
 		t.Error("a request with 50 ms left was sent; such requests take 300 ms")
 	}
 }
+
+// throttle admits no request to one target while closed.
+type throttle struct {
+	target string
+	closed bool
+}
+
+func (h *throttle) Take(_ time.Time, target string, _ int64) bool {
+	return !h.closed || target != h.target
+}
+func (h *throttle) Interval(string, int64) time.Duration { return time.Second }
+
+// Guards against targets without a permit that use up the budget for caching objects on further targets.
+func TestTargetWithoutPermitCostsNoReplication(t *testing.T) {
+	l := baseline(1)
+	h := &throttle{}
+	p := placer.New(placer.Config{Region: "here", Trip: func(string) time.Duration { return 0 }, Cold: openGate{}, Throttle: h})
+	pool := l.pool(2)
+	first, f := p.Choose(start, pool, work(l, start, "a"))
+	if f != nil {
+		t.Fatal(f)
+	}
+	p.End(start, first, placer.Answered)
+	for _, k := range pool.Targets {
+		if k != first.Target {
+			h.target = k.Name
+		}
+	}
+	h.closed = true
+	for range 100 {
+		// The target with the object fills up; the free one takes nothing.
+		if c, f := p.Choose(start, pool, work(l, start, "a")); f == nil && c.Target != first.Target {
+			t.Fatalf("placed on %s", c.Target.Name)
+		}
+	}
+	h.closed = false
+	if c, f := p.Choose(start, pool, work(l, start, "a")); f != nil || c.Target == first.Target {
+		t.Errorf("the free target does not get the request: %v", f)
+	}
+}
--- a/placer/spare.go
+++ b/placer/spare.go
@@ -30,11 +30,12 @@
 	r.remaining = min(maxReplicationBudget, r.remaining+time.Duration(replicationShare*float64(run)))
 }
 
-// spend deducts a run from the budget and reports whether the budget covers it.
-func (r *replicationBudget) spend(run time.Duration) bool {
-	if r.remaining < run {
-		return false
-	}
+// covers reports whether the budget covers a run.
+func (r *replicationBudget) covers(run time.Duration) bool {
+	return r.remaining >= run
+}
+
+// spend deducts a run from the budget.
+func (r *replicationBudget) spend(run time.Duration) {
 	r.remaining -= run
-	return true
 }
