Claim no history before a version that was taken over from another copy

The history of a copy now begins at the version that it took over. The test failed before:

--- FAIL: TestVersionOfOtherCopyIsNoHistory fleet_test.go:144: the third copy has map[a:x b:x] at version 3, want map[a:x]

--- a/replicator/copy.go
+++ b/replicator/copy.go
@@ -56,7 +56,7 @@
 	// followed is the version from which the table is followed; content is the version of the newest change, as far as known.
 	followed, content uint64
 	// history is the version from which on the copy holds each change. Of older ones, removals are missing: those before the
-	// table was read whole, and those whose tombstone was dropped.
+	// table was read whole or the version of another copy was taken over, and those whose tombstone was dropped.
 	history uint64
 	removed map[string]time.Time
 	known   bool
@@ -233,7 +233,10 @@
 		return false
 	}
 	if v.Digest == c.digest {
-		c.content = max(c.content, v.Content)
+		if v.Content > c.content {
+			// Rows that came and went in between are not known here.
+			c.content, c.history = v.Content, v.Content
+		}
 		return false
 	}
 	return v.Content == c.content
--- a/replicator/fleet_test.go
+++ b/replicator/fleet_test.go
@@ -121,3 +121,26 @@
 		})
 	}
 }
+
+// Guards against a copy that took over a version without the changes up to it, and answers a third one as if it had them.
+func TestVersionOfOtherCopyIsNoHistory(t *testing.T) {
+	var w table
+	w.write("a", "x")
+	c, second, third := replicator.NewCopy(), replicator.NewCopy(), replicator.NewCopy()
+	for _, k := range []*replicator.Copy{c, second, third} {
+		k.Apply(start, w.whole())
+	}
+	w.write("b", "x")
+	second.Apply(start, w.since(1))
+	third.Apply(start, w.since(1))
+	w.remove("b")
+	second.Apply(start, w.since(2))
+	if c.Compare(second.Version()) || c.Version() != second.Version() {
+		t.Fatalf("versions %v and %v", c.Version(), second.Version())
+	}
+	h, _ := c.Since(third.Version().Content)
+	third.Merge(start, h)
+	if got := rows(third); !maps.Equal(got, w.rows()) {
+		t.Errorf("the third copy has %v at version %d, want %v", got, third.Version().Content, w.rows())
+	}
+}
