--- a/gossiper/doc.go
+++ b/gossiper/doc.go
@@ -13,4 +13,5 @@
 // seeds in its settings, and from the datagrams that it receives. Tokens of
 // client accounts are transferred in datagrams too: a lost datagram loses its
 // tokens, and none is accepted twice, so that an allowance is never exceeded.
+// Permits to send to targets that state a rate are requested in the same way.
 package gossiper
--- a/handler/throttle.go
+++ b/handler/throttle.go
@@ -13,7 +13,7 @@
 
 // recordRate records the rate that an answer of a target states.
 func (s *Server) recordRate(c *call, t *cataloger.Target, status int, rate float64) {
-	if s.throttle.State(s.clock(), t.Name, t.Started, rate) {
+	if s.throttle.Record(s.clock(), t.Name, t.Started, rate) {
 		s.log.RateStated(t.Name, t.Started, rate, c.envelope.ID, status)
 		s.meter.TargetStatesRate()
 	}
--- a/sharer/doc.go
+++ b/sharer/doc.go
@@ -1,8 +1,8 @@
 // Package sharer divides fleet-wide limits among the instances.
 //
-// Three limits hold for the fleet as a whole: the allowance of a client account,
-// the retries to a service, and the rate to a cold target. None of them needs
-// coordination between instances:
+// Four limits hold for the fleet as a whole: the allowance of a client account,
+// the retries to a service, the rate to a cold target, and the rate that a target
+// states:
 //
 //   - Shares: each instance fills its own share of an account's token bucket,
 //     rate and burst divided by the number of holders. Instances whose share
@@ -12,8 +12,11 @@
 //     sent itself, plus its part of the fixed slack.
 //   - Gate: rendezvous hashing assigns each cold target one instance that may
 //     send to it, within the target's rate.
+//   - Throttle: rendezvous hashing assigns each target that states a rate one live
+//     instance that issues permits to all; a permit expires soon, so that unused
+//     ones do not add up to a burst.
 //
-// All three count the instances in the store's table of instances rather than
+// The first three count the instances in the store's table of instances rather than
 // the live ones, so that in a network partition the two sides never both use the
 // whole limit.
 package sharer
--- a/sharer/throttle.go
+++ b/sharer/throttle.go
@@ -106,8 +106,8 @@
 	}
 }
 
-// State records what an answer of a target says and reports whether that begins, ends or changes its limit.
-func (h *Throttle) State(now time.Time, target string, started int64, rate float64) (changed bool) {
+// Record records what an answer of a target says and reports whether that begins, ends or changes its limit.
+func (h *Throttle) Record(now time.Time, target string, started int64, rate float64) (changed bool) {
 	if rate <= 0 && !h.any.Load() {
 		return false
 	}
--- a/sharer/throttle_test.go
+++ b/sharer/throttle_test.go
@@ -101,7 +101,7 @@
 		f.sent = append(f.sent, f.now)
 	}
 	f.told[name] = f.told[name] || rate > 0
-	f.instances[name].State(f.now, "oven", 1, rate)
+	f.instances[name].Record(f.now, "oven", 1, rate)
 	return true
 }
 
@@ -207,7 +207,7 @@
 	target := ""
 	for i := 0; target == ""; i++ {
 		k := fmt.Sprintf("oven-%d", i)
-		h.State(start, k, 1, 5)
+		h.Record(start, k, 1, 5)
 		if h.Await(start, k, 1) != nil {
 			target = k
 		}
@@ -236,7 +236,7 @@
 // Guards against a new process of a target that is kept to the rate of the one before.
 func TestRateIsOfOneIncarnation(t *testing.T) {
 	h := sharer.NewThrottle("here")
-	if !h.State(start, "oven", 1, 1) || h.State(start, "oven", 1, 1) {
+	if !h.Record(start, "oven", 1, 1) || h.Record(start, "oven", 1, 1) {
 		t.Error("a change of the rate is not reported once")
 	}
 	for range 10 {
