Read the list of instances entry by entry

In the product's own mode, one entry of the platform's list with a port out of range, a field of another type or no object failed the whole read, so that the instance stopped following the list: what another operator reported of targets, in the other request path.

Entries are decoded one by one.

--- a/lister/lister.go
+++ b/lister/lister.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -22,16 +23,23 @@
 	Addresses []netip.AddrPort
 	// Timeout bounds each attempt.
 	Timeout time.Duration
+	// Rejected is called for each entry that cannot be used, once for as long as the list holds it; nil tells nobody.
+	Rejected func(entry string, err error)
 }
 
 // Lister reads the list; it is safe for concurrent use.
 type Lister struct {
 	config Config
 	client *http.Client
+
+	mu sync.Mutex
+	// rejected are the unusable entries of the last list.
+	rejected map[string]bool
 }
 
 type response struct {
-	Instances []row `json:"instances"`
+	// Instances are decoded one by one, so that one that cannot be read hides no other.
+	Instances []json.RawMessage `json:"instances"`
 }
 
 type row struct {
@@ -81,12 +89,19 @@
 	if err := json.NewDecoder(io.LimitReader(p.Body, maxResponseBytes)).Decode(&w); err != nil {
 		return nil, err
 	}
-	return entries(w), nil
+	return l.entries(w), nil
 }
 
-func entries(w response) []tracker.Entry {
+// entries returns the entries that can be used.
+func (l *Lister) entries(w response) []tracker.Entry {
 	r := make([]tracker.Entry, 0, len(w.Instances))
-	for _, i := range w.Instances {
+	rejected := map[string]bool{}
+	for _, b := range w.Instances {
+		i, err := decode(b)
+		if err != nil {
+			l.reject(rejected, string(b), err)
+			continue
+		}
 		r = append(r, tracker.Entry{
 			Instance: tracker.Instance{
 				Name:          i.Name,
@@ -98,5 +113,39 @@
 			Leaving: i.State == "leaving",
 		})
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rejected = rejected
 	return r
 }
+
+// reject adds an entry to the rejected ones and reports it unless the last list held it too.
+func (l *Lister) reject(rejected map[string]bool, entry string, err error) {
+	rejected[entry] = true
+	l.mu.Lock()
+	known := l.rejected[entry]
+	l.mu.Unlock()
+	if !known && l.config.Rejected != nil {
+		l.config.Rejected(entry[:min(len(entry), maxReport)], err)
+	}
+}
+
+// maxReport bounds the reported part of an entry, in bytes.
+const maxReport = 200
+
+var errEntry = merry.Sentinel("entry has no name, or an address that cannot be dialled")
+
+func decode(b json.RawMessage) (row, error) {
+	var i row
+	if err := json.Unmarshal(b, &i); err != nil {
+		return i, err
+	}
+	if i.Name == "" || !isDialable(i.CallerAddress) || !isDialable(i.PeerAddress) {
+		return i, errEntry
+	}
+	return i, nil
+}
+
+func isDialable(a netip.AddrPort) bool {
+	return a.IsValid() && a.Port() != 0 && !a.Addr().IsUnspecified() && !a.Addr().IsMulticast()
+}
--- a/server/server.go
+++ b/server/server.go
@@ -118,12 +118,16 @@
 		Timing:       c.Settings.Timing,
 		Store:        s.store,
 		StoreTimeout: c.Settings.Platform.StoreTimeout,
-		List:         lister.New(lister.Config{Addresses: c.Settings.Platform.List, Timeout: c.Settings.Timing.ListAge / 3}),
-		Dialer:       s.links,
-		Hooks:        s.pools,
-		Log:          c.Log,
-		Clock:        s.clock,
-		Seed:         s.self.Incarnation,
+		List: lister.New(lister.Config{
+			Addresses: c.Settings.Platform.List,
+			Timeout:   c.Settings.Timing.ListAge / 3,
+			Rejected:  func(entry string, err error) { c.Log.EntryRejected("instances", entry, 0, err) },
+		}),
+		Dialer: s.links,
+		Hooks:  s.pools,
+		Log:    c.Log,
+		Clock:  s.clock,
+		Seed:   s.self.Incarnation,
 	})
 	if err != nil {
 		return nil, err
