Pass nothing on late in the drain limit of the product's own mode

The product's own request path had the same fault: its listener stays open until no request runs, so that callers can keep it from ending, and at the drain limit (1 min) what ran or waited was cut without an answer. Seen by a test on the code before:

--- FAIL: TestRequestLateInShutdownIsNotCut shutdown_test.go:51: a late request: 0 shutdown_test.go:56: a request whose body does not come: 0 shutdown_test.go:59: answered 401.657µs after the end

(0 is a connection closed without an answer.) Now:

- Until others own what the instance owned, requests are taken.
After that new ones are refused as "leaving", not run.
- In the last eighth of the limit nothing is sent to a target or an owner.
- 500 ms before the end, what waits for its body or a slot is refused as not run.
What runs on a target at the end is cut, as before.

--- a/server/entry.go
+++ b/server/entry.go
@@ -121,6 +121,9 @@
 func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*call, *responder.Refusal) {
 	now := s.clock()
 	c := &call{region: s.self.Region}
+	if s.draining.closed.Load() {
+		return c, leaving()
+	}
 	if err := router.CheckPath(r.URL); err != nil {
 		return c, badRequest(err.Error())
 	}
@@ -227,5 +230,5 @@
 }
 
 func (s *Server) bodyLimits(deadline time.Time) spooler.Limits {
-	return spooler.Limits{Left: deadline.Sub(s.clock()), Bytes: s.settings.Limits.BodyBytes}
+	return spooler.Limits{Left: deadline.Sub(s.clock()), Bytes: s.settings.Limits.BodyBytes, Stop: s.draining.ending}
 }
--- a/server/export_test.go
+++ b/server/export_test.go
@@ -143,3 +143,9 @@
 func LinkTo(t *tls.Config, a netip.AddrPort) messenger.Peer {
 	return newLinks(func() *tls.Config { return t }, nil).Peer(tracker.Instance{Peer: a})
 }
+
+// ShutdownWithin shuts the instance down within a time; its listeners stay open.
+func (s *Server) ShutdownWithin(limit time.Duration) {
+	s.settings.Timing.DrainLimit = limit
+	s.shutdown(nil)
+}
--- a/server/forward.go
+++ b/server/forward.go
@@ -23,6 +23,9 @@
 // the targets of a pool change their owners a request waits for one within its deadline, because no load is the cause.
 func (s *Server) forward(ctx context.Context, c *call) (*forwarder.Answer, *responder.Refusal) {
 	for pause := firstOwnerPause; ; pause = min(2*pause, lastOwnerPause) {
+		if !s.draining.maySend(s.clock()) {
+			return nil, leaving()
+		}
 		a, f := s.forwardOnce(ctx, c)
 		if f == nil || !s.choosers.waits(c, f, s.clock()) || !c.body.Whole() {
 			return a, f
--- a/server/owner.go
+++ b/server/owner.go
@@ -46,7 +46,10 @@
 	if f := s.start(ctx, c); f != nil {
 		return nil, f
 	}
-	l, err := p.Acquire(ctx, balancer.Work{
+	acquire, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(s.draining.ending, cancel)()
+	l, err := p.Acquire(acquire, balancer.Work{
 		Account:  c.account.Name,
 		Rate:     c.account.Rate,
 		Deadline: c.deadline,
@@ -54,6 +57,9 @@
 	})
 	if err != nil {
 		s.end(c, balancer.NotSent)
+		if s.draining.ending.Err() != nil {
+			return nil, leaving()
+		}
 		return nil, unplaced(c, acquireRefusal(err))
 	}
 	a, f := s.send(ctx, c, l)
@@ -133,6 +139,9 @@
 func (s *Server) admit(c *call, target string) error {
 	now := s.clock()
 	v := s.control.View()
+	if !s.draining.maySend(now) {
+		return leaving()
+	}
 	if !now.Before(c.deadline) {
 		return deadlineExceeded()
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -73,6 +73,7 @@
 
 	inFlight atomic.Int64
 	leaving  atomic.Bool
+	draining draining
 	// finishing counts outcomes that are being stored.
 	finishing sync.WaitGroup
 }
@@ -97,6 +98,7 @@
 	}
 	s.links = newLinks(s.certificates.Client, c.Settings.PeerAddresses)
 	s.targets = forwarder.New(forwarder.Config{MaxConnections: maxTargetConnections})
+	s.draining.ending, s.draining.finish = context.WithCancel(context.Background()) //nolint:gosec // shutdown calls finish.
 	s.peers = forwarder.New(forwarder.Config{Protocol: forwarder.InstanceProtocol(), TLS: s.certificates.Client, MaxConnections: maxPeerConnections, MaxIdle: maxPeerConnections})
 	s.pools = newPools(s)
 	s.choosers = newChoosers(s)
