--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -11,13 +11,13 @@
 	"celeryhead.dev/celeryhead/pacer"
 )
 
-// dripping gives bytes at intervals and has no end.
-type dripping struct {
+// trickle is a reader without end that returns some bytes after each interval.
+type trickle struct {
 	interval time.Duration
 	bytes    int
 }
 
-func (d dripping) Read(b []byte) (int, error) {
+func (d trickle) Read(b []byte) (int, error) {
 	time.Sleep(d.interval)
 	return min(d.bytes, len(b)), nil
 }
@@ -30,13 +30,13 @@
 		// want is when the call ends.
 		want time.Duration
 	}{
-		"no answer":   {dripping{time.Hour, 1}, time.Second},
-		"at its rate": {io.LimitReader(dripping{100 * time.Millisecond, 200}, 10_000), 5 * time.Second},
+		"no answer":   {trickle{time.Hour, 1}, time.Second},
+		"at its rate": {io.LimitReader(trickle{100 * time.Millisecond, 200}, 10_000), 5 * time.Second},
 		// Each 100 ms bring 20 bytes, which allow 20 ms more.
-		"below its rate":  {dripping{100 * time.Millisecond, 20}, 1240 * time.Millisecond},
-		"with a pause":    {io.MultiReader(io.LimitReader(dripping{100 * time.Millisecond, 1000}, 2000), dripping{time.Hour, 1}), 700 * time.Millisecond},
-		"ends by itself":  {io.LimitReader(dripping{100 * time.Millisecond, 1}, 1), 100 * time.Millisecond},
-		"byte at the end": {dripping{time.Second - time.Nanosecond, 500}, time.Second - time.Nanosecond + 500*time.Millisecond},
+		"below its rate":  {trickle{100 * time.Millisecond, 20}, 1240 * time.Millisecond},
+		"with a pause":    {io.MultiReader(io.LimitReader(trickle{100 * time.Millisecond, 1000}, 2000), trickle{time.Hour, 1}), 700 * time.Millisecond},
+		"ends by itself":  {io.LimitReader(trickle{100 * time.Millisecond, 1}, 1), 100 * time.Millisecond},
+		"byte at the end": {trickle{time.Second - time.Nanosecond, 500}, time.Second - time.Nanosecond + 500*time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -68,7 +68,7 @@
 
 // Guards against readers that need bounds, and against a released context that ends as stalled.
 func TestWithoutBounds(t *testing.T) {
-	r := io.LimitReader(dripping{0, 1}, 5)
+	r := io.LimitReader(trickle{0, 1}, 5)
 	if pacer.Reader(t.Context(), r) != r {
 		t.Error("a reader without bounds is wrapped")
 	}
--- a/replicator/peer_test.go
+++ b/replicator/peer_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"runtime"
@@ -164,3 +166,30 @@
 		}
 	})
 }
+
+// BenchmarkPeerAnswer reports the size of an answer to a peer without a copy, and to one that has all rows but not the history.
+func BenchmarkPeerAnswer(b *testing.B) {
+	for _, n := range []int{40, 340, 10_000} {
+		h := replicator.Change{Version: uint64(n) + 1, Whole: true}
+		for i := range n {
+			h.Rows = append(h.Rows, replicator.Row{Key: fmt.Sprintf("i-%010x", i), Value: make([]byte, 330), Version: uint64(i) + 1})
+		}
+		r := replicator.New(replicator.Config{
+			Source: newStore(),
+			Tables: []replicator.Table{{Name: "t", Changed: func([]replicator.Row) {}}},
+			Log:    logger.Discard(),
+		})
+		r.Put("t", h)
+		for name, after := range map[string]int{"without a copy": 0, "with the rows": n} {
+			b.Run(fmt.Sprintf("%d rows %s", n, name), func(b *testing.B) {
+				size := 0
+				for b.Loop() {
+					w := httptest.NewRecorder()
+					r.ServeHTTP(w, httptest.NewRequest(http.MethodGet, fmt.Sprintf("/rows?table=t&after=%d", after), nil))
+					size = w.Body.Len()
+				}
+				b.ReportMetric(float64(size), "bytes")
+			})
+		}
+	}
+}
