Check responses of the product's store while they arrive

What callers saw: a call to the store with a time of 0.5 s could last beyond it while a response without end was read. Callers wait for the call, and it holds one of 32 slots.

Cause: decode collected up to 64 MB and looked at the text only then. The deadline ends reads, not the copying of what was read nor its check. A fast response reaches 64 MB within 0.5 s; then its whole text was checked after the deadline.

Traced by times around each read on a scratch copy: the deadline came at 0.499 s, 62 MB had been read by 0.55 s, and the final copy of io.ReadAll ended at 1.33 s; where the text reached 64 MB, json.Unmarshal took 7.6 s more. Without the race detector the calls ended after 0.53 to 0.58 s, so the fault is small in operation; it is no property of that machine alone.

Change: the response is decoded from the stream, so malformed text ends the call at its first wrong byte and long text at the deadline. Text after the value is an error as before. The other readers of JSON responses already decode from the stream (lister, informer, replicator) or are bounded at 4 MB or less (platform, server); messenger's are bounded by its own limit.

The test was not changed. TestResponseOfOtherThanOneValueIsUnknown guards what the stream decoder alone would let through.

Before: --- FAIL: TestAnswerWithoutEndIsGivenUp/no_length_fast#01 (8.40s) endless_test.go:43: ended after 8.461497645s

--- a/storer/client.go
+++ b/storer/client.go
@@ -220,11 +220,14 @@
 	if p.StatusCode != http.StatusOK {
 		return statusError(p)
 	}
-	b, err := io.ReadAll(io.LimitReader(p.Body, maxResponseBytes))
-	if err != nil {
+	// The text is checked as it arrives, so that a malformed response ends the call at once and a long one at its deadline.
+	d := json.NewDecoder(io.LimitReader(p.Body, maxResponseBytes))
+	if err := d.Decode(result); err != nil {
 		return merry.Wrap(ErrUnknown, merry.WithCause(err))
 	}
-	if err := json.Unmarshal(b, result); err != nil {
+	if _, err := d.Token(); err == nil {
+		return merry.Wrap(ErrUnknown, merry.AppendMessage("response has more than one value"))
+	} else if !errors.Is(err, io.EOF) {
 		return merry.Wrap(ErrUnknown, merry.WithCause(err))
 	}
 	return nil
--- a/storer/client_test.go
+++ b/storer/client_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"sync"
@@ -195,6 +197,29 @@
 	}
 }
 
+// Guards against a response that was cut, or that goes on after its value, being taken for the value.
+func TestResponseOfOtherThanOneValueIsUnknown(t *testing.T) {
+	for body, want := range map[string]error{
+		"":                           storer.ErrUnknown,
+		`{"committed":true`:          storer.ErrUnknown,
+		`{"committed":true}x`:        storer.ErrUnknown,
+		`{"committed":true}{}`:       storer.ErrUnknown,
+		`{"committed":true} ` + "\n": nil,
+	} {
+		t.Run(body, func(t *testing.T) {
+			h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, body)
+			}))
+			defer h.Close()
+			s := newClient(t, storer.Config{Addresses: []netip.AddrPort{netip.MustParseAddrPort(h.Listener.Addr().String())}})
+			r, err := s.Commit(t.Context(), storer.Txn{})
+			if !errors.Is(err, want) || r.Committed != (want == nil) {
+				t.Fatalf("%+v %v, want %v", r, err, want)
+			}
+		})
+	}
+}
+
 func newTable(t *testing.T) (*emulator.Table, netip.AddrPort) {
 	e := emulator.NewTable()
 	s := httptest.NewServer(e)
