Reject answers of a store that go on beyond their bound

What callers saw: nothing known. An answer that was cut at the bound of the reader counted as whole if a value and blanks came before the cut, so an answer that never ends was taken for a commit or for a table's version.

Cause: the readers stop at their bound as at the end of the answer (io.LimitReader), and JSON ignores blanks after a value.

The same cause elsewhere: lister, informer and replicator stop at the end of the value and read nothing further, server's readers read one byte beyond their bound already.

--- a/storer/client.go
+++ b/storer/client.go
@@ -30,6 +30,8 @@
 	// idleTimeout is short because an idle connection may stop responding without being closed.
 	idleTimeout      = 2 * time.Second
 	maxResponseBytes = 64 << 20
+	// maxTrailingBytes bounds the blanks after the value of a response.
+	maxTrailingBytes = 512
 	maxErrorBytes    = 512
 )
 
@@ -225,11 +227,13 @@
 	if err := d.Decode(result); err != nil {
 		return merry.Wrap(ErrUnknown, merry.WithCause(err))
 	}
-	if _, err := d.Token(); err == nil {
-		return merry.Wrap(ErrUnknown, merry.AppendMessage("response has more than one value"))
-	} else if !errors.Is(err, io.EOF) {
+	rest, err := io.ReadAll(io.LimitReader(io.MultiReader(d.Buffered(), p.Body), maxTrailingBytes+1))
+	if err != nil {
 		return merry.Wrap(ErrUnknown, merry.WithCause(err))
 	}
+	if len(rest) > maxTrailingBytes || len(bytes.TrimSpace(rest)) > 0 {
+		return merry.Wrap(ErrUnknown, merry.AppendMessage("response goes on after its value"))
+	}
 	return nil
 }
 
--- a/storer/endless_test.go
+++ b/storer/endless_test.go
@@ -19,6 +19,7 @@
 func TestAnswerWithoutEndIsGivenUp(t *testing.T) {
 	const timeout = 500 * time.Millisecond
 	all := append(imitator.EndlessHeads(), imitator.EndlessBodies("", "x")...)
+	all = append(all, imitator.EndlessBodies(`{"committed":true}`, " ")...)
 	for _, e := range append(all, imitator.EndlessBodies(`{"rows":[`, `{"key":"k"},`)...) {
 		for _, slow := range []bool{false, true} {
 			e := &imitator.Endless{Name: e.Name, Start: e.Start, Repeat: e.Repeat, Slow: slow}
