Have the peer of tests beat until its version is adopted

KNOWN-RED.txt listed controller.TestChangeOfMembersFitsTheTarget: in some runs "version 10 was not adopted" after a minute.

Cause: a fault of the test. It announced each version in one heartbeat, as soon as the view showed the one before. The fetch of that one may not have released its lock by then (adoptFromPeer tries it and gives up), and a heartbeat that comes in this moment has no effect, as documented: the next one, 0.5 s later, comes back to it. Peers beat on; the test did not.

Change: the peer beats every 0.5 s, as an instance does, until the version is adopted; the minute and the bound on bytes are as they were, and a beat more can only add bytes. TestFetchFromEarlierProgram and the faulty-peer tests, which announce a first version, still announce it once. What an instance does is unchanged; the delay of one heartbeat is listed in DEVELOPERS.md.

Before: --- FAIL: TestChangeOfMembersFitsTheTarget fetch_test.go:322: version 7 was not adopted

--- a/controller/fetch_test.go
+++ b/controller/fetch_test.go
@@ -325,6 +325,22 @@
 	}
 }
 
+// beatUntilAdopted has a peer announce a version in each heartbeat until it is adopted, since the one that arrives while
+// an earlier fetch ends has no effect.
+func (r *rig) beatUntilAdopted(t testing.TB, name string, heads, config uint64) {
+	var last time.Time
+	for deadline := time.Now().Add(time.Minute); r.View().Row.Version != heads; time.Sleep(100 * time.Microsecond) {
+		now := time.Now()
+		if now.After(deadline) {
+			t.Fatalf("version %d was not adopted", heads)
+		}
+		if now.Sub(last) >= 500*time.Millisecond {
+			r.hear(t, name, heads, config)
+			last = now
+		}
+	}
+}
+
 // counted counts the bytes of connections, both ways.
 type counted struct {
 	net.Conn
@@ -370,8 +386,7 @@
 				r.peers["i1"] = messenger.NewPeerProtobufClient(s.URL, &http.Client{Transport: transport})
 				version, bytes := uint64(1), int64(0)
 				adopt(b, author, text, version, version)
-				r.hear(b, "i1", version, version)
-				waitFor(b, r.Controller, version)
+				r.beatUntilAdopted(b, "i1", version, version)
 				for b.Loop() {
 					b.StopTimer()
 					version++
@@ -383,8 +398,7 @@
 					adopt(b, author, t, version, version)
 					before := p.Load()
 					b.StartTimer()
-					r.hear(b, "i1", version, version)
-					waitFor(b, r.Controller, version)
+					r.beatUntilAdopted(b, "i1", version, version)
 					bytes += p.Load() - before
 				}
 				b.ReportMetric(float64(bytes)/float64(b.N), "B/change")
--- a/controller/lists_test.go
+++ b/controller/lists_test.go
@@ -443,8 +443,7 @@
 // learn returns the bytes after which the instance has adopted the author's row.
 func (l *learner) learn(t testing.TB) int64 {
 	before := l.bytes.Load()
-	l.hear(t, "i1", l.version, 0)
-	waitFor(t, l.Controller, l.version)
+	l.beatUntilAdopted(t, "i1", l.version, 0)
 	return l.bytes.Load() - before
 }
 
