Take no connection that breaks at once for a live target

Cause: after a connection broke, Probe decides whether the target crashed by one new connection. A process that ends may take it: its listener can be closed after its connections. The strike is not counted then, by any instance.

Change: a connection that a probe gets must stay open for 50 ms; if it breaks, a second one decides. In the product's own mode the outcome of a broken connection to a live target comes 50 ms later. The same cause elsewhere: server.broken uses the same probe; no other code infers a crash from a new connection (searched for Probe and strike).

Ruled out: the test of touch (the instance had none of its faults), lost datagrams (no strike existed), an abstaining target (no rest or leave then).

--- a/forwarder/connection.go
+++ b/forwarder/connection.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -68,6 +70,15 @@
 	return l.tcp.Close()
 }
 
+// staysOpen reports whether a connection that was never used is still open after a while.
+func (l *connection) staysOpen(d time.Duration) bool {
+	if err := l.stream.SetReadDeadline(time.Now().Add(d)); err != nil {
+		return false
+	}
+	_, err := l.stream.Read(make([]byte, 1))
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // reusable reports whether an idle connection is still open and has no unread byte. A target that shuts down closes its
 // idle connections; without this check the next request would have an unknown outcome.
 func (l *connection) reusable() bool {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -141,12 +141,26 @@
 	return x.roundTrip()
 }
 
-// Probe opens a connection to the address and closes it. An error means that new connections fail.
+// probeHold is how long Probe keeps a connection. When a process ends, its listener may be closed after its connections and
+// resets those that it took in between.
+const probeHold = 50 * time.Millisecond
+
+// Probe opens a connection to the address and closes it. An error means that new connections fail. A connection that breaks
+// within 50 ms does not count as open.
 func (f *Forwarder) Probe(ctx context.Context, address netip.AddrPort) error {
 	l, err := f.dial(ctx, address)
 	if err != nil {
 		return err
 	}
+	open := l.staysOpen(probeHold)
+	_ = l.Close()
+	if open {
+		return nil
+	}
+	// The listener is closed by now if the process is ending.
+	if l, err = f.dial(ctx, address); err != nil {
+		return err
+	}
 	return l.Close()
 }
 
