Reset connections that a refusing relay accepted late

Cause: Relay.Refuse resets all connections and then closes its listener. What it accepted in between stayed open, through a relay that stands for a process that has ended.

Change: Refuse resets again after the listener is closed, and a connection whose dial to the target was still under way is closed.

Likely, not traced: where the listener closes just then, the client's end is open and the other end gone.

--- a/launcher/relay.go
+++ b/launcher/relay.go
@@ -96,7 +96,8 @@
 	}
 }
 
-// Refuse resets all connections and, until Accept, refuses new ones, as a machine does on which the process has ended.
+// Refuse resets all connections and, until Accept, refuses new ones, as a machine does on which the process has ended. Like
+// there, a connection may be accepted after others were reset, and is reset too.
 func (r *Relay) Refuse() {
 	r.Reset()
 	r.mu.Lock()
@@ -105,6 +106,9 @@
 		_ = r.listener.Close()
 		r.listener = nil
 	}
+	for k := range r.links {
+		k.reset()
+	}
 }
 
 // Reset resets all connections; new ones work.
@@ -188,7 +192,7 @@
 		if err != nil {
 			return
 		}
-		k, ok := r.link(c)
+		k, ok := r.link(l, c)
 		if !ok {
 			_ = c.Close()
 			continue
@@ -198,8 +202,8 @@
 	}
 }
 
-// link connects an accepted connection to the relay's target.
-func (r *Relay) link(c *net.TCPConn) (*relayLink, bool) {
+// link connects a connection that a listener accepted to the relay's target.
+func (r *Relay) link(l *net.TCPListener, c *net.TCPConn) (*relayLink, bool) {
 	d, err := net.DialTCP("tcp", nil, net.TCPAddrFromAddrPort(r.to))
 	if err != nil {
 		return nil, false
@@ -207,7 +211,7 @@
 	k := &relayLink{in: c, out: d}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.cut {
+	if r.cut || r.listener != l {
 		_ = d.Close()
 		return nil, false
 	}
