Let the size alone decide the test of endless peer answers

Cause: a fault of the test.

Evidence: beside 48 busy processes the unchanged test failed twice, "rows: false length" (10.03 s) and "blanks: no length" (12.83 s).

Change: fast answers have a minute, as other tests whose processes share the machine, and must end by themselves as before. What they can have sent until then is bounded at 24 MB now (8 MB and the buffers of sockets), which was checked for heads only: the size decides, not the time. Slow answers, allocations and the end of the connection are checked as before.

--- a/replicator/peer_test.go
+++ b/replicator/peer_test.go
@@ -20,6 +20,9 @@
 // maxPeerAllocation is what one answer of a peer may allocate; an instance with 284 MB asks for three tables at once.
 const maxPeerAllocation = 64 << 20
 
+// maxPeerBytes is what an answer of a peer may send before it is given up: its bound of 8 MB and what the sockets buffer.
+const maxPeerBytes = 24 << 20
+
 // Guards against a peer whose answer has no end and fills the memory, holds the call, or is taken for a copy.
 func TestPeerAnswerWithoutEndIsGivenUp(t *testing.T) {
 	heads := imitator.EndlessHeads()
@@ -47,7 +50,8 @@
 			t.Run(e.Name+map[bool]string{false: " fast", true: " slow"}[slow], func(t *testing.T) {
 				s := httptest.NewServer(e)
 				defer s.Close()
-				limit := 10 * time.Second
+				// An answer that is fast ends by its size; how soon depends on the load of this machine.
+				limit := time.Minute
 				if slow {
 					limit = 100 * time.Millisecond
 				}
@@ -71,6 +75,9 @@
 						t.Fatal("the connection stays open")
 					}
 				}
+				if e.Written() > maxPeerBytes {
+					t.Errorf("%d bytes were taken", e.Written())
+				}
 				if strings.HasPrefix(e.Name, "head") && e.Written() > 8<<20 {
 					t.Errorf("%d bytes of a head were taken", e.Written())
 				}
