Wait for the refusal of new requests in place of a fixed time

TestRequestLateInShutdownIsNotCut slept for half of the drain limit until a late request had to be refused. It now waits until the shutdown refuses new requests and sends it then: the first moment at which the check binds, whatever the speed of the machine. A shutdown that ends without it is an error, which is new; all other checks stand as they were.

--- a/server/export_test.go
+++ b/server/export_test.go
@@ -144,6 +144,9 @@
 	return newLinks(func() *tls.Config { return t }, nil).Peer(tracker.Instance{Peer: a})
 }
 
+// RefusesNew reports whether a shutdown has come so far that new requests are refused.
+func (s *Server) RefusesNew() bool { return s.draining.closed.Load() }
+
 // ShutdownWithin shuts the instance down within a time; its listeners stay open.
 func (s *Server) ShutdownWithin(limit time.Duration) {
 	s.settings.Timing.DrainLimit = limit
--- a/server/shutdown_test.go
+++ b/server/shutdown_test.go
@@ -47,7 +47,12 @@
 		ended <- time.Now()
 		h.CloseClientConnections()
 	}()
-	time.Sleep(limit / 2)
+	for !s.RefusesNew() && len(ended) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if !s.RefusesNew() {
+		t.Fatal("new requests are not refused before the end")
+	}
 	if status, r := reason(dial("GET /read HTTP/1.1\r\nHost: h\r\n\r\n")); status != http.StatusServiceUnavailable || r != responder.Leaving {
 		t.Errorf("a late request: %d %s", status, r)
 	}
