Let a copy have one way to tell its version

Each use of Versions wanted one of the two. Followed returns the first; the second is Version().Content. No behaviour changes; the tests of replicator and platform say the same with the new names.

--- a/replicator/copy.go
+++ b/replicator/copy.go
@@ -249,12 +249,12 @@
 	return c.known
 }
 
-// Versions returns the version to follow from and that of the newest row; both are 0 while the table is not known.
-func (c *Copy) Versions() (followed, content uint64) {
+// Followed returns the version to follow the store from, which is 0 while the table is not known.
+func (c *Copy) Followed() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.known {
-		return 0, 0
+		return 0
 	}
-	return c.followed, c.content
+	return c.followed
 }
--- a/replicator/copy_test.go
+++ b/replicator/copy_test.go
@@ -96,14 +96,14 @@
 				c.Apply(now, h)
 			case 4:
 				if c.Known() {
-					v, _ := c.Versions()
+					v := c.Followed()
 					h := w.since(v)
 					old = append(old, h)
 					c.Apply(now, h)
 				}
 			case 5:
 				// A peer tells what it has.
-				_, content := c.Versions()
+				content := c.Version().Content
 				if h, ok := cs[rapid.IntRange(0, len(cs)-1).Draw(t, "peer")].Since(content); ok && c.Known() {
 					c.Merge(now, h)
 				}
@@ -118,7 +118,7 @@
 			}
 		}
 		for _, c := range cs {
-			if followed, _ := c.Versions(); c.Known() {
+			if followed := c.Followed(); c.Known() {
 				c.Apply(now, w.since(followed))
 				if got := rows(c); !maps.Equal(got, w.rows()) {
 					t.Fatalf("copy that followed has %v, the table %v", got, w.rows())
@@ -161,7 +161,7 @@
 	c.Apply(start, w.since(1))
 	w.write("b", "y")
 	c.Apply(start.Add(2*replicator.TombstoneLife), w.since(2))
-	_, content := peer.Versions()
+	content := peer.Version().Content
 	h, ok := c.Since(content)
 	if !ok || !h.Whole {
 		t.Fatalf("change %+v, %v; want the whole copy", h, ok)
@@ -181,14 +181,14 @@
 	peer.Apply(start, w.whole())
 	w.remove("b")
 	c.Apply(start, w.whole())
-	_, content := c.Versions()
+	content := c.Version().Content
 	h, _ := peer.Since(content)
 	c.Merge(start, h)
 	if got := rows(c); !maps.Equal(got, map[string]string{"a": "x"}) {
 		t.Errorf("rows %v after what a peer has since version %d", got, content)
 	}
 	w.write("c", "x")
-	followed, _ := c.Versions()
+	followed := c.Followed()
 	c.Apply(start, w.since(followed))
 	if got := rows(c); !maps.Equal(got, w.rows()) {
 		t.Errorf("rows %v after following from version %d, want %v", got, followed, w.rows())
--- a/replicator/fleet_test.go
+++ b/replicator/fleet_test.go
@@ -55,11 +55,11 @@
 				}
 			case "follow":
 				if c.Known() {
-					v, _ := c.Versions()
+					v := c.Followed()
 					c.Apply(now, w.since(v))
 				}
 			case "peer":
-				_, content := c.Versions()
+				content := c.Version().Content
 				if h, ok := p.Since(content); ok && p.Version().Content > content {
 					c.Merge(now, h)
 				}
--- a/replicator/freshness_test.go
+++ b/replicator/freshness_test.go
@@ -185,7 +185,7 @@
 		s.write("config", "2")
 		c.Apply(time.Now(), s.whole())
 		s.mu.Unlock()
-		_, content := c.Versions()
+		content := c.Version().Content
 		r.Heard("op", "peer", replicator.Version{Content: content})
 		r.Receive("op", replicator.Claim{Origin: "b", Sequence: 1, Content: content, AsOf: time.Now()})
 		for inForce.Load() == "1" {
--- a/replicator/peer_test.go
+++ b/replicator/peer_test.go
@@ -161,7 +161,7 @@
 		s.set(func() { s.remove("b") })
 		p.copy.Apply(time.Now().Add(-2*replicator.TombstoneLife), s.since(0))
 		p.copy.Apply(time.Now(), s.whole())
-		_, content := p.copy.Versions()
+		content := p.copy.Version().Content
 		r.Heard("op", "peer", replicator.Version{Content: content})
 		time.Sleep(5 * time.Second)
 		if n := p.calls.Load(); n != 1 {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -261,7 +261,7 @@
 	}()
 	var h Change
 	var err error
-	after, _ := t.copy.Versions()
+	after := t.copy.Followed()
 	if whole {
 		h, err = r.config.Source.Read(c, t.Name)
 	} else {
@@ -298,7 +298,7 @@
 		if r.config.Peers == nil || !r.asksPeer(t) {
 			continue
 		}
-		_, content := t.copy.Versions()
+		content := t.copy.Version().Content
 		start := r.config.Clock()
 		c, cancel := pacer.Bound(ctx, pacer.Config{Begin: peerTimeout, Pause: peerTimeout, Rate: answerRate})
 		h, err := r.config.Peers.Newer(c, t.Name, content)
@@ -361,7 +361,7 @@
 
 // asksPeer reports whether the copy is behind a peer for longer than the store's own answer should take.
 func (r *Replicator) asksPeer(t *table) bool {
-	_, content := t.copy.Versions()
+	content := t.copy.Version().Content
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.peerContent <= content {
@@ -379,7 +379,7 @@
 	t.applied.Lock()
 	defer t.applied.Unlock()
 	changed := merge(r.config.Clock(), h)
-	_, content := t.copy.Versions()
+	content := t.copy.Version().Content
 	if changed {
 		if rs, known := t.copy.Rows(); known {
 			t.Changed(rs)
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -211,7 +211,7 @@
 		s.write("config", "3")
 		c.Apply(time.Now(), s.whole())
 		s.mu.Unlock()
-		_, content := c.Versions()
+		content := c.Version().Content
 		r.Heard("op", "peer", replicator.Version{Content: content})
 		time.Sleep(300 * time.Millisecond)
 		if w.get("config") != "3" {
@@ -312,7 +312,7 @@
 		c.Apply(start, s.since(2))
 		// The peer has forgotten the removal and answers with all that it has.
 		c.Apply(start.Add(2*replicator.TombstoneLife), replicator.Change{})
-		_, content := c.Versions()
+		content := c.Version().Content
 		r.Heard("op", "peer", replicator.Version{Content: content})
 		time.Sleep(time.Second)
 		if w.get("evacuate/b") != "all" || w.get("config") != "1" {
@@ -348,7 +348,7 @@
 	p := &counted{peers: peers{copy: c}}
 	play(t, s, p, func(r *replicator.Replicator, w *watcher) {
 		time.Sleep(100 * time.Millisecond)
-		_, content := c.Versions()
+		content := c.Version().Content
 		r.Heard("op", "peer", replicator.Version{Content: content})
 		time.Sleep(10 * time.Second)
 		if n := p.calls.Load(); n > 1 || w.get("config") != "1" {
