--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -136,11 +136,12 @@
 
 	mu     sync.Mutex
 	nextID uint64
-	// pending holds the unanswered token requests by identifier.
-	pending map[uint64]tokenRequest
+	// pending holds the unanswered requests by identifier.
+	pending map[uint64]pendingRequest
 }
 
-type tokenRequest struct {
+// pendingRequest is a request for tokens or permits that is not answered yet.
+type pendingRequest struct {
 	to   netip.Addr
 	sent time.Time
 	done chan struct{}
@@ -158,7 +159,7 @@
 	// Identifiers start at the current time so that they do not match those of an earlier process.
 	return &Gossiper{
 		config: c, socket: s, refusals: refusals{log: c.Log},
-		nextID: uint64(time.Now().UnixNano()), pending: map[uint64]tokenRequest{}, //nolint:gosec // The time is after 1970.
+		nextID: uint64(time.Now().UnixNano()), pending: map[uint64]pendingRequest{}, //nolint:gosec // The time is after 1970.
 	}, nil
 }
 
@@ -305,7 +306,7 @@
 
 // begin adds a pending request and returns its identifier and what is closed when its answer has been processed.
 func (g *Gossiper) begin(to netip.Addr) (uint64, <-chan struct{}) {
-	a := tokenRequest{to: to, sent: g.config.Clock(), done: make(chan struct{})}
+	a := pendingRequest{to: to, sent: g.config.Clock(), done: make(chan struct{})}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.nextID++
@@ -337,14 +338,14 @@
 	close(a.done)
 }
 
-// tokenRequestTimeout is how long an answer to a token request is accepted; tokens that arrive later are lost.
-const tokenRequestTimeout = 2 * time.Second
+// requestTimeout is how long an answer to a request is accepted; tokens and permits that arrive later are lost.
+const requestTimeout = 2 * time.Second
 
 func (g *Gossiper) expireRequests(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for id, a := range g.pending {
-		if now.Sub(a.sent) > tokenRequestTimeout {
+		if now.Sub(a.sent) > requestTimeout {
 			delete(g.pending, id)
 		}
 	}
--- a/handler/drain.go
+++ b/handler/drain.go
@@ -32,8 +32,8 @@
 	finish context.CancelFunc
 }
 
-// allows reports whether a request that is sent now is expected to end before the instance does.
-func (d *draining) allows(now time.Time, l *placer.Lease) bool {
+// maySend reports whether a request that is sent now is expected to end before the instance does.
+func (d *draining) maySend(now time.Time, l *placer.Lease) bool {
 	e := d.end.Load()
 	return e == nil || now.Add(l.Patience()).Before(*e)
 }
--- a/handler/forward.go
+++ b/handler/forward.go
@@ -248,7 +248,7 @@
 	if n, ok := k.Target(t.Service, t.Name); !ok || n.Started != t.Started {
 		return unavailable(responder.NoOwner, "the target left before the request was sent")
 	}
-	if !s.draining.allows(s.clock(), c.lease) {
+	if !s.draining.maySend(s.clock(), c.lease) {
 		return errLeaving
 	}
 	if s.abstainer.Share(s.clock(), incarnation(t)) == 0 {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -333,8 +333,8 @@
 }
 
 // returnAfter returns the time until a target may have the request, as far as targets stated it: the earliest end of a rest if
-// all targets rest or leave, and otherwise noTargetRetryAfter, or the interval of the fastest target if all state a rate. Targets that were tried count, as the caller's next attempt may go
-// there.
+// all targets rest or leave, and otherwise noTargetRetryAfter, or the interval of the fastest target if all state a rate. Targets
+// that were tried count, as the caller's next attempt may go there.
 func (p *Placer) returnAfter(now time.Time, pool *cataloger.Pool, w Work) time.Duration {
 	earliest := time.Duration(math.MaxInt64)
 	for _, t := range pool.Targets {
