Count tokens of a new process from its start

Cause: a new process has no tokens, since an earlier one of the same instance may have spent them, and counted the earning from the moment at which it knew the configuration and the list of instances, 0.2 to 0.4 s after its start. The earlier process had ended when it began, though.

Change: the shares of the first division fill from the start of the process. An account that is added later still starts empty. The sum over a window stays below rate and burst: a share began with no token at a time at which its predecessor no longer sent.

--- a/handler/server.go
+++ b/handler/server.go
@@ -158,7 +158,7 @@
 		s.configuration = c.Tables[0].Name
 	}
 	s.limits.Store(&c.Settings.Limits)
-	s.shares = sharer.NewShares(c.Settings.Name)
+	s.shares = sharer.NewShares(c.Settings.Name, s.begun)
 	s.strikes.breaker = breaker.New(breaker.Config{})
 	s.targets = forwarder.New(forwarder.Config{
 		Protocol:       c.Protocol,
--- a/sharer/shares.go
+++ b/sharer/shares.go
@@ -41,6 +41,8 @@
 // Shares holds this instance's shares of the accounts' token buckets; it is safe for concurrent use.
 type Shares struct {
 	self string
+	// begun is the start of this process; an earlier process of this instance had ended by then.
+	begun time.Time
 
 	mu       sync.Mutex
 	accounts map[string]*share
@@ -69,21 +71,26 @@
 	nextRetryAt time.Time
 }
 
-// NewShares returns the shares of an instance without accounts.
-func NewShares(self string) *Shares {
-	return &Shares{self: self, accounts: map[string]*share{}}
+// NewShares returns the shares of an instance without accounts whose process began at the given time.
+func NewShares(self string, begun time.Time) *Shares {
+	return &Shares{self: self, begun: begun, accounts: map[string]*share{}}
 }
 
 // Adopt replaces the accounts and the instances among which they are divided. New shares start empty, because an
-// earlier process of this instance may have spent their tokens.
+// earlier process of this instance may have spent their tokens; those of the first call have filled since the start of
+// this process.
 func (s *Shares) Adopt(now time.Time, limits map[string]Limit, instances []Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	emptySince := now
+	if s.fleetSize == 0 {
+		emptySince = s.begun
+	}
 	s.fleetSize = len(instances)
 	for n, l := range limits {
 		a := s.accounts[n]
 		if a == nil {
-			a = &share{refilledAt: now}
+			a = &share{refilledAt: emptySince}
 			s.accounts[n] = a
 		}
 		s.refill(a, now)
@@ -114,7 +121,7 @@
 func (s *Shares) Extend(now, until time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !now.Before(s.validUntil) {
+	if !s.validUntil.IsZero() && !now.Before(s.validUntil) {
 		for _, a := range s.accounts {
 			s.refill(a, now)
 		}
@@ -130,8 +137,12 @@
 	return a.limit.Burst / float64(len(a.holders))
 }
 
-// refill adds the tokens earned since the last call while the share was valid; mu is held.
+// refill adds the tokens earned since the last call while the share was valid; mu is held. Time counts for the first
+// division among instances if it is not known yet.
 func (s *Shares) refill(a *share, now time.Time) {
+	if len(a.holders) == 0 {
+		return
+	}
 	end := now
 	if s.validUntil.Before(end) {
 		end = s.validUntil
