--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -25,8 +25,8 @@
 	// loadInterval is the pause between load reports. Placement gets worse with the age of the reports, and 200 ms
 	// are less than most requests take.
 	loadInterval = 200 * time.Millisecond
-	// loadFanout bounds the number of instances that get a load report. With fewer than smallFleetSize other
-	// instances, those of other regions get it too.
+	// loadFanout bounds the number of instances that get a load report in each round. In larger regions they take turns.
+	// With fewer than smallFleetSize other instances, those of other regions get it too.
 	loadFanout     = 12
 	smallFleetSize = 10
 	// probeFanout bounds the number of instances probed in each round because nothing was heard of them; in fleets of
@@ -34,6 +34,9 @@
 	probeFanout = 6
 	// relayedPerDatagram is the number of other members that a datagram reports on.
 	relayedPerDatagram = 2
+	// briefPerDatagram is the number of members of which a datagram tells only that they live. With four datagrams a
+	// round to other regions, 78 instances in three regions hear of each other within Silence.
+	briefPerDatagram = 12
 	// memberRetention is how long a silent instance is still contacted.
 	memberRetention = 10 * time.Minute
 	// maxDatagram is the size of the receive buffer in bytes.
@@ -77,6 +80,14 @@
 	Strikes       []Strike `json:"x,omitempty"`
 }
 
+// Load is what an instance reports about its requests to others of its region.
+type Load struct {
+	// InFlight is the number of requests in flight at each target.
+	InFlight map[string]int
+	// Placed lists the objects of the latest requests by target.
+	Placed map[string][]uint32
+}
+
 // datagram is the message between instances; fields that do not apply are empty.
 type datagram struct {
 	From  Member `json:"from"`
@@ -84,9 +95,12 @@
 	// Probe requests the receiver's state, because nothing was heard of it recently.
 	Probe   bool            `json:"doubt,omitempty"`
 	Relayed []relayedMember `json:"heard,omitempty"`
-	// InFlight is the sender's number of requests in flight at each target.
-	InFlight map[string]int `json:"load,omitempty"`
-	HasLoad  bool           `json:"loaded,omitempty"`
+	// Brief holds the milliseconds since the sender heard further members, by address.
+	Brief map[netip.Addr]int64 `json:"alive,omitempty"`
+	// InFlight is the sender's number of requests in flight at each target, and Placed the objects of its latest requests.
+	InFlight map[string]int      `json:"load,omitempty"`
+	Placed   map[string][]uint32 `json:"placed,omitempty"`
+	HasLoad  bool                `json:"loaded,omitempty"`
 	// WantedTokens is the number of tokens wanted per account. ID identifies the request; the answer with GivenTokens
 	// repeats it.
 	WantedTokens map[string]int `json:"ask,omitempty"`
@@ -103,12 +117,12 @@
 	Self func() Member
 	// State returns the state to report to others.
 	State func() State
-	// InFlight returns this instance's number of requests in flight at each target.
-	InFlight func() map[string]int
+	// Load returns what this instance reports about its requests.
+	Load func() Load
 	// Heard is called with the state of another instance.
 	Heard func(Member, State)
-	// Load is called with another instance's number of requests in flight at each target.
-	Load func(from netip.Addr, inFlight map[string]int)
+	// HeardLoad is called with the report of another instance about its requests.
+	HeardLoad func(from netip.Addr, l Load)
 	// Give removes up to the wanted tokens from this instance's shares.
 	Give func(wanted map[string]int) map[string]int
 	// Receive adds tokens to this instance's shares.
@@ -188,25 +202,28 @@
 	probed := g.config.Members.staleMembers(now, probeFanout)
 	for _, a := range g.config.Members.selectPeers(now, localFanout, remoteFanout) {
 		if !slices.Contains(probed, a) {
-			g.send(a, d)
+			g.sendRound(now, a, d)
 		}
 	}
 	d.Probe = true
 	for _, a := range probed {
-		g.send(a, d)
+		g.sendRound(now, a, d)
 	}
 }
 
-// sendLoad reports this instance's requests in flight to the instances of its region, and in a small fleet to all.
+// sendRound adds to a datagram what is useful in the receiver's region.
+func (g *Gossiper) sendRound(now time.Time, to netip.Addr, d datagram) {
+	d.Brief = g.config.Members.brief(now, briefPerDatagram, g.config.Members.isOwnRegion(to))
+	g.send(to, d)
+}
+
+// sendLoad reports this instance's requests to instances of its region, and in a small fleet to all.
 func (g *Gossiper) sendLoad() {
-	ms := g.config.Members.Alive(g.config.Clock())
-	d := datagram{From: g.sender(), InFlight: g.config.Hooks.InFlight(), HasLoad: true}
-	n := 0
-	for _, m := range ms {
-		if n < loadFanout && (m.Region == g.config.Members.self.Region || len(ms) < smallFleetSize) {
-			g.send(m.Address, d)
-			n++
-		}
+	l := g.config.Hooks.Load()
+	// The sender is named in full, since the report also shows that it lives.
+	d := datagram{From: g.config.Hooks.Self(), InFlight: l.InFlight, Placed: l.Placed, HasLoad: true}
+	for _, a := range g.config.Members.loadReceivers(g.config.Clock()) {
+		g.send(a, d)
 	}
 }
 
@@ -260,7 +277,7 @@
 
 func (g *Gossiper) handle(d datagram) {
 	now := g.config.Clock()
-	if d.State != nil && g.config.Members.HearFirstHand(d.From, now) {
+	if (d.State != nil || d.HasLoad) && g.config.Members.HearFirstHand(d.From, now) {
 		g.config.Log.MemberHeard(d.From.Name, d.From.Address, d.From.Ready)
 	}
 	for _, h := range d.Relayed {
@@ -268,6 +285,12 @@
 			g.config.Log.MemberHeard(h.Name, h.Address, h.Ready)
 		}
 	}
+	for a, age := range d.Brief {
+		if age >= 0 && g.config.Members.HearBriefly(a, now.Add(-time.Duration(age)*time.Millisecond)) {
+			k, _ := g.config.Members.Get(a)
+			g.config.Log.MemberHeard(k.Name, a, k.Ready)
+		}
+	}
 	if d.State != nil {
 		g.config.Hooks.Heard(d.From, *d.State)
 	}
@@ -276,7 +299,7 @@
 		g.send(d.From.Address, datagram{From: g.config.Hooks.Self(), State: &s})
 	}
 	if d.HasLoad {
-		g.config.Hooks.Load(d.From.Address, d.InFlight)
+		g.config.Hooks.HeardLoad(d.From.Address, Load{InFlight: d.InFlight, Placed: d.Placed})
 	}
 	if len(d.WantedTokens) > 0 {
 		g.send(d.From.Address, datagram{From: g.sender(), GivenTokens: g.config.Hooks.Give(d.WantedTokens), ID: d.ID})
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -96,6 +97,69 @@
 	}
 }
 
+// Guards against live instances of a fleet of 78 in three regions that are reported silent: at that size neither the
+// rounds nor what they relay reach everybody in time.
+func TestLiveInstancesOfLargeFleetAreNotReportedSilent(t *testing.T) {
+	regions := []string{"almaty", "astana", "shymkent"}
+	ms := map[netip.Addr]*gossiper.Members{}
+	for i := range byte(78) {
+		k := member(i+1, regions[i%3])
+		ms[k.Address] = gossiper.NewMembers(k, nil)
+	}
+	for a, m := range ms {
+		for b := range ms {
+			if a != b {
+				m.HearFirstHand(gossiper.Member{Address: b, Region: regions[(b.As4()[3]-1)%3], Started: 1}, start)
+			}
+		}
+	}
+	const minutes = 2
+	if n := gossiper.SimulateRounds(start, ms, minutes*int(time.Minute/gossiper.Interval)); n > 0 {
+		t.Errorf("%d times in %d minutes a live instance was reported silent", n, minutes)
+	}
+}
+
+// Guards against load reports that always reach the same instances of a region, while the others know nothing of the
+// sender's requests.
+func TestLoadReportsReachWholeRegion(t *testing.T) {
+	self := member(1, "almaty")
+	m := gossiper.NewMembers(self, nil)
+	for i := range byte(40) {
+		m.HearFirstHand(member(i+2, []string{"almaty", "astana"}[i%2]), start)
+	}
+	const rounds = 2
+	got := map[netip.Addr]int{}
+	for range rounds {
+		for _, a := range gossiper.LoadReceivers(m, start) {
+			got[a]++
+		}
+	}
+	for i := range byte(40) {
+		k := member(i+2, "")
+		if n := got[k.Address]; i%2 == 0 && n == 0 {
+			t.Errorf("%v of the own region got no report in %d rounds", k.Address, rounds)
+		} else if i%2 == 1 && n > 0 {
+			t.Errorf("%v of another region got %d reports", k.Address, n)
+		}
+	}
+}
+
+// Guards against a report of a member that looks younger at each instance that passes it on.
+func TestReportsOfOthersAreNotPassedOn(t *testing.T) {
+	m := gossiper.NewMembers(member(1, "almaty"), nil)
+	m.Hear(member(2, "almaty"), start)
+	m.HearFirstHand(member(3, "astana"), start)
+	m.HearBriefly(member(3, "").Address, start.Add(time.Second))
+	now := start.Add(2 * time.Second)
+	if as := m.Alive(now); len(as) != 2 {
+		t.Errorf("alive %v", as)
+	}
+	want := map[netip.Addr]int64{member(3, "").Address: 2000}
+	if got := gossiper.PassedOn(m, now); !maps.Equal(got, want) {
+		t.Errorf("passes on %v, want only the member that was heard itself, with the time since: %v", got, want)
+	}
+}
+
 // node is an instance with a few tokens.
 type node struct {
 	gossip  *gossiper.Gossiper
@@ -121,14 +185,14 @@
 		Members: k.members,
 		Log:     l,
 		Hooks: gossiper.Hooks{
-			Self:     func() gossiper.Member { return self },
-			State:    func() gossiper.State { return gossiper.State{ContactMilliseconds: -1} },
-			InFlight: func() map[string]int { return map[string]int{"target": int(n)} },
-			Heard:    func(gossiper.Member, gossiper.State) {},
-			Load: func(_ netip.Addr, m map[string]int) {
+			Self:  func() gossiper.Member { return self },
+			State: func() gossiper.State { return gossiper.State{ContactMilliseconds: -1} },
+			Load:  func() gossiper.Load { return gossiper.Load{InFlight: map[string]int{"target": int(n)}} },
+			Heard: func(gossiper.Member, gossiper.State) {},
+			HeardLoad: func(_ netip.Addr, l gossiper.Load) {
 				k.mu.Lock()
 				defer k.mu.Unlock()
-				k.load = m
+				k.load = l.InFlight
 			},
 			Give: func(w map[string]int) map[string]int {
 				k.mu.Lock()
--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -32,6 +32,8 @@
 type peer struct {
 	Member
 	lastHeard time.Time
+	// firstHand is when the member itself was last heard.
+	firstHand time.Time
 	// silent is true once the member was reported silent, so that its return is reported too.
 	silent bool
 }
@@ -44,6 +46,8 @@
 	peers  map[netip.Addr]*peer
 	listed map[netip.Addr]bool
 	seeds  []netip.Addr
+	// loadTurn is the number of load reports that were sent to instances of the own region.
+	loadTurn int
 }
 
 // NewMembers returns members with the given seeds, none of which has been heard from.
@@ -84,7 +88,11 @@
 		if m.isFull() && !m.isConfigured(k.Address) {
 			return false
 		}
-		m.peers[k.Address] = &peer{Member: k, lastHeard: at}
+		p = &peer{Member: k, lastHeard: at}
+		if firstHand {
+			p.firstHand = at
+		}
+		m.peers[k.Address] = p
 		return true
 	}
 	if !at.After(p.lastHeard) || !firstHand && k.Started < p.Started {
@@ -92,9 +100,37 @@
 	}
 	changed := k.Started != p.Started || p.silent || k.Ready != p.Ready
 	p.Member, p.lastHeard, p.silent = k, at, false
+	if firstHand {
+		p.firstHand = at
+	}
 	return changed
 }
 
+// HearBriefly records a report that the process of a known member which was last heard lives. It reports whether the member
+// has returned.
+func (m *Members) HearBriefly(a netip.Addr, at time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[a]
+	if p == nil || !at.After(p.lastHeard) {
+		return false
+	}
+	returned := p.silent
+	p.lastHeard, p.silent = at, false
+	return returned
+}
+
+// Get returns a member by its address.
+func (m *Members) Get(a netip.Addr) (Member, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[a]
+	if p == nil {
+		return Member{}, false
+	}
+	return p.Member, true
+}
+
 func (m *Members) isFull() bool {
 	return len(m.peers) >= maxMembers
 }
@@ -149,6 +185,29 @@
 	return now.Sub(p.lastHeard), true
 }
 
+// loadReceivers returns the instances that get the next load report: all in a small fleet, otherwise up to loadFanout of
+// the own region, which take turns.
+func (m *Members) loadReceivers(now time.Time) []netip.Addr {
+	ms := m.Alive(now)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var as []netip.Addr
+	for _, k := range ms {
+		if len(ms) < smallFleetSize || k.Region == m.self.Region {
+			as = append(as, k.Address)
+		}
+	}
+	if len(as) <= loadFanout {
+		return as
+	}
+	r := make([]netip.Addr, loadFanout)
+	for i := range r {
+		r[i] = as[(m.loadTurn+i)%len(as)]
+	}
+	m.loadTurn = (m.loadTurn + loadFanout) % len(as)
+	return r
+}
+
 // selectPeers returns up to near random members of the own region and far random ones of the others, and up to
 // silentFanout of the silent members, listed instances and seeds that have not been heard from.
 func (m *Members) selectPeers(now time.Time, near, far int) []netip.Addr {
@@ -223,16 +282,41 @@
 	AgeMilliseconds int64 `json:"g"`
 }
 
-// sample returns n random members heard from within Silence, with the age of the last report.
+// sample returns n random members that were heard themselves within Silence, with the time since then. What others
+// reported is not passed on, or the time on the way would be left out of the age at each hop.
 func (m *Members) sample(now time.Time, n int) []relayedMember {
+	var r []relayedMember
+	for _, p := range m.randomFirstHand(now, n, func(string) bool { return true }) {
+		r = append(r, relayedMember{Member: p.Member, AgeMilliseconds: now.Sub(p.firstHand).Milliseconds()})
+	}
+	return r
+}
+
+// brief returns how long ago n random members were heard themselves, for a receiver in the own region or another one. The
+// receivers hear the other members of their own region themselves.
+func (m *Members) brief(now time.Time, n int, ownRegion bool) map[netip.Addr]int64 {
+	r := map[netip.Addr]int64{}
+	for _, p := range m.randomFirstHand(now, n, func(region string) bool { return (region == m.self.Region) != ownRegion }) {
+		r[p.Address] = now.Sub(p.firstHand).Milliseconds()
+	}
+	return r
+}
+
+func (m *Members) randomFirstHand(now time.Time, n int, in func(region string) bool) []peer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var r []relayedMember
+	var r []peer
 	for _, p := range m.peers {
-		if d := now.Sub(p.lastHeard); d <= Silence {
-			r = append(r, relayedMember{Member: p.Member, AgeMilliseconds: d.Milliseconds()})
+		if now.Sub(p.firstHand) <= Silence && in(p.Region) {
+			r = append(r, *p)
 		}
 	}
 	rand.Shuffle(len(r), func(i, j int) { r[i], r[j] = r[j], r[i] }) //nolint:gosec // No secret.
 	return r[:min(n, len(r))]
 }
+
+// isOwnRegion reports whether an address is that of a member of the own region.
+func (m *Members) isOwnRegion(a netip.Addr) bool {
+	k, ok := m.Get(a)
+	return ok && k.Region == m.self.Region
+}
--- a/handler/peers.go
+++ b/handler/peers.go
@@ -84,6 +84,12 @@
 	return t
 }
 
+// load is what the instances of the region are told of the requests of this one.
+func (s *Server) load() gossiper.Load {
+	r := s.placer.Report(s.clock())
+	return gossiper.Load{InFlight: r.InFlight, Placed: r.Placed}
+}
+
 // contact is when the store last answered any instance, as far as known.
 func (s *Server) contact() time.Time {
 	own := s.rows.Contact()
--- a/handler/server.go
+++ b/handler/server.go
@@ -189,14 +189,16 @@
 		Listen:  c.Settings.Peers,
 		Members: s.members,
 		Hooks: gossiper.Hooks{
-			Self:     s.self,
-			State:    s.state,
-			InFlight: s.placer.InFlight,
-			Heard:    s.hear,
-			Load:     func(a netip.Addr, m map[string]int) { s.placer.Heard(s.clock(), a.String(), m) },
-			Give:     func(w map[string]int) map[string]int { return s.shares.Give(s.clock(), w) },
-			Receive:  func(g map[string]int) { s.shares.Receive(s.clock(), g) },
-			Issue:    s.issuePermits,
+			Self:  s.self,
+			State: s.state,
+			Load:  s.load,
+			Heard: s.hear,
+			HeardLoad: func(a netip.Addr, l gossiper.Load) {
+				s.placer.Heard(s.clock(), a.String(), placer.Report{InFlight: l.InFlight, Placed: l.Placed})
+			},
+			Give:    func(w map[string]int) map[string]int { return s.shares.Give(s.clock(), w) },
+			Receive: func(g map[string]int) { s.shares.Receive(s.clock(), g) },
+			Issue:   s.issuePermits,
 			ReceivePermits: func(asked time.Time, g map[string]int) {
 				s.throttle.Receive(s.clock(), asked, g)
 			},
--- /dev/null
+++ b/placer/fleet_test.go
@@ -0,0 +1,470 @@
+package placer_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"celeryhead.dev/celeryhead/cataloger"
+	"celeryhead.dev/celeryhead/placer"
+	"celeryhead.dev/celeryhead/responder"
+)
+
+// fleetRegion is a region of a large fleet with its own callers.
+type fleetRegion struct {
+	name               string
+	instances, targets int
+	// rate is the mean number of requests a second, objects the number of objects that only callers of the region ask for.
+	rate    float64
+	objects int
+	// phase shifts the wave of the region's requests, as a fraction of the period.
+	phase float64
+}
+
+// fleet is a large deployment with one service.
+type fleet struct {
+	seed    uint64
+	regions []fleetRegion
+	// slots and queue are the requests that a target runs and lets wait; it sheds further ones.
+	slots, queue     int
+	cacheSize        int
+	uncached, cached time.Duration
+	objective        time.Duration
+	// timeout ends an attempt, deadline the request with its retry.
+	timeout, deadline time.Duration
+	length            time.Duration
+	swing             float64
+	// crossDomain and crossRegion are one-way network delays.
+	crossDomain, crossRegion time.Duration
+	// lost is a region without instances and targets from lostAt to lostUntil.
+	lost              string
+	lostAt, lostUntil time.Duration
+	// receivers returns the instances of a region of n that get the report of the i-th instance in a round.
+	receivers func(i, n, round int) []int
+}
+
+// fleetResult counts what the callers of one region, or all, got.
+type fleetResult struct {
+	requests, inTime, late, refused, failed int
+	// refusedLate counts refusals that came after an eighth of the objective.
+	refusedLate int
+	// runs counts the requests that targets began to run, uncached those whose object was not cached, remote those that
+	// ran in another region, shed those that a target turned away.
+	runs, uncached, remote, shed int
+}
+
+// worth is the value of the answers as a share of that of answers to all requests in time; a late answer counts a fifth.
+func (r fleetResult) worth() float64 {
+	return (float64(r.inTime) + 0.2*float64(r.late)) / float64(max(r.requests, 1))
+}
+
+func (r fleetResult) String() string {
+	share := func(n, of int) float64 { return float64(n) / float64(max(of, 1)) }
+	return fmt.Sprintf("%d requests: worth %.3f, in time %.3f, late %.3f, refused %.3f (late %.3f), failed %.3f; runs %d: uncached %.3f, remote %.3f, shed %.3f",
+		r.requests, r.worth(), share(r.inTime, r.requests), share(r.late, r.requests), share(r.refused, r.requests),
+		share(r.refusedLate, r.requests), share(r.failed, r.requests), r.runs, share(r.uncached, r.runs), share(r.remote, r.runs), share(r.shed, r.runs))
+}
+
+// twelveInTurn lets an instance report to twelve others of its region in each round, as the gossip does.
+func twelveInTurn(i, n, round int) []int {
+	var r []int
+	for k := range min(12, n-1) {
+		r = append(r, (i+1+(round*12+k)%(n-1))%n)
+	}
+	return r
+}
+
+// pitchMap is the look-up service of a deployment of 78 instances and 259 targets in three regions, of which the one with
+// the fewest targets has a tenth of them and as many callers as each of the others.
+func pitchMap() fleet {
+	return fleet{
+		seed: 1,
+		regions: []fleetRegion{
+			{name: "almaty", instances: 26, targets: 25, rate: 222, objects: 166, phase: 0.1},
+			{name: "astana", instances: 26, targets: 106, rate: 222, objects: 166, phase: 0.43},
+			{name: "shymkent", instances: 26, targets: 128, rate: 222, objects: 166, phase: 0.77},
+		},
+		slots: 3, queue: 9, cacheSize: 12,
+		uncached: 1040 * time.Millisecond, cached: 312 * time.Millisecond,
+		objective: 805 * time.Millisecond, timeout: 1200 * time.Millisecond, deadline: 5 * time.Second,
+		length: 15 * time.Second, swing: 0.55,
+		crossDomain: 1400 * time.Microsecond, crossRegion: 20 * time.Millisecond,
+		receivers: twelveInTurn,
+	}
+}
+
+type fleetInstance struct {
+	index, inRegion int
+	region          string
+	placer          *placer.Placer
+}
+
+type fleetTarget struct {
+	*cataloger.Target
+	running int
+	queue   []*fleetAttempt
+	cache   []string
+}
+
+type fleetRequest struct {
+	region  string
+	object  string
+	asked   time.Time
+	retried bool
+}
+
+type fleetAttempt struct {
+	request  *fleetRequest
+	instance *fleetInstance
+	lease    *placer.Lease
+	arrival  time.Time
+	target   *fleetTarget
+	oneWay   time.Duration
+	tried    []string
+	// over is true once the instance has given up.
+	over bool
+}
+
+type fleetSimulation struct {
+	fleet
+	random    *rand.Rand
+	route     *cataloger.Route
+	whole     *cataloger.Pool
+	reduced   *cataloger.Pool
+	targets   map[string]*fleetTarget
+	instances map[string][]*fleetInstance
+	events    events
+	results   map[string]*fleetResult
+}
+
+// run plays the fleet and returns the result of all regions, and by region.
+func (f fleet) run() (all fleetResult, byRegion map[string]*fleetResult) {
+	s := &fleetSimulation{
+		fleet:     f,
+		random:    rand.New(rand.NewPCG(f.seed, 3)),
+		route:     &cataloger.Route{Name: "look", Prefix: "/look/", Idempotent: true, Objective: f.objective, Timeout: f.timeout, MaxTargets: 2},
+		targets:   map[string]*fleetTarget{},
+		instances: map[string][]*fleetInstance{},
+		results:   map[string]*fleetResult{},
+	}
+	s.build()
+	for _, r := range f.regions {
+		s.results[r.name] = &fleetResult{}
+		s.schedule(start, func(now time.Time) { s.arrive(now, r) })
+	}
+	s.schedule(start, func(now time.Time) { s.report(now, 0) })
+	for len(s.events) > 0 {
+		e := heap.Pop(&s.events).(event)
+		e.step(e.at)
+	}
+	for _, r := range s.results {
+		all.requests += r.requests
+		all.inTime += r.inTime
+		all.late += r.late
+		all.refused += r.refused
+		all.refusedLate += r.refusedLate
+		all.failed += r.failed
+		all.runs += r.runs
+		all.uncached += r.uncached
+		all.remote += r.remote
+		all.shed += r.shed
+	}
+	return all, s.results
+}
+
+func (s *fleetSimulation) build() {
+	s.whole = &cataloger.Pool{Service: cataloger.Service{Name: service, ColdRate: 3}}
+	s.reduced = &cataloger.Pool{Service: s.whole.Service}
+	n := 0
+	for _, r := range s.regions {
+		for i := range r.targets {
+			t := &cataloger.Target{
+				Name: fmt.Sprintf("%s-%03d", r.name, i), Service: service, Region: r.name, Slots: s.slots,
+				Address: netip.MustParseAddrPort("127.0.0.1:80"),
+			}
+			s.targets[t.Name] = &fleetTarget{Target: t}
+			s.whole.Targets = append(s.whole.Targets, t)
+			if r.name != s.lost {
+				s.reduced.Targets = append(s.reduced.Targets, t)
+			}
+		}
+		for i := range r.instances {
+			home := r.name
+			trip := func(to string) time.Duration {
+				if to == home {
+					return 2 * s.crossDomain
+				}
+				return 2 * s.crossRegion
+			}
+			s.instances[r.name] = append(s.instances[r.name], &fleetInstance{
+				index: n, inRegion: i, region: home, placer: placer.New(placer.Config{Region: home, Trip: trip, Cold: openGate{}}),
+			})
+			n++
+		}
+	}
+	slices.SortFunc(s.whole.Targets, func(a, b *cataloger.Target) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(s.reduced.Targets, func(a, b *cataloger.Target) int { return strings.Compare(a.Name, b.Name) })
+}
+
+func (s *fleetSimulation) schedule(at time.Time, step func(time.Time)) {
+	heap.Push(&s.events, event{at: at, step: step})
+}
+
+func (s *fleetSimulation) isLost(region string, now time.Time) bool {
+	d := now.Sub(start)
+	return region == s.lost && d >= s.lostAt && d < s.lostUntil
+}
+
+func (s *fleetSimulation) pool(now time.Time) *cataloger.Pool {
+	if s.lost != "" && s.isLost(s.lost, now) {
+		return s.reduced
+	}
+	return s.whole
+}
+
+// report exchanges the requests in flight between the instances of each region.
+func (s *fleetSimulation) report(now time.Time, round int) {
+	for _, r := range s.regions {
+		is := s.instances[r.name]
+		for i, a := range is {
+			m := a.placer.Report(now)
+			for _, j := range s.receivers(i, len(is), round) {
+				is[j].placer.Heard(now, fmt.Sprint(a.index), m)
+			}
+		}
+	}
+	if now.Sub(start) < s.length+s.deadline {
+		s.schedule(now.Add(200*time.Millisecond), func(now time.Time) { s.report(now, round+1) })
+	}
+}
+
+func (s *fleetSimulation) arrive(now time.Time, r fleetRegion) {
+	since := now.Sub(start)
+	if since >= s.length {
+		return
+	}
+	// Some objects are asked for more often than others.
+	o := int(math.Pow(s.random.Float64(), 1.25) * float64(r.objects))
+	q := &fleetRequest{region: r.name, object: fmt.Sprintf("%s/%d", r.name, o), asked: now}
+	s.results[r.name].requests++
+	s.enter(now, q)
+	wave := 1 + s.swing*math.Sin(2*math.Pi*(since.Seconds()/36+r.phase))
+	s.schedule(now.Add(time.Duration(s.random.ExpFloat64()/(r.rate*wave)*float64(time.Second))), func(now time.Time) { s.arrive(now, r) })
+}
+
+// enter has a random ready instance of the caller's region take a request, or one of another region if there is none.
+func (s *fleetSimulation) enter(now time.Time, q *fleetRequest) {
+	is := s.instances[q.region]
+	if s.isLost(q.region, now) {
+		is = nil
+		for _, r := range s.regions {
+			if r.name != q.region {
+				is = append(is, s.instances[r.name]...)
+			}
+		}
+	}
+	s.place(now, &fleetAttempt{request: q, instance: is[s.random.IntN(len(is))], arrival: now})
+}
+
+func (s *fleetSimulation) place(now time.Time, a *fleetAttempt) {
+	l, f := a.instance.placer.Choose(now, s.pool(now), placer.Work{
+		Route: s.route, Service: service, Object: a.request.object, Tried: a.tried,
+		Objective: a.arrival.Add(s.objective), Deadline: a.arrival.Add(s.timeout),
+	})
+	if f != nil {
+		s.refuse(now, a, f)
+		return
+	}
+	n := &fleetAttempt{request: a.request, instance: a.instance, arrival: a.arrival, tried: append(a.tried, l.Target.Name), lease: l, target: s.targets[l.Target.Name]}
+	n.oneWay = s.crossDomain
+	if l.Target.Region != a.instance.region {
+		n.oneWay = s.crossRegion
+	}
+	n.instance.placer.Sent(now, l)
+	s.schedule(now.Add(n.oneWay), func(now time.Time) { s.reach(now, n) })
+	s.schedule(n.arrival.Add(s.timeout), func(now time.Time) { s.expire(now, n) })
+}
+
+// refuse tells the caller, who returns once after the stated delay.
+func (s *fleetSimulation) refuse(now time.Time, a *fleetAttempt, f *responder.Refusal) {
+	r, q := s.results[a.request.region], a.request
+	after := min(f.RetryAfter, (s.deadline-now.Sub(q.asked))/3)
+	if q.retried || after <= 0 {
+		r.refused++
+		if now.Sub(a.arrival) > s.objective/8 {
+			r.refusedLate++
+		}
+		return
+	}
+	q.retried = true
+	s.schedule(now.Add(after), func(now time.Time) { s.enter(now, q) })
+}
+
+func (s *fleetSimulation) reach(now time.Time, a *fleetAttempt) {
+	t := a.target
+	switch {
+	case a.over || s.isLost(t.Region, now):
+	case t.running < s.slots:
+		s.begin(now, a)
+	case len(t.queue) < s.queue:
+		t.queue = append(t.queue, a)
+	default:
+		s.results[a.request.region].shed++
+		running, waiting := t.running, len(t.queue)
+		s.schedule(now.Add(a.oneWay), func(now time.Time) { s.shed(now, a, running, waiting) })
+	}
+}
+
+// shed tries another target once.
+func (s *fleetSimulation) shed(now time.Time, a *fleetAttempt, running, waiting int) {
+	if a.over {
+		return
+	}
+	a.over = true
+	s.told(now, a, running, waiting)
+	a.instance.placer.End(now, a.lease, placer.Shed)
+	if len(a.tried) < s.route.MaxTargets {
+		s.place(now, a)
+		return
+	}
+	s.refuse(now, a, &responder.Refusal{RetryAfter: 200 * time.Millisecond})
+}
+
+func (s *fleetSimulation) begin(now time.Time, a *fleetAttempt) {
+	t, r := a.target, s.results[a.request.region]
+	t.running++
+	r.runs++
+	if t.Region != a.request.region {
+		r.remote++
+	}
+	w := s.uncached
+	if slices.Contains(t.cache, a.request.object) {
+		w = s.cached
+	} else {
+		r.uncached++
+	}
+	w = time.Duration(float64(w) * (0.85 + 0.3*s.random.Float64()))
+	// A target stops at the deadline that it was told.
+	end := now.Add(w)
+	stop := a.arrival.Add(s.timeout)
+	if end.After(stop) {
+		s.schedule(stop, func(now time.Time) { s.next(now, t) })
+		return
+	}
+	s.schedule(end, func(now time.Time) { s.finish(now, a) })
+}
+
+// next frees a slot and starts the next request of the queue.
+func (s *fleetSimulation) next(now time.Time, t *fleetTarget) {
+	t.running--
+	for len(t.queue) > 0 && t.running < s.slots {
+		n := t.queue[0]
+		t.queue = t.queue[1:]
+		if !n.over && now.Before(n.arrival.Add(s.timeout)) {
+			s.begin(now, n)
+		}
+	}
+}
+
+func (s *fleetSimulation) finish(now time.Time, a *fleetAttempt) {
+	t := a.target
+	t.cache = append(slices.DeleteFunc(t.cache, func(k string) bool { return k == a.request.object }), a.request.object)
+	t.cache = t.cache[max(0, len(t.cache)-s.cacheSize):]
+	s.next(now, t)
+	running, waiting := t.running, len(t.queue)
+	if s.isLost(t.Region, now) {
+		return
+	}
+	s.schedule(now.Add(a.oneWay), func(now time.Time) { s.answer(now, a, running, waiting) })
+}
+
+func (s *fleetSimulation) told(now time.Time, a *fleetAttempt, running, waiting int) {
+	a.instance.placer.Told(now, a.lease, placer.Load{Running: running, Waiting: waiting, Slots: s.slots})
+}
+
+func (s *fleetSimulation) answer(now time.Time, a *fleetAttempt, running, waiting int) {
+	if a.over {
+		return
+	}
+	a.over = true
+	s.told(now, a, running, waiting)
+	a.instance.placer.End(now, a.lease, placer.Answered)
+	r := s.results[a.request.region]
+	switch d := now.Sub(a.request.asked); {
+	case d > s.deadline:
+		r.failed++
+	case d > s.objective:
+		r.late++
+	default:
+		r.inTime++
+	}
+}
+
+// expire gives up an attempt whose time has passed; the caller returns once.
+func (s *fleetSimulation) expire(now time.Time, a *fleetAttempt) {
+	if a.over {
+		return
+	}
+	a.over = true
+	a.instance.placer.End(now, a.lease, placer.Silent)
+	q := a.request
+	if q.retried || now.Sub(q.asked) >= s.deadline {
+		s.results[q.region].failed++
+		return
+	}
+	q.retried = true
+	s.enter(now, q)
+}
+
+// informed is the same fleet with a single instance in each region, which sees all of its requests.
+func (f fleet) informed() fleet {
+	f.regions = slices.Clone(f.regions)
+	for i := range f.regions {
+		f.regions[i].instances = 1
+	}
+	return f
+}
+
+// The usual load of a large deployment: each of 78 instances sees each object every 20 s, so that none learns by itself
+// which targets cache it and how busy they are. Callers must get nearly what a single instance in each region could give
+// them, also those of the region with the fewest targets.
+func TestLargeFleetActsLikeOneInstancePerRegion(t *testing.T) {
+	f := pitchMap()
+	all, regions := f.run()
+	best, bestRegions := f.informed().run()
+	t.Logf("fleet %v", all)
+	t.Logf("informed %v", best)
+	if all.worth() < 0.97*best.worth() {
+		t.Errorf("worth %.3f, less than 0.97 of the %.3f with one instance in each region", all.worth(), best.worth())
+	}
+	for n, r := range regions {
+		if r.worth() < 0.95*bestRegions[n].worth() {
+			t.Errorf("%s: worth %.3f, less than 0.95 of the %.3f with one instance in each region", n, r.worth(), bestRegions[n].worth())
+		}
+	}
+	if all.refusedLate > 0 {
+		t.Errorf("%d requests were refused late", all.refusedLate)
+	}
+}
+
+// The region with half of the targets is lost for five seconds, and its callers use the instances of the others.
+func TestLargeFleetLosesRegion(t *testing.T) {
+	f := pitchMap()
+	f.lost, f.lostAt, f.lostUntil = "shymkent", 5*time.Second, 10*time.Second
+	all, _ := f.run()
+	best, _ := f.informed().run()
+	t.Logf("fleet %v", all)
+	t.Logf("informed %v", best)
+	if all.worth() < 0.93*best.worth() {
+		t.Errorf("worth %.3f, less than 0.93 of the %.3f with one instance in each region", all.worth(), best.worth())
+	}
+	if all.refusedLate > 0 {
+		t.Errorf("%d requests were refused late", all.refusedLate)
+	}
+}
--- a/placer/load_test.go
+++ b/placer/load_test.go
@@ -322,7 +322,7 @@
 	if t.exchangeInterval > 0 && now.Sub(t.lastExchange) >= t.exchangeInterval {
 		t.lastExchange = now
 		for j, q := range t.each {
-			m := q.InFlight()
+			m := q.Report(now)
 			for k, o := range t.each {
 				if k != j {
 					o.Heard(now, fmt.Sprint(j), m)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -28,9 +28,10 @@
 	// maxLateness is the fraction of the objective by which an answer may be late while the service is not
 	// overloaded.
 	maxLateness = 1.0
-	// remoteRegionPenalty is the fraction of the objective added to the cost of a target in another region, because
-	// links between regions are narrow and shared.
-	remoteRegionPenalty = 0.5
+	// lentPenalty and remotePenalty are the fractions of the objective added to the cost of targets that other regions
+	// prefer, in the own region and in another one: they are meant for others' objects, and links between regions are narrow.
+	lentPenalty   = 0.05
+	remotePenalty = 0.25
 	// introductionDelay is how long a target that joined later waits for its first request before the instance that
 	// sends to it while it is cold gives it one.
 	introductionDelay = 500 * time.Millisecond
@@ -104,6 +105,8 @@
 	Tried []string
 
 	key string
+	// object identifies the key in the lists of cached objects.
+	object uint32
 	// hasHeadroom is true if the service is not overloaded.
 	hasHeadroom bool
 }
@@ -131,10 +134,13 @@
 
 	mu          sync.Mutex
 	targets     map[string]*target
+	peers       peers
 	times       map[processingKey]*processingTimes
 	replication map[string]*replicationBudget
 	orders      map[orderKey]order
 	demands     map[string]*demand
+	// preferred holds the targets for instances of this region by service.
+	preferred map[string]preference
 	// firstRequestAt is when the first request arrived.
 	firstRequestAt time.Time
 }
@@ -142,8 +148,10 @@
 type orderKey struct{ service, object string }
 
 type order struct {
-	pool    *cataloger.Pool
-	targets []*cataloger.Target
+	pool *cataloger.Pool
+	// targets begins with the preferred ones.
+	targets   []*cataloger.Target
+	preferred int
 }
 
 // New returns a placer without measurements.
@@ -154,7 +162,7 @@
 	if c.Throttle == nil {
 		c.Throttle = unthrottled{}
 	}
-	return &Placer{config: c, targets: map[string]*target{}, times: map[processingKey]*processingTimes{}, replication: map[string]*replicationBudget{}, orders: map[orderKey]order{}, demands: map[string]*demand{}}
+	return &Placer{config: c, targets: map[string]*target{}, times: map[processingKey]*processingTimes{}, replication: map[string]*replicationBudget{}, orders: map[orderKey]order{}, demands: map[string]*demand{}, peers: newPeers(), preferred: map[string]preference{}}
 }
 
 // candidate is a target with its estimates for a request.
@@ -173,11 +181,60 @@
 func (p *Placer) Choose(now time.Time, pool *cataloger.Pool, w Work) (*Lease, *responder.Refusal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.peers.expire(now)
 	if p.firstRequestAt.IsZero() {
 		p.firstRequestAt = now
 	}
 	w.key = objectKey(w)
-	cs := p.candidates(now, pool, w)
+	w.object = uint32(xxhash.Sum64String(w.key)) //nolint:gosec // A part of the hash is enough.
+	o := p.order(now, pool, w)
+	l, f := p.chooseAmong(now, pool, w, p.candidates(now, o, w, p.quotaFor(now, w, o)))
+	if f == nil {
+		return l, nil
+	}
+	if x := p.replicate(now, pool, w); x != nil {
+		return x, nil
+	}
+	return nil, f
+}
+
+// replicate assigns a request that the few targets of its object cannot have to another one with a free slot, as far as the
+// service's replication budget goes; it returns nil if there is none. In a peak all targets are busy, and further copies of
+// the object would only evict others.
+func (p *Placer) replicate(now time.Time, pool *cataloger.Pool, w Work) *Lease {
+	cs := p.candidates(now, p.order(now, pool, w), w, unlimited)
+	w.hasHeadroom = serviceHasHeadroom(cs)
+	if !w.hasHeadroom {
+		return nil
+	}
+	cs = slices.DeleteFunc(cs, func(c candidate) bool { return c.wait > 0 })
+	for len(cs) > 0 {
+		i := cheapest(cs)
+		c := cs[i]
+		if !p.replicationFor(w.Service).covers(c.run) || p.reject(now, w, c) != nil {
+			return nil
+		}
+		if p.admits(now, pool, c.target) {
+			p.replicationFor(w.Service).spend(c.run)
+			return p.start(now, w, c)
+		}
+		cs = slices.Delete(cs, i, i+1)
+	}
+	return nil
+}
+
+func cheapest(cs []candidate) int {
+	best := 0
+	for i, c := range cs {
+		if c.cost < cs[best].cost {
+			best = i
+		}
+	}
+	return best
+}
+
+// chooseAmong assigns a request to one of the candidates, or returns a refusal.
+func (p *Placer) chooseAmong(now time.Time, pool *cataloger.Pool, w Work, cs []candidate) (*Lease, *responder.Refusal) {
 	w.hasHeadroom = serviceHasHeadroom(cs)
 	for len(cs) > 0 {
 		i, replicates := p.best(now, w, cs)
@@ -201,7 +258,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w.key = objectKey(w)
-	cs := slices.DeleteFunc(p.candidates(now, pool, w), func(c candidate) bool {
+	w.object = uint32(xxhash.Sum64String(w.key)) //nolint:gosec // A part of the hash is enough.
+	cs := slices.DeleteFunc(p.candidates(now, p.order(now, pool, w), w, unlimited), func(c candidate) bool {
 		return p.config.Throttle.Interval(c.target.Name, c.target.Started) == 0 || p.reject(now, w, c) != nil
 	})
 	slices.SortStableFunc(cs, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
@@ -278,50 +336,74 @@
 	return len(w.Regions) == 0 || region != "" && slices.Contains(w.Regions, region)
 }
 
-// candidates estimates all targets that may run the request.
-func (p *Placer) candidates(now time.Time, pool *cataloger.Pool, w Work) []candidate {
-	e := p.timesFor(w)
-	mean := p.meanTime(w.Service)
-	ts := p.order(pool, w)
-	cs := make([]candidate, 0, len(ts))
-	rank, left := 0, p.quotaFor(now, w, ts)
-	for _, t := range ts {
-		if !w.allows(t.Region) || slices.Contains(w.Tried, t.Name) {
-			continue
+// candidates estimates the targets that may run the request, as many as the quota allows, and those that joined and had no
+// request yet.
+func (p *Placer) candidates(now time.Time, o order, w Work, left candidateQuota) []candidate {
+	var cs []candidate
+	rank := 0
+	for i, t := range o.targets {
+		preferred := i < o.preferred
+		if !preferred && left.other <= 0 {
+			break
 		}
-		s := p.state(now, t)
-		local := t.Region == p.config.Region
-		if !left.allows(local) && !s.unused(now) {
+		if !w.mayRunOn(t) || !left.allows(preferred) {
 			continue
 		}
-		cold := now.Before(t.ColdUntil)
-		if cold && !p.config.Cold.Sends(t.Name) || !s.available(now) || !p.wanted(now, t, s) {
-			rank++
-			continue
-		}
-		c := candidate{target: t, state: s, cached: w.Object == "" || s.cache.contains(w.key)}
-		c.run = time.Duration(float64(e.expected(c.cached, rank)) * s.slowness(now))
-		if cold {
-			c.run *= coldSlowness
-		}
-		c.wait = s.wait(now, t.Slots, mean)
-		c.cost = c.wait + c.run + p.config.Trip(t.Region) + s.faultPenalty(e)
-		if t.Region != p.config.Region {
-			c.cost += time.Duration(remoteRegionPenalty * float64(w.Route.Objective))
+		if c, ok := p.estimate(now, w, t, preferred, rank); ok {
+			cs = append(cs, c)
+			left.use(preferred)
 		}
-		if !c.cached {
-			c.cost += time.Duration(float64(c.run)*(uncachedCostFactor-1)) + time.Duration(float64(rank)*rankPenalty*float64(e.uncached.average()))
+		rank++
+	}
+	for _, t := range p.joinedTargets(now, w.Service) {
+		if !w.mayRunOn(t) || slices.ContainsFunc(cs, func(c candidate) bool { return c.target == t }) {
+			continue
 		}
-		if s.unused(now) && c.wait == 0 && w.Route.Idempotent && p.config.Cold.Sends(t.Name) {
-			c.cost = 0
+		if c, ok := p.estimate(now, w, t, false, rank); ok {
+			cs = append(cs, c)
+			rank++
 		}
-		cs = append(cs, c)
-		left.use(local)
-		rank++
 	}
 	return cs
 }
 
+// mayRunOn reports whether the request may go to a target at all.
+func (w Work) mayRunOn(t *cataloger.Target) bool {
+	return w.allows(t.Region) && !slices.Contains(w.Tried, t.Name)
+}
+
+// estimate returns a target as a candidate; rank is its place in the object's order. The result is false if the target may
+// have no request at present.
+func (p *Placer) estimate(now time.Time, w Work, t *cataloger.Target, preferred bool, rank int) (candidate, bool) {
+	s := p.state(now, t)
+	cold := now.Before(t.ColdUntil)
+	if cold && !p.config.Cold.Sends(t.Name) || !s.available(now) || !p.wanted(now, t, s) {
+		return candidate{}, false
+	}
+	e := p.timesFor(w)
+	c := candidate{target: t, state: s, cached: w.Object == "" || s.usage.cache.contains(w.object)}
+	c.run = time.Duration(float64(e.expected(c.cached, rank)) * s.slowness(now))
+	if cold {
+		c.run *= coldSlowness
+	}
+	c.wait = s.wait(now, t.Slots, p.meanTime(w.Service))
+	if s.unused(now) && c.wait == 0 && w.Route.Idempotent && p.config.Cold.Sends(t.Name) {
+		return c, true
+	}
+	c.cost = c.wait + c.run + p.config.Trip(t.Region) + s.faultPenalty(e)
+	switch {
+	case preferred:
+	case t.Region == p.config.Region:
+		c.cost += time.Duration(lentPenalty * float64(w.Route.Objective))
+	default:
+		c.cost += time.Duration(remotePenalty * float64(w.Route.Objective))
+	}
+	if !c.cached {
+		c.cost += time.Duration(float64(c.run)*(uncachedCostFactor-1)) + time.Duration(float64(rank)*rankPenalty*float64(e.uncached.average()))
+	}
+	return c, true
+}
+
 // wanted reports whether a target wants a further request. After a rest its slots come into use again by degrees, one by one.
 func (p *Placer) wanted(now time.Time, t *cataloger.Target, s *target) bool {
 	share := p.config.Abstainer.Share(now, incarnation(t))
@@ -395,7 +477,8 @@
 	c.state.inFlight++
 	c.state.lastUsed = now
 	// Later requests for the object on this target run after this one and find the object cached.
-	c.state.cache.add(w.key)
+	c.state.usage.cache.add(w.object)
+	p.peers.record(now, c.target.Name, w.object)
 	return &Lease{
 		Target:   c.target,
 		Wait:     c.wait,
@@ -408,30 +491,41 @@
 	}
 }
 
-// order returns the targets of a pool in the object's rendezvous-hash order, which is the same at all instances.
-func (p *Placer) order(pool *cataloger.Pool, w Work) []*cataloger.Target {
+// order returns the targets of a pool in the object's rendezvous-hash order, the preferred ones first. It is the same at
+// all instances of a region.
+func (p *Placer) order(now time.Time, pool *cataloger.Pool, w Work) order {
 	k := orderKey{service: w.Service, object: w.key}
 	if o, ok := p.orders[k]; ok && o.pool == pool {
-		return o.targets
+		return o
 	}
 	if len(p.orders) >= maxOrders {
 		clear(p.orders)
 	}
 	type scored struct {
-		target *cataloger.Target
-		score  uint64
+		target    *cataloger.Target
+		score     uint64
+		preferred bool
 	}
+	own := p.preferredTargets(now, pool)
 	s := make([]scored, len(pool.Targets))
 	for i, t := range pool.Targets {
-		s[i] = scored{target: t, score: xxhash.Sum64String(k.object + "\x00" + t.Name)}
+		s[i] = scored{target: t, score: xxhash.Sum64String(k.object + "\x00" + t.Name), preferred: own[t]}
 	}
-	slices.SortFunc(s, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-	ts := make([]*cataloger.Target, len(s))
+	slices.SortFunc(s, func(a, b scored) int {
+		if a.preferred != b.preferred {
+			if a.preferred {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.score, a.score)
+	})
+	o := order{pool: pool, targets: make([]*cataloger.Target, len(s)), preferred: len(own)}
 	for i := range s {
-		ts[i] = s[i].target
+		o.targets[i] = s[i].target
 	}
-	p.orders[k] = order{pool: pool, targets: ts}
-	return ts
+	p.orders[k] = o
+	return o
 }
 
 // objectKey returns the key of an object; objects are distinct per route.
@@ -456,35 +550,6 @@
 	l.sent = now
 }
 
-// Heard records another instance's number of requests in flight on each target.
-func (p *Placer) Heard(now time.Time, instance string, inFlight map[string]int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for n, s := range p.targets {
-		if k := inFlight[n]; k > 0 {
-			if s.peers == nil {
-				s.peers = map[string]peerReport{}
-			}
-			s.peers[instance] = peerReport{inFlight: k, at: now}
-		} else {
-			delete(s.peers, instance)
-		}
-	}
-}
-
-// InFlight returns this instance's number of requests in flight on each target that has any.
-func (p *Placer) InFlight() map[string]int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	m := map[string]int{}
-	for n, s := range p.targets {
-		if s.inFlight > 0 {
-			m[n] = s.inFlight
-		}
-	}
-	return m
-}
-
 // Describe adds the current estimates of a target to its status.
 func (p *Placer) Describe(now time.Time, t *cataloger.Target, d *informer.Target) {
 	p.mu.Lock()
@@ -496,7 +561,7 @@
 	}
 	d.InFlight, d.Load = s.inFlight, s.load(now)
 	d.PausedSeconds = max(0, s.pausedUntil.Sub(now).Seconds())
-	d.Faults, d.Slowness, d.Objects = s.faultRate, s.slowness(now), len(s.cache.elements)
+	d.Faults, d.Slowness, d.Objects = s.faultRate, s.slowness(now), len(s.usage.cache.elements)
 }
 
 // End ends a lease and records the outcome; a second call has no effect.
@@ -514,7 +579,7 @@
 	}
 	s.recordOutcome(now, o)
 	if o == Unreached || o == Shed || o == Declined && !l.Known {
-		s.cache.remove(l.work.key)
+		s.usage.cache.remove(l.work.object)
 	}
 	if o != Answered {
 		return
@@ -583,4 +648,5 @@
 			delete(p.targets, n)
 		}
 	}
+	p.peers.keep(func(n string) bool { return p.targets[n] != nil || has(n) })
 }
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -392,7 +392,7 @@
 	}
 	p.End(start.Add(time.Second), c, placer.Answered)
 	p.End(start.Add(time.Second), c, placer.Answered)
-	if m := p.InFlight(); len(m) != 0 {
+	if m := p.Report(start).InFlight; len(m) != 0 {
 		t.Errorf("in flight %v", m)
 	}
 }
@@ -429,7 +429,7 @@
 			t.Fatalf("chose %v, %v", c, f)
 		}
 	}
-	if p.Suspect(now, &placer.Lease{Target: first.Target}); len(p.InFlight()) == 0 {
+	if p.Suspect(now, &placer.Lease{Target: first.Target}); len(p.Report(now).InFlight) == 0 {
 		t.Error("Suspect ended a lease")
 	}
 }
--- a/placer/spread.go
+++ b/placer/spread.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"celeryhead.dev/celeryhead/cataloger"
 )
 
 const (
@@ -12,8 +10,9 @@
 	demandWindow = 8 * time.Second
 	// minFanout is the smallest number of targets that serve an object, so that one may be gone and another one full.
 	minFanout = 3
-	// minLocalFanout is the smallest number of them in the instance's own region, which answers sooner.
-	minLocalFanout = 1
+	// otherFanout is the number of further targets, which other regions prefer, that may serve an object when its own
+	// ones are busy.
+	otherFanout = 4
 	// objectsPerTarget is the number of objects planned for each target. Targets cache 20 or more, but a target that
 	// is assigned as many objects as it can cache evicts them when it takes over those of failed targets.
 	objectsPerTarget = 8
@@ -69,28 +68,33 @@
 
 // candidateQuota is how many more targets may become candidates for a request.
 type candidateQuota struct {
-	// total counts targets of any region; local is the number of targets of the instance's own region that are
-	// admitted even when total is used up.
-	total, local int
+	preferred, other int
 }
 
+// unlimited admits all targets.
+var unlimited = candidateQuota{preferred: math.MaxInt, other: math.MaxInt}
+
 // quotaFor returns how many of a service's targets may become candidates for a request.
-func (p *Placer) quotaFor(now time.Time, w Work, ts []*cataloger.Target) candidateQuota {
+func (p *Placer) quotaFor(now time.Time, w Work, o order) candidateQuota {
 	if w.Object == "" {
-		return candidateQuota{total: len(ts)}
+		return unlimited
 	}
 	d := p.demandFor(w.Service)
 	d.add(now, w.key)
-	return candidateQuota{total: d.fanout(w.key, len(ts)), local: minLocalFanout}
+	return candidateQuota{preferred: d.fanout(w.key, o.preferred), other: otherFanout}
 }
 
-func (s *candidateQuota) allows(local bool) bool {
-	return s.total > 0 || local && s.local > 0
+func (s *candidateQuota) allows(preferred bool) bool {
+	if preferred {
+		return s.preferred > 0
+	}
+	return s.other > 0
 }
 
-func (s *candidateQuota) use(local bool) {
-	s.total--
-	if local {
-		s.local--
+func (s *candidateQuota) use(preferred bool) {
+	if preferred {
+		s.preferred--
+	} else {
+		s.other--
 	}
 }
--- a/placer/target.go
+++ b/placer/target.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"container/list"
 	"math"
 	"net/netip"
 	"time"
@@ -20,9 +19,6 @@
 	// loadReportTTL is how long the load that a target reported takes precedence over the sum of the instances'
 	// counts.
 	loadReportTTL = 100 * time.Millisecond
-	// peerReportTTL is how long another instance's report of its requests is valid; reports are sent five times a
-	// second.
-	peerReportTTL = 600 * time.Millisecond
 	// unattributedWeight is the weight of the latest sample in the load from instances that send no reports, and
 	// unattributedDecay is the time constant with which that load decays.
 	unattributedWeight = 0.4
@@ -37,9 +33,6 @@
 	slownessTTL = 3 * time.Second
 	minSlowness = 0.8
 	maxSlowness = 12
-	// maxCachedObjects is the number of objects that a target is assumed to cache; the least recently used are
-	// evicted first.
-	maxCachedObjects = 20
 )
 
 // Outcome is the result of a request on a target.
@@ -70,12 +63,6 @@
 	Running, Waiting, Slots int
 }
 
-// peerReport is another instance's number of requests in flight on a target.
-type peerReport struct {
-	inFlight int
-	at       time.Time
-}
-
 // target is what this instance has learned about a target.
 type target struct {
 	service  string
@@ -84,9 +71,9 @@
 	// reported is the load from all other instances at the time of the target's last report.
 	reported   float64
 	reportedAt time.Time
-	// peers holds the reports of other instances. unattributed is an average of the reported load that neither this
-	// instance nor those reports account for.
-	peers             map[string]peerReport
+	// usage is what all instances do with the target. unattributed is an average of the reported load that neither this
+	// instance nor the reports of others account for.
+	usage             *usage
 	unattributed      float64
 	slowdown          ewma
 	slowdownAt        time.Time
@@ -101,7 +88,6 @@
 	lastAnswered time.Time
 	// joinedAt is when the target was first seen; it is zero for targets that were known at the first request.
 	joinedAt         time.Time
-	cache            cachedObjects
 	consecutiveSheds int
 }
 
@@ -112,7 +98,12 @@
 		if s != nil {
 			n = s.inFlight
 		}
-		s = &target{service: t.Service, started: t.Started, inFlight: n, slowdown: ewma{weight: slownessWeight, avg: 1}}
+		u := p.peers.usageOf(t.Name)
+		if s != nil {
+			// The new process has cached nothing.
+			u.cache = cachedObjects{}
+		}
+		s = &target{service: t.Service, started: t.Started, usage: u, inFlight: n, slowdown: ewma{weight: slownessWeight, avg: 1}}
 		if now.After(p.firstRequestAt) {
 			s.joinedAt = now
 		}
@@ -144,23 +135,12 @@
 		return float64(s.inFlight) + s.reported
 	}
 	rest := s.unattributed * math.Exp(-float64(now.Sub(s.reportedAt))/float64(unattributedDecay))
-	return float64(s.inFlight) + s.peerInFlight(now) + rest
-}
-
-// peerInFlight returns the number of requests in flight from instances whose reports are valid.
-func (s *target) peerInFlight(now time.Time) float64 {
-	n := 0
-	for _, h := range s.peers {
-		if now.Sub(h.at) <= peerReportTTL {
-			n += h.inFlight
-		}
-	}
-	return float64(n)
+	return float64(s.inFlight) + float64(s.usage.inFlight) + rest
 }
 
 func (s *target) recordLoad(now time.Time, o Load) {
 	s.reported = max(0, float64(o.Running+o.Waiting-s.inFlight))
-	rest := max(0, s.reported-s.peerInFlight(now))
+	rest := max(0, s.reported-float64(s.usage.inFlight))
 	s.unattributed += (rest - s.unattributed) * max(unattributedWeight, 1-math.Exp(-float64(now.Sub(s.reportedAt))/float64(unattributedDecay)))
 	s.reportedAt = now
 }
@@ -211,35 +191,3 @@
 	}
 	s.faultRate += (fault - s.faultRate) * faultWeight
 }
-
-// cachedObjects is a least-recently-used list of the objects that the target is assumed to cache.
-type cachedObjects struct {
-	order    *list.List
-	elements map[string]*list.Element
-}
-
-func (o *cachedObjects) contains(k string) bool {
-	return o.elements[k] != nil
-}
-
-func (o *cachedObjects) remove(k string) {
-	if e := o.elements[k]; e != nil {
-		o.order.Remove(e)
-		delete(o.elements, k)
-	}
-}
-
-func (o *cachedObjects) add(k string) {
-	if o.elements == nil {
-		o.order, o.elements = list.New(), map[string]*list.Element{}
-	}
-	if e := o.elements[k]; e != nil {
-		o.order.MoveToFront(e)
-		return
-	}
-	o.elements[k] = o.order.PushFront(k)
-	if o.order.Len() > maxCachedObjects {
-		e := o.order.Back()
-		delete(o.elements, o.order.Remove(e).(string)) //nolint:errcheck // Only strings are added.
-	}
-}
