Give up connections whose target acknowledges nothing

Cause: the only signs of a target out of reach were the deadline and a run that takes too long. The acknowledgement of the request's bytes, which does not wait for the target's work, was not looked at.

Change: TCP_USER_TIMEOUT of 0.7 s for requests that may be sent again and have no body. Such a failure is silent and not a broken connection, so it counts as no crash and blocks no request; before, the kernel's own ETIMEDOUT after minutes counted as one. Requests that run once keep waiting for their answer.

--- a/forwarder/connection.go
+++ b/forwarder/connection.go
@@ -24,6 +24,8 @@
 	trip time.Duration
 	// shed holds the requests that the server shed on this connection.
 	shed idSet
+	// ackTimeout is the limit that setAckTimeout has set.
+	ackTimeout time.Duration
 }
 
 // maxShed limits the requests that may be shed on one connection.
@@ -70,6 +72,26 @@
 	return l.tcp.Close()
 }
 
+// setAckTimeout bounds the time for which the other end may leave sent bytes unacknowledged before the connection fails with
+// ETIMEDOUT; 0 stands for the system's limit of minutes. Unlike the response, the acknowledgement does not wait for the server's
+// work, so that its absence means that the server or the way to it is gone.
+func (l *connection) setAckTimeout(d time.Duration) {
+	s, ok := l.tcp.(syscall.Conn)
+	if !ok || d == l.ackTimeout {
+		return
+	}
+	c, err := s.SyscallConn()
+	if err != nil {
+		return
+	}
+	// Without the option the deadline of the request still holds.
+	if c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	}) == nil && err == nil {
+		l.ackTimeout = d
+	}
+}
+
 // staysOpen reports whether a connection that was never used is still open after a while.
 func (l *connection) staysOpen(d time.Duration) bool {
 	if err := l.stream.SetReadDeadline(time.Now().Add(d)); err != nil {
--- a/forwarder/doc.go
+++ b/forwarder/doc.go
@@ -27,6 +27,9 @@
 // later exchanges use new connections, so recovery takes one dial, at most
 // DialTimeout.
 //
+// A connection whose server acknowledges no byte for AckTimeout is unresponsive
+// too, but not broken: it says nothing about a crash.
+//
 // The body of a request may still be read after Do or Copy has returned early.
 // The caller's own read deadline ends that read.
 package forwarder
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"celeryhead.dev/celeryhead/responder"
@@ -189,11 +190,21 @@
 	if x.preWriteErr = x.checkBeforeWrite(); x.preWriteErr != nil {
 		return x.preWriteErr
 	}
+	x.conn.setAckTimeout(x.ackTimeout())
 	x.firstWriteAt = x.f.config.Now()
 	x.writing.Store(true)
 	return nil
 }
 
+// ackTimeout returns the limit for unacknowledged bytes. A server may leave a body unread, and a request that cannot be sent
+// again gains nothing from an early end.
+func (x *exchange) ackTimeout() time.Duration {
+	if x.call.Once || x.call.Request.ContentLength != 0 {
+		return 0
+	}
+	return x.f.config.AckTimeout
+}
+
 func (x *exchange) checkBeforeWrite() error {
 	if x.aborted || x.ctx.Err() != nil {
 		return context.Cause(x.ctx)
@@ -429,9 +440,10 @@
 	}
 }
 
-// waitedInFull reports whether the server had the full time to send a first byte; mu must be held.
+// waitedInFull reports whether the server had the full time to send a first byte, or for the acknowledgement of the request; mu
+// must be held.
 func (x *exchange) waitedInFull(err error) bool {
-	if errors.Is(err, ErrDeadline) {
+	if errors.Is(err, ErrDeadline) || errors.Is(err, syscall.ETIMEDOUT) {
 		return true
 	}
 	return errors.Is(err, context.Canceled) && x.f.config.Now().Sub(x.firstWriteAt) >= x.f.config.UnresponsiveAfter
@@ -448,9 +460,10 @@
 	return responder.TargetUnreachable
 }
 
-// isConnectionError reports whether err comes from the connection rather than from data that the server sent.
+// isConnectionError reports whether err comes from the connection rather than from data that the server sent, or from the silence
+// of a server that is out of reach.
 func isConnectionError(err error) bool {
-	for _, e := range []error{ErrUnsolicited, ErrMismatched, ErrRepeated, ErrInvalid, ErrUnframed, ErrSwitchedProtocols, ErrInformational, ErrHeaderTooLarge, ErrDeadline} {
+	for _, e := range []error{ErrUnsolicited, ErrMismatched, ErrRepeated, ErrInvalid, ErrUnframed, ErrSwitchedProtocols, ErrInformational, ErrHeaderTooLarge, ErrDeadline, syscall.ETIMEDOUT} {
 		if errors.Is(err, e) {
 			return false
 		}
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -51,7 +51,7 @@
 	// Broken is true if the connection failed after a byte of the request was written.
 	Broken bool
 	// Silent is true if not a byte of the response arrived before the deadline, or before a cancellation at least
-	// Config.UnresponsiveAfter after the first write.
+	// Config.UnresponsiveAfter after the first write, or if the request was not acknowledged within Config.AckTimeout.
 	Silent bool
 	// BodyRead is true if a byte of the request's body was read, so that the request can be sent elsewhere only with a
 	// new body.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -44,6 +44,9 @@
 	// UnresponsiveAfter is the time from the first write after which a canceled exchange without a byte of response
 	// counts as unresponsive.
 	UnresponsiveAfter time.Duration
+	// AckTimeout bounds the time for which the bytes of a request without a body may stay unacknowledged, if the request can
+	// be sent again. If 0, only the deadline does.
+	AckTimeout time.Duration
 	// MaxHeader limits the header of a response, in bytes.
 	MaxHeader int
 	// Protocol is the protocol of the servers on top of HTTP. If nil, the project's own protocol for targets is used.
--- a/handler/server.go
+++ b/handler/server.go
@@ -42,6 +42,9 @@
 	targetIdle = 4 * time.Second
 	// targetDial bounds the opening of a connection; between the farthest regions it takes 110 ms.
 	targetDial = 400 * time.Millisecond
+	// targetAck is how long a target may leave the bytes of a request unacknowledged; a lost packet is sent again within 0.3 s
+	// between the farthest regions.
+	targetAck = 700 * time.Millisecond
 	// targetConnections and targetIdleConnections bound the connections to one target.
 	targetConnections     = 64
 	targetIdleConnections = 16
@@ -167,6 +170,7 @@
 		MaxIdle:        targetIdleConnections,
 		IdleLimit:      targetIdle,
 		DialTimeout:    targetDial,
+		AckTimeout:     targetAck,
 	})
 	s.peers = newPeers()
 	s.placer = placer.New(placer.Config{Region: c.Settings.Region, Trip: s.trips.to, Cold: s.gate, Abstainer: s.abstainer, Throttle: s.throttle})
