Bound what a target states about its slots

A target's row is written by the target itself. One that stated 2^63-1 slots was used as if it had them: it never had a queue by any estimate, and the division of targets among regions, which adds up slots, would have overflowed.

Change: a catalog believes at most eight times the median of the service's targets, and the placer takes the smaller one of the row and of what the answers of the target report. The other figures of a row: cold_left only withholds requests from the target that states it, and a start in the future only identifies the process.

--- a/cataloger/book.go
+++ b/cataloger/book.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"net/netip"
 	"slices"
 	"strings"
@@ -99,9 +100,33 @@
 		c.services[s.Name] = &Pool{Service: s}
 	}
 	b.addTargets(c)
+	for _, p := range c.services {
+		boundSlots(p.Targets)
+	}
 	b.current.Store(c)
 }
 
+// maxSlotsRatio is how many times as many slots as the median of its service a target is believed to have. Targets state the
+// number themselves, and one that states far too many would look idle for ever.
+const maxSlotsRatio = 8
+
+// boundSlots limits what targets of a service state about their slots.
+func boundSlots(ts []*Target) {
+	if len(ts) == 0 {
+		return
+	}
+	n := make([]int, len(ts))
+	for i, t := range ts {
+		n[i] = t.Slots
+	}
+	slices.Sort(n)
+	// The lower median, so that of two targets the one with fewer slots counts.
+	most := min(max(n[(len(n)-1)/2], 1), math.MaxInt32/maxSlotsRatio) * maxSlotsRatio
+	for _, t := range ts {
+		t.Slots = min(t.Slots, most)
+	}
+}
+
 func (b *Book) addTargets(c *Catalog) {
 	for _, n := range slices.Sorted(maps.Keys(b.targets)) {
 		t := b.targets[n]
--- a/cataloger/cataloger_test.go
+++ b/cataloger/cataloger_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"maps"
+	"math"
 	"net/netip"
 	"slices"
 	"testing"
@@ -122,3 +123,29 @@
 		t.Error("a target that left without an outage is kept")
 	}
 }
+
+// Guards against a target that states a huge number of slots and looks idle however many requests it has.
+func TestStatedSlotsAreBounded(t *testing.T) {
+	for name, c := range map[string]struct{ stated, want []int }{
+		"usual":                  {[]int{3, 3, 4, 5}, []int{3, 3, 4, 5}},
+		"one far too many":       {[]int{3, math.MaxInt, 3}, []int{3, 24, 3}},
+		"one of two":             {[]int{math.MaxInt, 3}, []int{24, 3}},
+		"a large one, not odd":   {[]int{3, 3, 24}, []int{3, 3, 24}},
+		"all state far too many": {[]int{math.MaxInt, math.MaxInt}, []int{math.MaxInt32 - 7, math.MaxInt32 - 7}},
+	} {
+		b := cataloger.NewBook()
+		b.Configure(configuration(1))
+		ts := map[string]cataloger.Target{}
+		for i, n := range c.stated {
+			g := target(string(rune('a'+i)), "d")
+			g.Slots = n
+			ts[g.Name] = g
+		}
+		b.Assign(ts)
+		for i, g := range b.Catalog().Pool(ts["a"].Service).Targets {
+			if g.Slots != c.want[i] {
+				t.Errorf("%s: %s has %d slots, want %d", name, g.Name, g.Slots, c.want[i])
+			}
+		}
+	}
+}
--- a/placer/load_test.go
+++ b/placer/load_test.go
@@ -49,6 +49,8 @@
 	// joining targets are added at joinAt since the start.
 	joining int
 	joinAt  time.Duration
+	// statedSlots is the number of slots that the first target states; 0 stands for its real number.
+	statedSlots int
 }
 
 // result counts what callers got.
@@ -127,6 +129,9 @@
 			Slots:   l.slots,
 		})
 	}
+	if l.statedSlots > 0 {
+		p.Targets[0].Slots = l.statedSlots
+	}
 	return p
 }
 
@@ -306,13 +311,15 @@
 		}
 		return before
 	}
-	return l.run(&clockedChooser{placerChooser: p, now: &now, exchangeInterval: l.exchangeInterval})
+	return l.run(&clockedChooser{placerChooser: p, now: &now, slots: l.slots, exchangeInterval: l.exchangeInterval})
 }
 
 // clockedChooser records the time by which the pool is chosen.
 type clockedChooser struct {
 	*placerChooser
 	now *time.Time
+	// slots is the number of slots that targets report with their answers.
+	slots int
 	// exchangeInterval is the pause between the load reports that instances exchange; 0 disables them.
 	exchangeInterval time.Duration
 	lastExchange     time.Time
@@ -335,7 +342,7 @@
 }
 
 func (t *clockedChooser) end(now time.Time, i int, l *placer.Lease, o placer.Outcome, running, waiting int) {
-	t.each[i].Told(now, l, placer.Load{Running: running, Waiting: waiting, Slots: l.Target.Slots})
+	t.each[i].Told(now, l, placer.Load{Running: running, Waiting: waiting, Slots: t.slots})
 	t.each[i].End(now, l, o)
 }
 
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -142,6 +142,22 @@
 	}
 }
 
+// A row states eight times as many slots as the target has, the most that is believed. Guards against a target that draws the
+// requests of all others in a peak because it always looks idle.
+func TestTargetThatOverstatesSlotsDrawsNoTraffic(t *testing.T) {
+	l := baseline(200)
+	l.statedSlots = 8 * l.slots
+	p := l.runPlacer()
+	l.statedSlots = 0
+	usual := l.runPlacer()
+	if p.share() < 0.95*usual.share() {
+		t.Errorf("%.3f of the requests answered in time beside a target that overstates its slots, %.3f otherwise", p.share(), usual.share())
+	}
+	if n, mean := p.arrivals["target-000"], p.requests/l.targets; n > 2*mean {
+		t.Errorf("%d requests went to that target, %d to each in the mean", n, mean)
+	}
+}
+
 func newPlacer(g placer.Gate) *placer.Placer {
 	return placer.New(placer.Config{Region: "here", Trip: func(string) time.Duration { return 0 }, Cold: g})
 }
--- a/placer/target.go
+++ b/placer/target.go
@@ -71,6 +71,8 @@
 	// reported is the load from all other instances at the time of the target's last report.
 	reported   float64
 	reportedAt time.Time
+	// reportedSlots is the number of slots that the target reported with an answer, or 0.
+	reportedSlots int
 	// usage is what all instances do with the target. unattributed is an average of the reported load that neither this
 	// instance nor the reports of others account for.
 	usage             *usage
@@ -139,15 +141,24 @@
 }
 
 func (s *target) recordLoad(now time.Time, o Load) {
+	s.reportedSlots = o.Slots
 	s.reported = max(0, float64(o.Running+o.Waiting-s.inFlight))
 	rest := max(0, s.reported-float64(s.usage.inFlight))
 	s.unattributed += (rest - s.unattributed) * max(unattributedWeight, 1-math.Exp(-float64(now.Sub(s.reportedAt))/float64(unattributedDecay)))
 	s.reportedAt = now
 }
 
+// slots returns the number of slots: the smaller one of what the target's row and its answers state.
+func (s *target) slots(stated int) int {
+	if s.reportedSlots > 0 {
+		return min(s.reportedSlots, max(stated, 1))
+	}
+	return max(stated, 1)
+}
+
 // wait estimates the queueing time until a slot is free.
-func (s *target) wait(now time.Time, slots int, work time.Duration) time.Duration {
-	n := max(slots, 1)
+func (s *target) wait(now time.Time, stated int, work time.Duration) time.Duration {
+	n := s.slots(stated)
 	q := s.load(now) - float64(n) + 1
 	if q <= 0 {
 		return 0
