Use no target at the address of an instance

A target's row that names the address at which another instance serves callers was used: requests went there without their key and came back as 401 without an id, bookings as 502.

Test that fails before: resend_test.go:194: targets first: uses [odd well], want only the target at a port of its own

--- a/handler/export_test.go
+++ b/handler/export_test.go
@@ -131,3 +131,21 @@
 
 // Enter serves a request of a caller.
 func (s *Server) Enter(w http.ResponseWriter, r *http.Request) { s.enter(w, r) }
+
+// ListInstances takes over the table of instances, whose rows are given by key.
+func (s *Server) ListInstances(rows map[string]string) {
+	var rs []replicator.Row
+	for k, v := range rows {
+		rs = append(rs, replicator.Row{Key: k, Value: []byte(v), Version: 1})
+	}
+	s.listInstances(rs)
+}
+
+// UsableTargets returns the names of the targets of a service that may get requests.
+func (s *Server) UsableTargets(service string) []string {
+	var ns []string
+	for _, t := range s.book.Catalog().Pool(service).Targets {
+		ns = append(ns, t.Name)
+	}
+	return ns
+}
--- a/handler/resend_test.go
+++ b/handler/resend_test.go
@@ -38,7 +38,15 @@
 
 func (protocol) Rate(int, http.Header) (float64, bool) { return 0, false }
 
-func (protocol) Moved(int) bool { return false }
+func (protocol) Moved(status int) bool { return status == http.StatusMisdirectedRequest }
+
+// Judge takes the answer of a target that is not the one that was meant for a refusal that says so.
+func (p protocol) Judge(asked http.Header, status int, h http.Header, unframed bool) forwarder.Verdict {
+	if p.Moved(status) {
+		return forwarder.Shed
+	}
+	return p.Protocol.Judge(asked, status, h, unframed)
+}
 
 func (protocol) Notice(int, http.Header) abstainer.Notice { return abstainer.Notice{} }
 
@@ -116,3 +124,34 @@
 		t.Errorf("status %d, %v; meant for %d targets, want 1", w.Code, w.Header(), n)
 	}
 }
+
+// Guards against requests that are sent to an instance because an odd row names its address, whichever of the two tables
+// arrives first.
+func TestTargetAtAddressOfInstanceIsNotUsed(t *testing.T) {
+	callers := netip.MustParseAddrPort("10.0.0.1:8000")
+	ts := map[string]cataloger.Target{
+		"odd":  {Name: "odd", Service: "map", Address: netip.MustParseAddrPort("10.0.0.2:8000")},
+		"well": {Name: "well", Service: "map", Address: netip.MustParseAddrPort("10.0.0.2:9000")},
+	}
+	for _, first := range []string{"targets", "instances"} {
+		s, err := handler.New(handler.Config{
+			Settings: handler.Settings{Name: "n", Region: "almaty", Callers: callers, Peers: netip.MustParseAddrPort("127.0.0.1:0")},
+			Protocol: protocol{},
+			Log:      logger.Discard(),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Configure(cataloger.Configuration{Version: 1, Services: []cataloger.Service{{Name: "map"}}})
+		if first == "targets" {
+			s.ListTargets(ts)
+		}
+		s.ListInstances(map[string]string{"other": `{"address":"10.0.0.2","region":"almaty"}`})
+		if first == "instances" {
+			s.ListTargets(ts)
+		}
+		if ns := s.UsableTargets("map"); len(ns) != 1 || ns[0] != "well" {
+			t.Errorf("%s first: uses %v, want only the target at a port of its own", first, ns)
+		}
+	}
+}
--- a/handler/rows.go
+++ b/handler/rows.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"celeryhead.dev/celeryhead/cataloger"
 	"celeryhead.dev/celeryhead/replicator"
 	"celeryhead.dev/celeryhead/sharer"
@@ -70,9 +72,8 @@
 	s.mu.Lock()
 	s.roster.List(ts, s.lapsing(now))
 	s.listed = true
-	all := s.roster.Targets()
 	s.mu.Unlock()
-	s.book.Assign(all)
+	s.assign()
 	leaving, cold := 0, 0
 	for _, t := range ts {
 		if t.Leaving {
@@ -86,6 +87,34 @@
 	s.checkReady()
 }
 
+// assign has the targets of the roster used, but for those at the address where another instance serves callers: requests would
+// come back to the fleet without their key, and a booking would end as 502.
+func (s *Server) assign() {
+	s.assigning.Lock()
+	defer s.assigning.Unlock()
+	s.mu.Lock()
+	all := s.roster.Targets()
+	instances := make(map[netip.AddrPort]bool, len(s.registered))
+	for _, g := range s.registered {
+		instances[netip.AddrPortFrom(g.Address, s.settings.Callers.Port())] = true
+	}
+	s.mu.Unlock()
+	misplaced := map[string]bool{}
+	maps.DeleteFunc(all, func(n string, t cataloger.Target) bool {
+		misplaced[n] = instances[t.Address]
+		return misplaced[n]
+	})
+	for n, m := range misplaced {
+		if m && !s.misplaced[n] {
+			s.log.EntryRejected("targets", n, 0, errInstanceAddress)
+		}
+	}
+	s.misplaced = misplaced
+	s.book.Assign(all)
+}
+
+var errInstanceAddress = merry.Sentinel("an instance serves callers at the address of the target")
+
 // lapsing reports whether rows may be missing only because the store was away.
 func (s *Server) lapsing(now time.Time) bool {
 	r := s.rows.Returned(now)
@@ -99,10 +128,9 @@
 	}
 	s.mu.Lock()
 	changed := s.roster.Lapse()
-	all := s.roster.Targets()
 	s.mu.Unlock()
 	if changed {
-		s.book.Assign(all)
+		s.assign()
 	}
 }
 
@@ -123,6 +151,7 @@
 	s.mu.Lock()
 	s.registered = rs
 	s.mu.Unlock()
+	s.assign()
 	s.members.List(as)
 	s.gate.Adopt(slices.Sorted(maps.Keys(rs)))
 	s.divide()
--- a/handler/server.go
+++ b/handler/server.go
@@ -129,6 +129,11 @@
 	listed     bool
 	registered map[string]registration
 
+	// assigning guards misplaced, the targets that are not used because they have the address of an instance, and keeps the
+	// catalog from an older roster.
+	assigning sync.Mutex
+	misplaced map[string]bool
+
 	ready    atomic.Bool
 	leaving  atomic.Bool
 	draining draining
