Count no attempt at a target that is not at its address any more

Change: an answer that says that another target has the address counts as no attempt.

Test that fails before: resend_test.go:164: status 503, map[Celeryhead-Reason:[target_shed]], 0 runs; want 200 and one run

--- a/handler/forward.go
+++ b/handler/forward.go
@@ -36,6 +36,8 @@
 	outcome placer.Outcome
 	// refused is set if the request was stopped before its first byte, so that the target got nothing of it.
 	refused *responder.Refusal
+	// moved is true if another target has the address now, which did not run the request.
+	moved bool
 	// next is the target to which the request goes because this one was given up.
 	next *placer.Lease
 }
@@ -59,7 +61,7 @@
 		if last.failure == nil || last.failure.Ran != responder.NotRun {
 			c.mayHaveRun = true
 		}
-		if last.outcome != placer.Unreached && last.refused == nil {
+		if last.outcome != placer.Unreached && last.refused == nil && !last.moved {
 			c.sent++
 		}
 		if !s.again(ctx, c, last) {
@@ -292,7 +294,7 @@
 		if o, ok := s.protocol.Load(x.Header); ok {
 			s.placer.Told(now, l, o)
 		}
-		if s.protocol.Moved(x.Status) {
+		if a.moved = s.protocol.Moved(x.Status); a.moved {
 			s.placer.Lose(now, l.Target)
 		}
 	}
--- a/handler/request.go
+++ b/handler/request.go
@@ -37,7 +37,8 @@
 	admitted bool
 	// lease is that of the last target.
 	lease *placer.Lease
-	// tried are the targets that were tried; sent is the number of them that had a byte of the request.
+	// tried are the targets that were tried; sent is the number of them that had a byte of the request, without those that
+	// were not at their address any more.
 	tried []string
 	sent  int
 	// mayHaveRun is true once a target may have run the request.
--- a/handler/resend_test.go
+++ b/handler/resend_test.go
@@ -18,6 +18,7 @@
 	"celeryhead.dev/celeryhead/logger"
 	"celeryhead.dev/celeryhead/placer"
 	"celeryhead.dev/celeryhead/responder"
+	"celeryhead.dev/celeryhead/sharer"
 )
 
 // protocol is a protocol that adds nothing to HTTP; chosen is called with each target that a request is meant for.
@@ -125,6 +126,45 @@
 	}
 }
 
+// Addresses of several targets went to another service at once, and the rows are not removed yet. Guards against a booking that
+// is refused after two of them said that they are not the target that was meant, although a third one is there and nothing ran.
+func TestMovedTargetsAreNoAttempts(t *testing.T) {
+	moved := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }))
+	defer moved.Close()
+	runs := 0
+	there := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		runs++
+		_, _ = io.WriteString(w, "done")
+	}))
+	defer there.Close()
+	s, err := handler.New(handler.Config{
+		Settings: handler.Settings{Name: "n", Region: "almaty", Peers: netip.MustParseAddrPort("127.0.0.1:0"), Limits: handler.Limits{Retries: sharer.BudgetConfig{Slack: 10, Window: 10 * time.Second}}},
+		Protocol: protocol{Protocol: forwarder.InstanceProtocol(), chosen: func(*cataloger.Target) {}},
+		Log:      logger.Discard(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Configure(cataloger.Configuration{
+		Version:  1,
+		Services: []cataloger.Service{{Name: "map"}},
+		Routes: []cataloger.Route{{
+			Name: "book", Host: "ice.example", Prefix: "/", Timeout: 5 * time.Second, Objective: time.Second, MaxTargets: 2, Open: true,
+			Destinations: []cataloger.Destination{{Service: "map", Weight: 1}},
+		}},
+	})
+	ts := map[string]cataloger.Target{}
+	for n, a := range map[string]net.Addr{"a": moved.Listener.Addr(), "b": moved.Listener.Addr(), "c": moved.Listener.Addr(), "d": there.Listener.Addr()} {
+		ts[n] = cataloger.Target{Name: n, Service: "map", Address: a.(*net.TCPAddr).AddrPort(), Region: "almaty", FailureDomain: "arbat", Slots: 1}
+	}
+	s.ListTargets(ts)
+	w := httptest.NewRecorder()
+	s.Enter(w, httptest.NewRequest(http.MethodPost, "http://ice.example/x", http.NoBody))
+	if w.Code != http.StatusOK || runs != 1 {
+		t.Errorf("status %d, %v, %d runs; want 200 and one run", w.Code, w.Header(), runs)
+	}
+}
+
 // Guards against requests that are sent to an instance because an odd row names its address, whichever of the two tables
 // arrives first.
 func TestTargetAtAddressOfInstanceIsNotUsed(t *testing.T) {
