--- a/handler/export_test.go
+++ b/handler/export_test.go
@@ -149,3 +149,6 @@
 	}
 	return ns
 }
+
+// Departed returns the targets that get no further requests.
+func Departed(before, now map[string]cataloger.Target) []string { return departed(before, now) }
--- a/handler/handler_test.go
+++ b/handler/handler_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -203,3 +204,14 @@
 		}
 	}
 }
+
+// Guards against lines from which nobody can tell when an instance learnt that a target leaves.
+func TestDepartedTargetsAreNamed(t *testing.T) {
+	before := map[string]cataloger.Target{
+		"gone": {}, "leaves": {}, "restarted": {Started: 1}, "stays": {}, "left before": {Leaving: true},
+	}
+	now := map[string]cataloger.Target{"leaves": {Leaving: true}, "restarted": {Started: 2}, "stays": {}, "new": {}}
+	if ns := handler.Departed(before, now); !slices.Equal(ns, []string{"gone", "leaves", "restarted"}) {
+		t.Errorf("%v", ns)
+	}
+}
--- a/handler/rows.go
+++ b/handler/rows.go
@@ -70,6 +70,7 @@
 func (s *Server) ListTargets(ts map[string]cataloger.Target) {
 	now := s.clock()
 	s.mu.Lock()
+	left := departed(s.roster.Targets(), ts)
 	s.roster.List(ts, s.lapsing(now))
 	s.listed = true
 	s.mu.Unlock()
@@ -83,10 +84,22 @@
 			cold++
 		}
 	}
-	s.log.TargetsListed(len(ts), leaving, cold)
+	s.log.TargetsListed(len(ts), leaving, cold, left)
 	s.checkReady()
 }
 
+// departed returns the names of targets that were usable before and leave or are missing now.
+func departed(before, now map[string]cataloger.Target) []string {
+	ns := []string{}
+	for n, t := range before {
+		if u, ok := now[n]; !t.Leaving && (!ok || u.Leaving || u.Started != t.Started) {
+			ns = append(ns, n)
+		}
+	}
+	slices.Sort(ns)
+	return ns
+}
+
 // assign has the targets of the roster used, but for those at the address where another instance serves callers: requests would
 // come back to the fleet without their key, and a booking would end as 502.
 func (s *Server) assign() {
--- a/logger/events.go
+++ b/logger/events.go
@@ -295,9 +295,13 @@
 	l.emit(entryRejected, log.Fields{"table": table, "key": key, "version": version, "error": err.Error()})
 }
 
-// TargetsListed reports the targets of the newest rows: how many there are, and how many of them leave or are cold.
-func (l *Logger) TargetsListed(targets, leaving, cold int) {
-	l.emit(targetsListed, log.Fields{"targets": targets, "leaving": leaving, "cold": cold})
+// maxNames bounds the names in one line.
+const maxNames = 32
+
+// TargetsListed reports the targets of the newest rows: how many there are, how many of them leave or are cold, and the names of
+// those that get no further requests since the last line, as many as a line takes.
+func (l *Logger) TargetsListed(targets, leaving, cold int, left []string) {
+	l.emit(targetsListed, log.Fields{"targets": targets, "leaving": leaving, "cold": cold, "left": left[:min(len(left), maxNames)], "left_count": len(left)})
 }
 
 // Evacuated reports the failure domains whose targets get nothing.
