Keep removed targets only while the store is away for everybody

Change: rows count as lapsed only if nobody is known to have been answered by the store within 2 s (datagrams tell the last answer to any instance), and until 2 s after that; handler.outages decides it without a network. In an outage for all, lapsed targets are kept as before.

Tests: TestRemovedTargetIsNotKeptWhileStoreAnswersOthers fails if the decision is that of before (own outage alone): "after 0s, 8 s of which the store turned only this instance away, removed targets are kept", and so on for each quarter of a second up to 9.75 s. TestLapsedTargetIsKeptAfterOutage fails if the return that others see is not counted.

--- a/handler/export_test.go
+++ b/handler/export_test.go
@@ -152,3 +152,13 @@
 
 // Departed returns the targets that get no further requests.
 func Departed(before, now map[string]cataloger.Target) []string { return departed(before, now) }
+
+// Outages tells an outage of the store from a store that turns only this instance away.
+type Outages struct{ outages outages }
+
+// Lapsing reports whether rows may be missing only because the store was away, when it last answered any instance at one time
+// and the outage that this instance saw ended at another one.
+func (o *Outages) Lapsing(now, contact, returned time.Time) bool {
+	o.outages.observe(now, contact)
+	return o.outages.lapsing(now, returned)
+}
--- a/handler/handler_test.go
+++ b/handler/handler_test.go
@@ -215,3 +215,49 @@
 		t.Errorf("%v", ns)
 	}
 }
+
+// The store turns one instance away for 8 s and answers the others. Guards against an instance that keeps targets which were
+// removed meanwhile, as if they had lapsed in an outage, and sends to them until 2 s after the store takes it back.
+func TestRemovedTargetIsNotKeptWhileStoreAnswersOthers(t *testing.T) {
+	start := time.Date(2026, 12, 5, 6, 0, 0, 0, time.UTC)
+	var o handler.Outages
+	for d := time.Duration(0); d < 12*time.Second; d += 250 * time.Millisecond {
+		now := start.Add(d)
+		returned := now
+		if d > 8*time.Second {
+			returned = start.Add(8 * time.Second)
+		}
+		// Others tell of answers that are up to 1.6 s old.
+		if contact := now.Add(-time.Duration(d.Milliseconds()%1600) * time.Millisecond); o.Lapsing(now, contact, returned) {
+			t.Errorf("after %v, 8 s of which the store turned only this instance away, removed targets are kept", d)
+		}
+	}
+}
+
+// The store is away for everybody from 1 to 6 s. Guards against targets that are dropped because their rows lapsed meanwhile:
+// they may come back until 2 s after its return, which others may see first.
+func TestLapsedTargetIsKeptAfterOutage(t *testing.T) {
+	start := time.Date(2026, 12, 5, 6, 0, 0, 0, time.UTC)
+	var o handler.Outages
+	for d := time.Duration(0); d < 12*time.Second; d += 250 * time.Millisecond {
+		now, contact, returned := start.Add(d), start.Add(d), time.Time{}
+		if d > time.Second {
+			returned = now
+			contact = start.Add(time.Second)
+		}
+		if d > 6*time.Second {
+			contact = now
+		}
+		if d > 6500*time.Millisecond {
+			returned = start.Add(6500 * time.Millisecond)
+		}
+		got := o.Lapsing(now, contact, returned)
+		// Before contactLimit has passed nobody has newer rows than this instance.
+		if want := d > 6*time.Second && d <= 8*time.Second; want && !got {
+			t.Errorf("%v after the return of the store lapsed targets are not kept", d-6*time.Second)
+		}
+		if d > 8500*time.Millisecond && got {
+			t.Errorf("%v after the return of the store lapsed targets are still kept", d-6*time.Second)
+		}
+	}
+}
--- a/handler/rows.go
+++ b/handler/rows.go
@@ -23,8 +23,6 @@
 	instancesWait = 15 * time.Second
 	// instancesPause is the pause after a change of it; all instances register at once when a fleet starts.
 	instancesPause = time.Second
-	// lapseLife is how long after an outage of the store rows that lapsed in it may come back, as the platform states.
-	lapseLife = 2 * time.Second
 	// idleRowLife is how long an instance is silent before its row is removed by another one.
 	idleRowLife = 10 * time.Minute
 	// writeTimeout bounds a write to the table of instances.
@@ -130,8 +128,8 @@
 
 // lapsing reports whether rows may be missing only because the store was away.
 func (s *Server) lapsing(now time.Time) bool {
-	r := s.rows.Returned(now)
-	return !r.IsZero() && now.Sub(r) < lapseLife
+	s.outages.observe(now, s.contact())
+	return s.outages.lapsing(now, s.rows.Returned(now))
 }
 
 // lapse drops targets that did not come back after an outage.
--- a/handler/server.go
+++ b/handler/server.go
@@ -117,6 +117,7 @@
 	splits  *splits
 	trips   trips
 	strikes strikes
+	outages outages
 	meter   *meter.Meter
 
 	limits atomic.Pointer[Limits]
