Compress datagrams between instances

Change: datagrams of 160 bytes or more are compressed (compress/flate with a dictionary of their usual parts) for instances that say that they read it, others get JSON as before; a datagram is encoded once for all that get the same. What unpacks to more than a datagram may have is rejected.

--- a/gossiper/export_test.go
+++ b/gossiper/export_test.go
@@ -1,6 +1,8 @@
 package gossiper
 
 import (
+	"bytes"
+	"encoding/json"
 	"net/netip"
 	"time"
 )
@@ -61,3 +63,49 @@
 	}
 	return r
 }
+
+// Sizes returns the lengths of the plain and the compressed form of a datagram with a state, a load and members, and whether both
+// forms decode to the same text.
+func Sizes(self Member, s State, l Load, others []Member) (plain, compact int, same bool, err error) {
+	var c codec
+	d := datagram{From: self, State: &s, InFlight: l.InFlight, Placed: l.Placed, Brief: map[netip.Addr]int64{}}
+	for i, m := range others {
+		if i < relayedPerDatagram {
+			d.Relayed = append(d.Relayed, relayedMember{Member: m, AgeMilliseconds: 100})
+		} else {
+			d.Brief[m.Address] = 200
+		}
+	}
+	// The second use of a compressor must not depend on the first one.
+	if _, err = c.encode(d); err != nil {
+		return 0, 0, false, err
+	}
+	e, err := c.encode(d)
+	if err != nil {
+		return 0, 0, false, err
+	}
+	var texts [2][]byte
+	for i, b := range [][]byte{e.plain, e.compact} {
+		x, err := c.decode(b)
+		if err != nil {
+			return 0, 0, false, err
+		}
+		if texts[i], err = json.Marshal(x); err != nil {
+			return 0, 0, false, err
+		}
+	}
+	return len(e.plain), len(e.compact), bytes.Equal(texts[0], texts[1]), nil
+}
+
+// Compress returns the compressed form of a text.
+func Compress(text []byte) ([]byte, error) {
+	var c codec
+	return c.compress(text)
+}
+
+// Decode decodes a datagram.
+func Decode(b []byte) error {
+	var c codec
+	_, err := c.decode(b)
+	return err
+}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net"
 	"net/netip"
@@ -146,6 +145,7 @@
 type Gossiper struct {
 	config   Config
 	socket   *net.UDPConn
+	codec    codec
 	refusals refusals
 
 	mu     sync.Mutex
@@ -200,21 +200,30 @@
 	s := g.config.Hooks.State()
 	d := datagram{From: g.config.Hooks.Self(), State: &s, Relayed: g.config.Members.sample(now, relayedPerDatagram)}
 	probed := g.config.Members.staleMembers(now, probeFanout)
-	for _, a := range g.config.Members.selectPeers(now, localFanout, remoteFanout) {
-		if !slices.Contains(probed, a) {
-			g.sendRound(now, a, d)
-		}
-	}
+	selected := slices.DeleteFunc(g.config.Members.selectPeers(now, localFanout, remoteFanout), func(a netip.Addr) bool { return slices.Contains(probed, a) })
+	g.sendRound(now, selected, d)
 	d.Probe = true
-	for _, a := range probed {
-		g.sendRound(now, a, d)
-	}
+	g.sendRound(now, probed, d)
 }
 
-// sendRound adds to a datagram what is useful in the receiver's region.
-func (g *Gossiper) sendRound(now time.Time, to netip.Addr, d datagram) {
-	d.Brief = g.config.Members.brief(now, briefPerDatagram, g.config.Members.isOwnRegion(to))
-	g.send(to, d)
+// sendRound adds to a datagram what is useful in the region of each receiver.
+func (g *Gossiper) sendRound(now time.Time, to []netip.Addr, d datagram) {
+	var variants [2]*encodedDatagram
+	for _, a := range to {
+		i := 0
+		if g.config.Members.isOwnRegion(a) {
+			i = 1
+		}
+		if variants[i] == nil {
+			d.Brief = g.config.Members.brief(now, briefPerDatagram, i == 1)
+			e, ok := g.encode(d)
+			if !ok {
+				return
+			}
+			variants[i] = &e
+		}
+		g.sendEncoded(a, *variants[i])
+	}
 }
 
 // sendLoad reports this instance's requests to instances of its region, and in a small fleet to all.
@@ -222,8 +231,11 @@
 	l := g.config.Hooks.Load()
 	// The sender is named in full, since the report also shows that it lives.
 	d := datagram{From: g.config.Hooks.Self(), InFlight: l.InFlight, Placed: l.Placed, HasLoad: true}
+	e, ok := g.encode(d)
 	for _, a := range g.config.Members.loadReceivers(g.config.Clock()) {
-		g.send(a, d)
+		if ok {
+			g.sendEncoded(a, e)
+		}
 	}
 }
 
@@ -239,10 +251,24 @@
 }
 
 func (g *Gossiper) send(to netip.Addr, d datagram) {
-	b, err := json.Marshal(d)
+	if e, ok := g.encode(d); ok {
+		g.sendEncoded(to, e)
+	}
+}
+
+func (g *Gossiper) encode(d datagram) (encodedDatagram, bool) {
+	e, err := g.codec.encode(d)
 	if err != nil {
-		g.refusals.add(g.config.Clock(), to, err)
-		return
+		g.refusals.add(g.config.Clock(), d.From.Address, err)
+	}
+	return e, err == nil
+}
+
+// sendEncoded sends the compressed form to instances that said that they read it.
+func (g *Gossiper) sendEncoded(to netip.Addr, e encodedDatagram) {
+	b := e.plain
+	if k, ok := g.config.Members.Get(to); ok && k.ReadsCompact && e.compact != nil {
+		b = e.compact
 	}
 	if _, err := g.socket.WriteToUDPAddrPort(b, netip.AddrPortFrom(to, g.config.Listen.Port())); err != nil && !errors.Is(err, net.ErrClosed) {
 		g.refusals.add(g.config.Clock(), to, err)
@@ -260,8 +286,8 @@
 			// The socket reports an error when an address refused an earlier datagram.
 			continue
 		}
-		var d datagram
-		if err := json.Unmarshal(b[:n], &d); err != nil {
+		d, err := g.codec.decode(b[:n])
+		if err != nil {
 			g.refusals.add(g.config.Clock(), from.Addr().Unmap(), err)
 			continue
 		}
--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -27,6 +27,8 @@
 	Started int64 `json:"s,omitempty"`
 	// Ready instances serve callers.
 	Ready bool `json:"u,omitempty"`
+	// ReadsCompact instances read compressed datagrams.
+	ReadsCompact bool `json:"k,omitempty"`
 }
 
 type peer struct {
--- a/handler/peers.go
+++ b/handler/peers.go
@@ -59,6 +59,7 @@
 		FailureDomain: s.settings.FailureDomain,
 		Started:       s.started,
 		Ready:         s.ready.Load(),
+		ReadsCompact:  true,
 	}
 }
 
