Show that the parts of gone instances stay unused

The open finding about limits that stay divided by peers that left is not bound to an outage of the store: rows of instances that left are removed after 10 min of silence, and until then nobody fills their parts of each account's rate.

A fix has to keep the allowance for instances that are cut off and live: they would have to stop filling within the shorter time, see the removal of their row and register again. The test lands as known red.

--- a/sharer/shares_test.go
+++ b/sharer/shares_test.go
@@ -35,9 +35,13 @@
 // newProcess returns the shares of a newly started process.
 func (f *fleet) newProcess(name string, now time.Time) *sharer.Shares {
 	s := sharer.NewShares(name, now)
+	f.adopt(s, now)
+	return s
+}
+
+func (f *fleet) adopt(s *sharer.Shares, now time.Time) {
 	s.Extend(now, now.Add(time.Hour))
 	s.Adopt(now, map[string]sharer.Limit{"bakery": f.limit}, f.instances)
-	return s
 }
 
 // take takes a token at instance i and, if it has none, requests tokens from one holder per region as an instance
@@ -81,12 +85,19 @@
 		now, taken := start, 0
 		loss := rapid.Float64Range(0, 0.5).Draw(t, "loss")
 		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		// A new process learns its limits some time after it began; tokens count from its beginning.
+		begun := make([]bool, n)
 		for range rapid.IntRange(1, 400).Draw(t, "steps") {
 			now = now.Add(time.Duration(r.IntN(50)) * time.Millisecond)
 			i := r.IntN(n)
-			switch r.IntN(40) {
-			case 0:
-				f.shares[i] = f.newProcess(f.instances[i].Name, now)
+			switch k := r.IntN(40); {
+			case k == 0:
+				f.shares[i], begun[i] = sharer.NewShares(f.instances[i].Name, now), true
+			case begun[i]:
+				begun[i] = k > 20
+				if !begun[i] {
+					f.adopt(f.shares[i], now)
+				}
 			default:
 				if f.take(now, i, func() bool { return r.Float64() < loss }) {
 					taken++
@@ -220,3 +231,23 @@
 		}
 	}
 }
+
+// Two of seven instances left for good, and their rows are still listed. Guards against an account that is refused below its
+// rate because nobody fills their parts.
+func TestPartsOfGoneInstancesAreUsed(t *testing.T) {
+	f := newFleet(7, sharer.Limit{Rate: 70, Burst: 70}, start)
+	for i := 5; i < 7; i++ {
+		// A process without limits gives nothing.
+		f.shares[i] = sharer.NewShares(f.instances[i].Name, start)
+	}
+	now, refused, asked := start.Add(5*time.Second), 0, 0
+	for end := now.Add(20 * time.Second); now.Before(end); now = now.Add(time.Second / 65) {
+		asked++
+		if !f.take(now, asked%5, func() bool { return false }) {
+			refused++
+		}
+	}
+	if float64(refused) > 0.02*float64(asked) {
+		t.Errorf("%d of %d requests refused at 65 a second of 70 allowed", refused, asked)
+	}
+}
