Bound what reports of other instances state, and lint

A report that states a huge number of requests for a target counts as 65,536 of them at most, so that sums of reports stay sums. TestReportsExpire plays reports of 2^63-1 and of negative numbers; without the bound their sum overflows and the target looks idle.

--- a/gossiper/codec_test.go
+++ b/gossiper/codec_test.go
@@ -83,7 +83,7 @@
 		hello := fmt.Sprintf(`{"from":{"n":"x","a":"127.0.0.%d","r":"r","s":1,"k":%t},"state":{"v":{},"c":-1}}`, n, reads)
 		compressed := false
 		b := make([]byte, 64<<10)
-		for i := 0; i < 12 && !(reads && compressed); i++ {
+		for i := 0; i < 12 && (!reads || !compressed); i++ {
 			if _, err := c.WriteToUDPAddrPort([]byte(hello), netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 41}), port)); err != nil {
 				t.Fatal(err)
 			}
--- a/gossiper/export_test.go
+++ b/gossiper/export_test.go
@@ -17,10 +17,10 @@
 			silent += len(m.Sweep(now, memberRetention))
 			heard := m.sample(now, relayedPerDatagram)
 			for _, to := range m.selectPeers(now, localFanout, remoteFanout) {
-				ms[to].deliver(ms[a].self, heard, m.brief(now, briefPerDatagram, m.isOwnRegion(to)), now)
+				ms[to].deliver(ms[a].self, heard, m.brief(now, m.isOwnRegion(to)), now)
 			}
 			for _, to := range m.staleMembers(now, probeFanout) {
-				ms[to].deliver(ms[a].self, heard, m.brief(now, briefPerDatagram, m.isOwnRegion(to)), now)
+				ms[to].deliver(ms[a].self, heard, m.brief(now, m.isOwnRegion(to)), now)
 				m.HearFirstHand(ms[to].self, now)
 			}
 		}
@@ -57,7 +57,7 @@
 		r[h.Address] = h.AgeMilliseconds
 	}
 	for _, own := range []bool{true, false} {
-		for a, age := range m.brief(now, briefPerDatagram, own) {
+		for a, age := range m.brief(now, own) {
 			r[a] = age
 		}
 	}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -215,7 +215,7 @@
 			i = 1
 		}
 		if variants[i] == nil {
-			d.Brief = g.config.Members.brief(now, briefPerDatagram, i == 1)
+			d.Brief = g.config.Members.brief(now, i == 1)
 			e, ok := g.encode(d)
 			if !ok {
 				return
--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -294,11 +294,11 @@
 	return r
 }
 
-// brief returns how long ago n random members were heard themselves, for a receiver in the own region or another one. The
-// receivers hear the other members of their own region themselves.
-func (m *Members) brief(now time.Time, n int, ownRegion bool) map[netip.Addr]int64 {
+// brief returns how long ago briefPerDatagram random members were heard themselves, for a receiver in the own region or another
+// one. The receivers hear the other members of their own region themselves.
+func (m *Members) brief(now time.Time, ownRegion bool) map[netip.Addr]int64 {
 	r := map[netip.Addr]int64{}
-	for _, p := range m.randomFirstHand(now, n, func(region string) bool { return (region == m.self.Region) != ownRegion }) {
+	for _, p := range m.randomFirstHand(now, briefPerDatagram, func(region string) bool { return (region == m.self.Region) != ownRegion }) {
 		r[p.Address] = now.Sub(p.firstHand).Milliseconds()
 	}
 	return r
--- a/placer/peers.go
+++ b/placer/peers.go
@@ -15,6 +15,8 @@
 	placementWindow = 700 * time.Millisecond
 	// maxPlacements bounds the placements in a report, so that it fits into a datagram.
 	maxPlacements = 256
+	// maxReportedRequests bounds what a report may state for one target.
+	maxReportedRequests = 1 << 16
 	// maxCachedObjects is the number of objects that a target is assumed to cache; the least recently used are
 	// evicted first.
 	maxCachedObjects = 20
@@ -77,8 +79,8 @@
 	for t, k := range r.InFlight {
 		if k > 0 {
 			u := p.usageOf(t)
-			n[u] = k
-			u.inFlight += k
+			n[u] = min(k, maxReportedRequests)
+			u.inFlight += n[u]
 		}
 	}
 	p.reports[instance] = peerReport{inFlight: n, at: now}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -427,6 +428,43 @@
 	}
 }
 
+// The decision looks at the first targets of an object's order, so its time must not grow with their number.
+func BenchmarkChooseByTargets(b *testing.B) {
+	for _, n := range []int{50, 500} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			l := baseline(1)
+			p, pool := newPlacer(openGate{}), l.pool(n)
+			now, i := start, 0
+			for b.Loop() {
+				i++
+				now = now.Add(time.Millisecond)
+				c, f := p.Choose(now, pool, work(l, now, strconv.Itoa(i%300)))
+				if f != nil {
+					b.Fatal(f)
+				}
+				p.End(now.Add(300*time.Millisecond), c, placer.Answered)
+			}
+		})
+	}
+}
+
+// Guards against the report of an instance that ended, or an odd one, that makes a target look busy for ever.
+func TestReportsExpire(t *testing.T) {
+	l := baseline(1)
+	p, pool := newPlacer(openGate{}), l.pool(1)
+	name := pool.Targets[0].Name
+	for i := range 4 {
+		p.Heard(start, strconv.Itoa(i), placer.Report{InFlight: map[string]int{name: math.MaxInt}})
+	}
+	if _, f := p.Choose(start, pool, work(l, start, "a")); f == nil {
+		t.Error("a target with requests of others is taken for idle")
+	}
+	p.Heard(start, "0", placer.Report{InFlight: map[string]int{name: -5}})
+	if _, f := p.Choose(start.Add(2*time.Second), pool, work(l, start.Add(2*time.Second), "a")); f != nil {
+		t.Errorf("after the reports expired: %v", f)
+	}
+}
+
 // When a target stops answering, its requests get no answer, and without suspicion others would follow until the
 // first deadline passes.
 func TestSilentTargetIsSuspected(t *testing.T) {
