Give the endless peer's test a receive buffer of a fixed size

Traced: the reader stops after exactly 8,388,608 bytes in each run, as its error says. What the server counts also holds what the sockets buffer, for which the test allows 16 MB; the system extends a receive buffer up to 32 MB (tcp_rmem) while the reader is slower than the sender. Beside 24 busy processes the server had written 11 to 20 MB at 8,388,608 bytes read.

Change: the client of the test has a receive buffer of 1 MB.

--- a/replicator/peer_test.go
+++ b/replicator/peer_test.go
@@ -3,15 +3,19 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"runtime"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"celeryhead.dev/celeryhead/logger"
 	"celeryhead.dev/celeryhead/platform/imitator"
 	"celeryhead.dev/celeryhead/replicator"
@@ -23,6 +27,26 @@
 // maxPeerBytes is what an answer of a peer may send before it is given up: its bound of 8 MB and what the sockets buffer.
 const maxPeerBytes = 24 << 20
 
+// receiveBuffer is the size of the receiving socket's buffer, which the system otherwise extends up to 32 MB while the reader is
+// slower than the peer.
+const receiveBuffer = 1 << 20
+
+// boundedClient returns a client as instances use it, with a receive buffer of a fixed size.
+func boundedClient() *http.Client {
+	c := replicator.NewClient(time.Second)
+	c.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		d := net.Dialer{Control: func(_, _ string, r syscall.RawConn) error {
+			var err error
+			if cerr := r.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer) }); cerr != nil {
+				return cerr
+			}
+			return err
+		}}
+		return d.DialContext(ctx, network, address)
+	}
+	return c
+}
+
 // Guards against a peer whose answer has no end and fills the memory, holds the call, or is taken for a copy.
 func TestPeerAnswerWithoutEndIsGivenUp(t *testing.T) {
 	heads := imitator.EndlessHeads()
@@ -59,7 +83,7 @@
 				defer cancel()
 				var before, after runtime.MemStats
 				runtime.ReadMemStats(&before)
-				h, err := replicator.Fetch(ctx, replicator.NewClient(time.Second), netip.MustParseAddrPort(s.Listener.Addr().String()), "t", 0)
+				h, err := replicator.Fetch(ctx, boundedClient(), netip.MustParseAddrPort(s.Listener.Addr().String()), "t", 0)
 				runtime.ReadMemStats(&after)
 				if err == nil {
 					t.Errorf("a copy of %d rows", len(h.Rows))
