--- /dev/null
+++ b/review/_stand/fleet.go
@@ -0,0 +1,328 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"celeryhead.dev/celeryhead/launcher"
+	"celeryhead.dev/celeryhead/platform/imitator"
+)
+
+// Sizes of the deployment.
+const (
+	instanceCount     = 3
+	targetsPerService = 3
+	targetSlots       = 8
+)
+
+// Ports of an instance, counted from the first one.
+const (
+	portPeers = iota
+	portMetrics
+	portFront
+	portReady
+	portDirectory
+	portControl
+	portCount
+)
+
+const (
+	readyLimit = 20 * time.Second
+	host       = "jepu9.example"
+)
+
+var zones = []struct{ name, region string }{{"alm-arbat", "almaty"}, {"ast-esil", "astana"}, {"shy-tauke", "shymkent"}}
+
+type object = map[string]any
+
+// fleet is a small deployment: the store, targets and instances.
+type fleet struct {
+	record    *record
+	daemon    string
+	dir       string
+	port      int
+	store     *imitator.Store
+	storeAt   string
+	instances []*instance
+	targets   []*target
+	servers   []*http.Server
+}
+
+// instance is a process of celeryheadd.
+type instance struct {
+	name     string
+	address  netip.Addr
+	settings string
+	process  *launcher.Process
+}
+
+func newFleet(r *record, daemon, dir string) (*fleet, error) {
+	p, err := launcher.FreePorts(portCount)
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{record: r, daemon: daemon, dir: dir, port: p, store: imitator.NewStore()}
+	if f.storeAt, err = f.serve("127.0.0.1:0", f.store); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// serve serves a stand-in and returns its address.
+func (f *fleet) serve(address string, h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	f.servers = append(f.servers, s)
+	go func() { _ = s.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+// stop ends all that the fleet started.
+func (f *fleet) stop() {
+	for _, n := range f.instances {
+		n.process.Kill()
+	}
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+}
+
+// addTargets adds the targets of a service, one in each zone.
+func (f *fleet) addTargets(service string, delay time.Duration) error {
+	for i := range targetsPerService {
+		t := &target{record: f.record, name: fmt.Sprintf("i-%s-%d", service, i+1), service: service, delay: delay}
+		a, err := f.serve(fmt.Sprintf("127.0.2.%d:0", len(f.targets)+1), t)
+		if err != nil {
+			return err
+		}
+		f.targets = append(f.targets, t)
+		f.store.Put("servers", t.name, encode(object{
+			"address": a,
+			"born":    time.Now().UnixMilli(),
+			"info":    object{"service": service, "version": "v1", "zone": zones[i%len(zones)].name, "slots": targetSlots},
+			"status":  object{"state": "ready", "seq": 1, "cold_left": "0ms"},
+		}))
+	}
+	return nil
+}
+
+// route is a route of the host.
+type route struct {
+	prefix, kind, service string
+}
+
+// tenant is a tenant without a quota.
+type tenant struct{ name, key string }
+
+// configure writes version r1 of the configuration.
+func (f *fleet) configure(routes []route, tenants []tenant) {
+	rules, services, accounts, seen := []object{}, []object{}, []object{}, map[string]bool{}
+	for _, r := range routes {
+		rules = append(rules, object{
+			"name": "r-" + r.service, "kind": r.kind, "target_latency": "600ms", "priority": 1, "public": false, "sticky": true,
+			"match":  object{"prefix": r.prefix},
+			"action": object{"service": r.service, "timeout": "3000ms", "max_attempts": 2, "allowed_regions": []string{}},
+		})
+		if !seen[r.service] {
+			services = append(services, object{"name": r.service, "health_path": "/healthz", "max_conns": 330, "protocol": "h1", "tls": false, "cold_start": "3s", "cold_per_s": 2.9})
+		}
+		seen[r.service] = true
+	}
+	for _, t := range tenants {
+		accounts = append(accounts, object{"name": t.name, "api_keys": []string{t.key}, "priority": 1, "allowed_regions": []string{}})
+	}
+	f.store.Put("op", "config", encode(object{
+		"version":   "r1",
+		"limits":    object{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout": "3000ms", "idle_timeout": "15000ms"},
+		"tenants":   accounts,
+		"listeners": []object{{"host": host, "rules": rules}},
+		"clusters":  services,
+	}))
+}
+
+func encode(o object) string {
+	b, err := json.Marshal(o)
+	if err != nil {
+		panic(err)
+	}
+	return string(b)
+}
+
+// startInstances starts the instances and waits until all are ready.
+func (f *fleet) startInstances() error {
+	for i := range instanceCount {
+		n := &instance{name: fmt.Sprintf("edge-%s-1", zones[i].name), address: netip.AddrFrom4([4]byte{127, 0, 1, byte(i + 1)})}
+		n.settings = filepath.Join(f.dir, n.name+".toml")
+		if err := f.writeSettings(n, zones[i].name, zones[i].region); err != nil {
+			return err
+		}
+		var err error
+		n.process, err = launcher.StartProcess(launcher.ProcessConfig{
+			Program:     f.daemon,
+			Environment: []string{"CELERYHEAD_SETTINGS=" + n.settings},
+			Log:         filepath.Join(f.dir, n.name+".log"),
+		})
+		if err != nil {
+			return err
+		}
+		f.instances = append(f.instances, n)
+	}
+	end := time.Now().Add(readyLimit)
+	for _, n := range f.instances {
+		for !f.ready(n) {
+			if time.Now().After(end) {
+				return fmt.Errorf("%s is not ready after %v", n.name, readyLimit)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	f.record.addf("all %d instances are ready", len(f.instances))
+	return nil
+}
+
+func (f *fleet) at(n *instance, port int) string {
+	return netip.AddrPortFrom(n.address, uint16(f.port+port)).String()
+}
+
+func (f *fleet) ready(n *instance) bool {
+	c := http.Client{Timeout: time.Second}
+	p, err := c.Get("http://" + f.at(n, portReady) + "/readyz")
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, p.Body)
+	_ = p.Body.Close()
+	return p.StatusCode == http.StatusOK
+}
+
+// writeSettings writes the settings file with the fields and bounds of a small deployment.
+func (f *fleet) writeSettings(n *instance, zone, region string) error {
+	t := fmt.Sprintf(`node_name = %q
+role = "entry"
+machine_class = "edge"
+serves = ["edge","directory"]
+ip = %q
+zone = %q
+region = %q
+port_range = [%d,%d]
+seeds = ["127.0.1.1:%d","127.0.1.2:%d"]
+bootstrap = true
+heartbeat = "1500ms"
+[zones]
+`, n.name, n.address, zone, region, f.port+portPeers, f.port+portMetrics, f.port+portControl, f.port+portControl)
+	for _, z := range zones {
+		t += fmt.Sprintf("%s = %q\n", z.name, z.region)
+	}
+	t += fmt.Sprintf(`[listen]
+front = %q
+ready = %q
+control = %q
+directory = %q
+[limits]
+cpu_share = 0.32
+cpu_cores = 1
+memory_mb = 284
+max_fds = 4100
+link_mbps = 1000.0
+[bounds]
+contact = "3000ms"
+drain = "2500ms"
+grace = "6s"
+loss_slack = "200ms"
+config_apply = "2500ms"
+retry_budget_ratio = 0.2
+budget_window = "10s"
+retry_budget_slack = 58
+quota_window = "5s"
+ttl_max = "5s"
+[platform]
+address = %q
+form = "table"
+writes_per_s = 400
+reads_per_s = 2000
+row_bytes = 65536
+across = true
+history = "20s"
+`, f.at(n, portFront), f.at(n, portReady), f.at(n, portControl), f.at(n, portDirectory), f.storeAt)
+	return os.WriteFile(n.settings, []byte(t), 0o600)
+}
+
+// work is a request that a target began to work on.
+type work struct {
+	id, tenant, expected, target, service string
+	at, ended                             time.Time
+	// cut is true if the connection ended before the answer.
+	cut bool
+}
+
+// target is a sound backend: it checks Expect-Instance, works for a fixed time and signs its answer.
+type target struct {
+	record        *record
+	name, service string
+	delay         time.Duration
+
+	mu   sync.Mutex
+	runs []*work
+}
+
+// ServeHTTP runs a request that is meant for this target.
+func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/healthz" {
+		w.Header().Set("Instance-Id", t.name)
+		return
+	}
+	id := r.Header.Get("Request-Id")
+	if id == "" {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Request-Id", id)
+	expected := r.Header.Get("Expect-Instance")
+	if expected != "" && expected != t.name {
+		w.Header().Set("Instance-Id", t.name)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	x := &work{id: id, tenant: r.Header.Get("Tenant"), expected: expected, target: t.name, service: t.service, at: time.Now()}
+	t.mu.Lock()
+	t.runs = append(t.runs, x)
+	t.mu.Unlock()
+	t.record.addf("target %s runs %s; Tenant %q, Expect-Instance %q", t.name, id, x.tenant, expected)
+	select {
+	case <-time.After(t.delay):
+	case <-r.Context().Done():
+		x.cut = true
+	}
+	x.ended = time.Now()
+	t.record.addf("target %s ends %s; its connection is gone: %v", t.name, id, x.cut)
+	w.Header().Set("Server-Stamp", "stamp-"+id)
+	_, _ = io.WriteString(w, answerOf(id))
+}
+
+func answerOf(id string) string { return "answer to " + id }
+
+// runs returns all runs of all targets.
+func (f *fleet) runs() []*work {
+	var rs []*work
+	for _, t := range f.targets {
+		t.mu.Lock()
+		rs = append(rs, t.runs...)
+		t.mu.Unlock()
+	}
+	return rs
+}
