--- a/review/_stand/fleet.go
+++ b/review/_stand/fleet.go
@@ -50,6 +50,7 @@
 	dir       string
 	port      int
 	store     *imitator.Store
+	parts     *partialStore
 	storeAt   string
 	instances []*instance
 	targets   []*target
@@ -69,23 +70,22 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{record: r, daemon: daemon, dir: dir, port: p, store: imitator.NewStore()}
-	if f.storeAt, err = f.serve("127.0.0.1:0", f.store); err != nil {
-		return nil, err
-	}
-	return f, nil
+	f := &fleet{record: r, daemon: daemon, dir: dir, port: p, parts: newPartialStore(r, "servers")}
+	f.store = f.parts.Store
+	f.storeAt, _, err = f.serve("127.0.0.1:0", f.parts)
+	return f, err
 }
 
-// serve serves a stand-in and returns its address.
-func (f *fleet) serve(address string, h http.Handler) (string, error) {
+// serve serves a stand-in and returns its address and its server.
+func (f *fleet) serve(address string, h http.Handler) (string, *http.Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return "", err
+		return "", nil, err
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	f.servers = append(f.servers, s)
 	go func() { _ = s.Serve(l) }()
-	return l.Addr().String(), nil
+	return l.Addr().String(), s, nil
 }
 
 // stop ends all that the fleet started.
@@ -102,21 +102,27 @@
 func (f *fleet) addTargets(service string, delay time.Duration) error {
 	for i := range targetsPerService {
 		t := &target{record: f.record, name: fmt.Sprintf("i-%s-%d", service, i+1), service: service, delay: delay}
-		a, err := f.serve(fmt.Sprintf("127.0.2.%d:0", len(f.targets)+1), t)
-		if err != nil {
+		t.zone, t.born = zones[i%len(zones)].name, time.Now()
+		var err error
+		if t.address, t.server, err = f.serve(fmt.Sprintf("127.0.2.%d:0", len(f.targets)+1), t); err != nil {
 			return err
 		}
 		f.targets = append(f.targets, t)
-		f.store.Put("servers", t.name, encode(object{
-			"address": a,
-			"born":    time.Now().UnixMilli(),
-			"info":    object{"service": service, "version": "v1", "zone": zones[i%len(zones)].name, "slots": targetSlots},
-			"status":  object{"state": "ready", "seq": 1, "cold_left": "0ms"},
-		}))
+		f.list(t, "ready", 1)
 	}
 	return nil
 }
 
+// list writes the entry of a target.
+func (f *fleet) list(t *target, state string, seq int) {
+	f.store.Put("servers", t.name, encode(object{
+		"address": t.address,
+		"born":    t.born.UnixMilli(),
+		"info":    object{"service": t.service, "version": "v1", "zone": t.zone, "slots": targetSlots},
+		"status":  object{"state": state, "seq": seq, "cold_left": "0ms"},
+	}))
+}
+
 // route is a route of the host.
 type route struct {
 	prefix, kind, service string
@@ -268,9 +274,11 @@
 
 // target is a sound backend: it checks Expect-Instance, works for a fixed time and signs its answer.
 type target struct {
-	record        *record
-	name, service string
-	delay         time.Duration
+	record                       *record
+	name, service, address, zone string
+	delay                        time.Duration
+	born                         time.Time
+	server                       *http.Server
 
 	mu   sync.Mutex
 	runs []*work
@@ -314,6 +322,9 @@
 	_, _ = io.WriteString(w, answerOf(id))
 }
 
+// end ends the target: its connections are closed, and it takes no new ones.
+func (t *target) end() { _ = t.server.Close() }
+
 func answerOf(id string) string { return "answer to " + id }
 
 // runs returns all runs of all targets.
