--- a/review/_stand/fleet.go
+++ b/review/_stand/fleet.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -18,9 +19,9 @@
 
 // Sizes of the deployment.
 const (
-	instanceCount     = 3
-	targetsPerService = 3
-	targetSlots       = 8
+	instanceCount  = 3
+	defaultTargets = 3
+	targetSlots    = 8
 )
 
 // Ports of an instance, counted from the first one.
@@ -54,7 +55,9 @@
 	storeAt   string
 	instances []*instance
 	targets   []*target
-	servers   []*http.Server
+	// targetsPerService is the number of targets that addTargets adds.
+	targetsPerService int
+	servers           []*http.Server
 }
 
 // instance is a process of celeryheadd.
@@ -70,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{record: r, daemon: daemon, dir: dir, port: p, parts: newPartialStore(r, "servers")}
+	f := &fleet{record: r, daemon: daemon, dir: dir, port: p, targetsPerService: defaultTargets, parts: newPartialStore(r, "servers")}
 	f.store = f.parts.Store
 	f.storeAt, _, err = f.serve("127.0.0.1:0", f.parts)
 	return f, err
@@ -100,7 +103,7 @@
 
 // addTargets adds the targets of a service, one in each zone.
 func (f *fleet) addTargets(service string, delay time.Duration) error {
-	for i := range targetsPerService {
+	for i := range f.targetsPerService {
 		t := &target{record: f.record, name: fmt.Sprintf("i-%s-%d", service, i+1), service: service, delay: delay}
 		t.zone, t.born = zones[i%len(zones)].name, time.Now()
 		var err error
@@ -131,12 +134,12 @@
 // tenant is a tenant without a quota.
 type tenant struct{ name, key string }
 
-// configure writes version r1 of the configuration.
-func (f *fleet) configure(routes []route, tenants []tenant) {
+// configure writes a version of the configuration.
+func (f *fleet) configure(version int, routes []route, tenants []tenant) {
 	rules, services, accounts, seen := []object{}, []object{}, []object{}, map[string]bool{}
 	for _, r := range routes {
 		rules = append(rules, object{
-			"name": "r-" + r.service, "kind": r.kind, "target_latency": "600ms", "priority": 1, "public": false, "sticky": true,
+			"name": "r-" + strings.Trim(r.prefix, "/"), "kind": r.kind, "target_latency": "600ms", "priority": 1, "public": false, "sticky": true,
 			"match":  object{"prefix": r.prefix},
 			"action": object{"service": r.service, "timeout": "3000ms", "max_attempts": 2, "allowed_regions": []string{}},
 		})
@@ -149,7 +152,7 @@
 		accounts = append(accounts, object{"name": t.name, "api_keys": []string{t.key}, "priority": 1, "allowed_regions": []string{}})
 	}
 	f.store.Put("op", "config", encode(object{
-		"version":   "r1",
+		"version":   fmt.Sprintf("r%d", version),
 		"limits":    object{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout": "3000ms", "idle_timeout": "15000ms"},
 		"tenants":   accounts,
 		"listeners": []object{{"host": host, "rules": rules}},
@@ -316,12 +319,27 @@
 	case <-r.Context().Done():
 		x.cut = true
 	}
+	t.mu.Lock()
 	x.ended = time.Now()
+	t.mu.Unlock()
 	t.record.addf("target %s ends %s; its connection is gone: %v", t.name, id, x.cut)
 	w.Header().Set("Server-Stamp", "stamp-"+id)
 	_, _ = io.WriteString(w, answerOf(id))
 }
 
+// busy returns the number of requests that the target works on and whose ids begin so.
+func (t *target) busy(prefix string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, x := range t.runs {
+		if x.ended.IsZero() && strings.HasPrefix(x.id, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
 // end ends the target: its connections are closed, and it takes no new ones.
 func (t *target) end() { _ = t.server.Close() }
 
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -38,6 +38,7 @@
 
 var scenarios = map[string]scenario{
 	"options": connectionOptions,
+	"crash":   crashUnderLookups,
 	"partial": drainAfterPartialOutage,
 }
 
--- a/review/_stand/options.go
+++ b/review/_stand/options.go
@@ -10,7 +10,7 @@
 // tenant that holds the key.
 func connectionOptions(f *fleet, trouble bool) (int, error) {
 	tenants := []tenant{{"sese880", "9anu6wsjnbanfqasnmgk"}, {"moru114", "cuyj8pjbvk9m68k7b2ex"}}
-	f.configure([]route{{"/lepu270/", "safe", "huvo11a"}, {"/xapu221/", "unsafe", "wuno96b"}}, tenants)
+	f.configure(1, []route{{"/lepu270/", "safe", "huvo11a"}, {"/xapu221/", "unsafe", "wuno96b"}}, tenants)
 	for _, s := range []string{"huvo11a", "wuno96b"} {
 		if err := f.addTargets(s, 20*time.Millisecond); err != nil {
 			return 0, err
--- a/review/_stand/partial.go
+++ b/review/_stand/partial.go
@@ -95,7 +95,7 @@
 		interval = 100 * time.Millisecond
 	)
 	t := tenant{"sese880", "9anu6wsjnbanfqasnmgk"}
-	f.configure([]route{{"/xapu221/", "unsafe", "wuno96b"}}, []tenant{t})
+	f.configure(1, []route{{"/xapu221/", "unsafe", "wuno96b"}}, []tenant{t})
 	if err := f.addTargets("wuno96b", work); err != nil {
 		return 0, err
 	}
