--- a/review/_stand/fleet.go
+++ b/review/_stand/fleet.go
@@ -19,9 +19,9 @@
 
 // Sizes of the deployment.
 const (
-	instanceCount  = 3
-	defaultTargets = 3
-	targetSlots    = 8
+	defaultInstances = 3
+	defaultTargets   = 3
+	targetSlots      = 8
 )
 
 // Ports of an instance, counted from the first one.
@@ -40,7 +40,7 @@
 	host       = "jepu9.example"
 )
 
-var zones = []struct{ name, region string }{{"alm-arbat", "almaty"}, {"ast-esil", "astana"}, {"shy-tauke", "shymkent"}}
+var zones = []struct{ name, region string }{{"alm-arbat", "almaty"}, {"ast-esil", "astana"}, {"shy-tauke", "shymkent"}, {"alm-medeu", "almaty"}}
 
 type object = map[string]any
 
@@ -55,6 +55,8 @@
 	storeAt   string
 	instances []*instance
 	targets   []*target
+	// instanceCount is the number of instances that startInstances starts.
+	instanceCount int
 	// targetsPerService is the number of targets that addTargets adds.
 	targetsPerService int
 	servers           []*http.Server
@@ -62,10 +64,10 @@
 
 // instance is a process of celeryheadd.
 type instance struct {
-	name     string
-	address  netip.Addr
-	settings string
-	process  *launcher.Process
+	name, zone, region string
+	address            netip.Addr
+	settings           string
+	process            *launcher.Process
 }
 
 func newFleet(r *record, daemon, dir string) (*fleet, error) {
@@ -73,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{record: r, daemon: daemon, dir: dir, port: p, targetsPerService: defaultTargets, parts: newPartialStore(r, "servers")}
+	f := &fleet{record: r, daemon: daemon, dir: dir, port: p, instanceCount: defaultInstances, targetsPerService: defaultTargets, parts: newPartialStore(r, "servers")}
 	f.store = f.parts.Store
 	f.storeAt, _, err = f.serve("127.0.0.1:0", f.parts)
 	return f, err
@@ -105,7 +107,7 @@
 func (f *fleet) addTargets(service string, delay time.Duration) error {
 	for i := range f.targetsPerService {
 		t := &target{record: f.record, name: fmt.Sprintf("i-%s-%d", service, i+1), service: service, delay: delay}
-		t.zone, t.born = zones[i%len(zones)].name, time.Now()
+		t.zone, t.born = zones[i%defaultInstances].name, time.Now()
 		var err error
 		if t.address, t.server, err = f.serve(fmt.Sprintf("127.0.2.%d:0", len(f.targets)+1), t); err != nil {
 			return err
@@ -170,10 +172,10 @@
 
 // startInstances starts the instances and waits until all are ready.
 func (f *fleet) startInstances() error {
-	for i := range instanceCount {
-		n := &instance{name: fmt.Sprintf("edge-%s-1", zones[i].name), address: netip.AddrFrom4([4]byte{127, 0, 1, byte(i + 1)})}
+	for i := range f.instanceCount {
+		n := &instance{name: fmt.Sprintf("edge-%s-1", zones[i].name), zone: zones[i].name, region: zones[i].region, address: netip.AddrFrom4([4]byte{127, 0, 1, byte(i + 1)})}
 		n.settings = filepath.Join(f.dir, n.name+".toml")
-		if err := f.writeSettings(n, zones[i].name, zones[i].region); err != nil {
+		if err := f.writeSettings(n); err != nil {
 			return err
 		}
 		var err error
@@ -216,7 +218,7 @@
 }
 
 // writeSettings writes the settings file with the fields and bounds of a small deployment.
-func (f *fleet) writeSettings(n *instance, zone, region string) error {
+func (f *fleet) writeSettings(n *instance) error {
 	t := fmt.Sprintf(`node_name = %q
 role = "entry"
 machine_class = "edge"
@@ -229,7 +231,7 @@
 bootstrap = true
 heartbeat = "1500ms"
 [zones]
-`, n.name, n.address, zone, region, f.port+portPeers, f.port+portMetrics, f.port+portControl, f.port+portControl)
+`, n.name, n.address, n.zone, n.region, f.port+portPeers, f.port+portMetrics, f.port+portControl, f.port+portControl)
 	for _, z := range zones {
 		t += fmt.Sprintf("%s = %q\n", z.name, z.region)
 	}
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -39,6 +39,7 @@
 var scenarios = map[string]scenario{
 	"options": connectionOptions,
 	"crash":   crashUnderLookups,
+	"names":   pauseBesideKill,
 	"partial": drainAfterPartialOutage,
 }
 
