--- a/review/_stand/fleet.go
+++ b/review/_stand/fleet.go
@@ -284,6 +284,8 @@
 	delay                        time.Duration
 	born                         time.Time
 	server                       *http.Server
+	// began is told of each request that begins to run, and reports whether the target crashes on it; nil never does.
+	began func(*http.Request) bool
 
 	mu   sync.Mutex
 	runs []*work
@@ -316,6 +318,9 @@
 	t.runs = append(t.runs, x)
 	t.mu.Unlock()
 	t.record.addf("target %s runs %s; Tenant %q, Expect-Instance %q", t.name, id, x.tenant, expected)
+	if t.began != nil && t.began(r) {
+		panic(http.ErrAbortHandler)
+	}
 	select {
 	case <-time.After(t.delay):
 	case <-r.Context().Done():
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -40,6 +40,7 @@
 	"options": connectionOptions,
 	"crash":   crashUnderLookups,
 	"names":   pauseBesideKill,
+	"poison":  crashingRequest,
 	"partial": drainAfterPartialOutage,
 }
 
