Blame no request for being in flight at the crash of a target

Cause: breaker counted each strike as a crash that the request caused, also two strikes of one crash. The refusal of 10 min at all instances then let no copy run that could have cleared it.

Change: a strike tells its crash (target and incarnation) and how long the copy had run. breaker.Judge decides for both request paths: strikes of one crash restrict nothing; several crashes that ended copies of one moment have copies run one at a time in the fleet; only a copy that was sent after the first crash and was in flight at a second one has the request refused. A refused request is tried alone after 15 s, then rarer, and a copy that is answered clears it at all instances. On the users' platform the first instance in rendezvous order permits the copy that runs alone, by datagram. The second sending of an attempt is checked as well, a clearing is passed on however old the crash is, and a strike is dated when the connection broke.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -1,6 +1,7 @@
 package breaker
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -16,17 +17,28 @@
 	DefaultMaxFingerprints = 4096
 )
 
+// Trials of a blocked fingerprint.
+const (
+	// firstTrial is the time from the strike that reached the threshold to the first trial. Targets that crashed are back, and
+	// the strike is known to all instances, within it.
+	firstTrial = 15 * time.Second
+	// trialBackoff multiplies the wait with each further strike, so that a request which crashes every target takes down two
+	// more of them in the first ten minutes.
+	trialBackoff = 8
+)
+
 // maxStrikesPerFingerprint limits the strikes kept per fingerprint. It exceeds DefaultThreshold so that strikes that a
 // peer has not received yet can still be sent.
 const maxStrikesPerFingerprint = 8
 
 // Config configures a Breaker; zero fields take their defaults.
 type Config struct {
-	// Threshold is the number of strikes within Window that block a fingerprint; at most 8.
+	// Threshold is the number of successive strikes within Window that block a fingerprint; at most 8.
 	Threshold int
 	// Window is the time within which strikes count towards Threshold.
 	Window time.Duration
-	// BlockDuration is how long a fingerprint is blocked after the strike that reached Threshold.
+	// BlockDuration is how long a fingerprint is blocked after the strike that reached Threshold, unless a copy succeeds in
+	// a trial.
 	BlockDuration time.Duration
 	// MaxFingerprints limits the fingerprints kept in memory.
 	MaxFingerprints int
@@ -39,7 +51,13 @@
 	// ID is a unique identifier chosen by the instance that observed the crash.
 	ID          string
 	Fingerprint Fingerprint
-	At          time.Time
+	// At is the time of the crash.
+	At time.Time
+	// Ran is how long the target had had the request by then.
+	Ran time.Duration
+	// Crash identifies the crash, so that several copies on one target are one piece of evidence. If it is empty, the strike is
+	// a crash of its own.
+	Crash string
 	// Cleared is true if a copy of the request succeeded after the strike. The strike then does not count towards a block,
 	// because a frequent request is often in flight when another request crashes the target.
 	Cleared bool
@@ -52,12 +70,32 @@
 	gate    gate
 }
 
+// Verdict says how copies of a request may run.
+type Verdict int
+
+// Verdicts.
+const (
+	// Free means that any number of copies may run.
+	Free Verdict = iota
+	// Alone means that one copy may run at a time in the fleet, since several targets crashed that had the request.
+	Alone
+	// Refused means that no copy may run.
+	Refused
+)
+
+// keptStrike is a strike with the time at which this instance recorded or cleared it.
+type keptStrike struct {
+	Strike
+	changed time.Time
+}
+
 // record holds the strikes of one fingerprint.
 type record struct {
 	// strikes is sorted by time, then by identifier.
-	strikes []Strike
-	// blockedUntil is the end of the block; zero if there is none.
-	blockedUntil time.Time
+	strikes []keptStrike
+	// blockedUntil is the end of the block, and trialAt the time within it from which on a copy may run alone; zero if there
+	// is none.
+	blockedUntil, trialAt time.Time
 }
 
 // New returns a Breaker without strikes.
@@ -96,14 +134,17 @@
 		}
 		r = b.records.Put(s.Fingerprint, record{})
 	}
-	if i := slices.IndexFunc(r.strikes, func(o Strike) bool { return o.ID == s.ID }); i >= 0 {
-		changed := s.Cleared && !r.strikes[i].Cleared
-		r.strikes[i].Cleared = r.strikes[i].Cleared || s.Cleared
+	if i := slices.IndexFunc(r.strikes, func(o keptStrike) bool { return o.ID == s.ID }); i >= 0 {
+		if !s.Cleared || r.strikes[i].Cleared {
+			return false
+		}
+		r.strikes[i].Cleared, r.strikes[i].changed = true, now
+		delete(b.gate.granted, s.Fingerprint)
 		b.updateBlock(r)
-		return changed
+		return true
 	}
 	b.gate.succeeded.Delete(s.Fingerprint)
-	r.insert(s)
+	r.insert(keptStrike{Strike: s, changed: now})
 	b.updateBlock(r)
 	if len(r.strikes) > maxStrikesPerFingerprint {
 		r.strikes = slices.Delete(r.strikes, 0, 1)
@@ -120,28 +161,71 @@
 	return r.blockedUntil
 }
 
-// Strikes returns up to limit strikes that have not expired, newest first.
+// Judge returns how copies of a fingerprint may run, and for a refused one the time from which on a copy may run alone.
+func (b *Breaker) Judge(now time.Time, f Fingerprint) (Verdict, time.Time) {
+	r := b.records.Get(f)
+	switch {
+	case r == nil:
+		return Free, time.Time{}
+	case now.Before(r.blockedUntil) && now.Before(r.trialAt):
+		return Refused, r.trialAt
+	case now.Before(r.blockedUntil), b.crashes(now, r) >= b.config.Threshold:
+		return Alone, time.Time{}
+	}
+	return Free, time.Time{}
+}
+
+// crashes returns the number of crashes within Window after which no copy has succeeded.
+func (b *Breaker) crashes(now time.Time, r *record) int {
+	n := 0
+	seen := map[string]bool{}
+	for _, s := range r.strikes {
+		if s.Cleared || now.Sub(s.At) >= b.config.Window || seen[s.Crash] {
+			continue
+		}
+		seen[s.Crash] = s.Crash != ""
+		n++
+	}
+	return n
+}
+
+// Strikes returns up to limit strikes that have not expired, those recorded or cleared last first.
 func (b *Breaker) Strikes(now time.Time, limit int) []Strike {
-	var all []Strike
+	return b.ChangedSince(now, time.Time{}, limit)
+}
+
+// ChangedSince is like Strikes, without those that were recorded and cleared before a time.
+func (b *Breaker) ChangedSince(now, since time.Time, limit int) []Strike {
+	var all []keptStrike
 	for _, r := range b.records.All() {
 		for _, s := range r.strikes {
-			if !b.expired(s, now) {
+			if !b.expired(s.Strike, now) && !s.changed.Before(since) {
 				all = append(all, s)
 			}
 		}
 	}
-	sort.SliceStable(all, func(i, j int) bool { return all[i].At.After(all[j].At) })
-	return all[:min(limit, len(all))]
+	sort.SliceStable(all, func(i, j int) bool {
+		if a, b := all[i].changed, all[j].changed; !a.Equal(b) {
+			return a.After(b)
+		}
+		return all[i].At.After(all[j].At)
+	})
+	var l []Strike
+	for _, s := range all[:min(limit, len(all))] {
+		l = append(l, s.Strike)
+	}
+	return l
 }
 
-// Tick removes expired strikes.
+// Tick removes expired strikes and permissions.
 func (b *Breaker) Tick(now time.Time) {
 	for f, r := range b.records.All() {
-		r.strikes = slices.DeleteFunc(r.strikes, func(s Strike) bool { return b.expired(s, now) })
+		r.strikes = slices.DeleteFunc(r.strikes, func(s keptStrike) bool { return b.expired(s.Strike, now) })
 		if len(r.strikes) == 0 {
 			b.records.Delete(f)
 		}
 	}
+	maps.DeleteFunc(b.gate.granted, func(_ Fingerprint, at time.Time) bool { return now.Sub(at) >= grantLife })
 }
 
 // Len returns the number of fingerprints that have strikes.
@@ -155,25 +239,48 @@
 	return now.Sub(s.At) >= b.config.Window+b.config.BlockDuration
 }
 
-// updateBlock recomputes the end of the block of r from its uncleared strikes: each Threshold consecutive ones within
-// Window block the fingerprint for BlockDuration after the last of them.
+// updateBlock recomputes the block of r: each Threshold successive strikes within Window block the fingerprint for
+// BlockDuration after the last of them. The wait for the trial grows with the number of successive strikes.
 func (b *Breaker) updateBlock(r *record) {
-	var l []Strike
-	for _, s := range r.strikes {
-		if !s.Cleared {
-			l = append(l, s)
+	l := r.successive()
+	r.blockedUntil, r.trialAt = time.Time{}, time.Time{}
+	n := 0
+	for i, s := range l {
+		if i > 0 && s.At.Sub(l[i-1].At) > b.config.Window {
+			n = 0
 		}
-	}
-	r.blockedUntil = time.Time{}
-	for i := b.config.Threshold - 1; i < len(l); i++ {
-		first, last := l[i-b.config.Threshold+1].At, l[i].At
-		if last.Sub(first) > b.config.Window {
+		n++
+		if n < b.config.Threshold || s.At.Sub(l[i-b.config.Threshold+1].At) > b.config.Window {
 			continue
 		}
-		if u := last.Add(b.config.BlockDuration); u.After(r.blockedUntil) {
-			r.blockedUntil = u
+		r.blockedUntil = s.At.Add(b.config.BlockDuration)
+		r.trialAt = s.At.Add(b.trialDelay(n - b.config.Threshold))
+	}
+}
+
+// trialDelay returns the time from the last strike to the trial after a number of failed trials; it never exceeds BlockDuration.
+func (b *Breaker) trialDelay(failed int) time.Duration {
+	d := firstTrial
+	for ; failed > 0 && d < b.config.BlockDuration; failed-- {
+		d *= trialBackoff
+	}
+	return min(d, b.config.BlockDuration)
+}
+
+// successive returns the uncleared strikes of which each began after the crash before it, for as many crashes as possible.
+// Copies that were running at the same time prove no more than one of them: whatever ended their targets may have ended all
+// of them at once.
+func (r *record) successive() []Strike {
+	var l []Strike
+	seen := map[string]bool{}
+	for _, s := range r.strikes {
+		if s.Cleared || seen[s.Crash] || len(l) > 0 && s.At.Add(-s.Ran).Before(l[len(l)-1].At) {
+			continue
 		}
+		seen[s.Crash] = s.Crash != ""
+		l = append(l, s.Strike)
 	}
+	return l
 }
 
 // evict removes the fingerprint with the oldest last strike, preferring those that are not blocked.
@@ -204,7 +311,7 @@
 }
 
 // insert adds a strike in the order of time, then of identifier, which is the same on every instance.
-func (r *record) insert(s Strike) {
+func (r *record) insert(s keptStrike) {
 	i := sort.Search(len(r.strikes), func(i int) bool {
 		o := r.strikes[i]
 		return o.At.After(s.At) || (o.At.Equal(s.At) && o.ID > s.ID)
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -47,7 +47,7 @@
 	if !f.members[i].Blocked(now, p).IsZero() {
 		return false
 	}
-	f.strike(now, i, p, delay)
+	f.strike(now, i, p, 0, delay)
 	return true
 }
 
@@ -61,9 +61,10 @@
 	})
 }
 
-func (f *fleet) strike(now time.Time, i int, p breaker.Fingerprint, delay time.Duration) {
+// strike records that a copy which ran for some time at instance i crashed its target.
+func (f *fleet) strike(now time.Time, i int, p breaker.Fingerprint, ran, delay time.Duration) {
 	f.crashes++
-	s := breaker.Strike{ID: fmt.Sprint(i, "-", f.crashes), Fingerprint: p, At: now}
+	s := breaker.Strike{ID: fmt.Sprint(i, "-", f.crashes), Fingerprint: p, At: now, Ran: ran}
 	f.members[i].Strike(now, s)
 	f.send(now, s, delay)
 }
--- a/breaker/doc.go
+++ b/breaker/doc.go
@@ -2,9 +2,28 @@
 //
 // A strike records that the connection of a request broke while the request ran,
 // and that its target refused new connections right after. It is stored under the
-// fingerprint of the request and sent to all peers. A fingerprint with Threshold
-// strikes within Window is blocked for BlockDuration, counted from the strike that
-// reached the threshold.
+// fingerprint of the request and sent to all peers.
+//
+// # Evidence
+//
+// A strike proves only that the request was in flight when its target crashed. How
+// copies of the request may run follows from all strikes within Window (Judge):
+//
+//   - The strikes of one crash count as one, however many copies the target had. One
+//     crash restricts nothing (Free).
+//   - Several crashes that ended copies of the same moment may have one cause, such
+//     as a failure domain that loses power. Copies then run one at a time in the
+//     fleet (Alone); the first that succeeds ends it.
+//   - Threshold successive strikes, of which each copy was sent after the crash
+//     before it, block the fingerprint for BlockDuration (Refused). 15 s after the
+//     last strike one copy runs alone as a trial; each trial that crashes its target
+//     makes the wait for the next one longer.
+//   - A copy that succeeds anywhere clears all strikes that are known there, at all
+//     instances (Succeeded, End). A frequent request is often in flight when another
+//     one crashes the target.
+//
+// Other requests that were in flight on the same target are not weighed: their
+// number says nothing about which of them was the cause.
 //
 // The instance that observed the crash gives the strike an identifier, so that a
 // strike received over several paths counts once. Instances exchange only strikes,
@@ -20,10 +39,6 @@
 // length that differ only after the prefix share a fingerprint; account, route,
 // method and path still limit which requests such a strike can block.
 //
-// A crash counts only against the fingerprints that ran on the crashed target. A
-// target that crashes for other reasons spreads its strikes over the different
-// requests it was running, and each of them stays below the threshold.
-//
 // # Concurrent copies
 //
 // The first copy of a fingerprint runs alone at an instance. The others wait until
@@ -35,5 +50,5 @@
 //
 // A request that crashes its target within Hold takes down at most one target per
 // instance plus one. If its caller resends it only after the previous strike has
-// reached the peers, it takes down at most Threshold.
+// reached the peers, it takes down at most Threshold, and one more in each trial.
 package breaker
--- a/breaker/gate.go
+++ b/breaker/gate.go
@@ -10,6 +10,10 @@
 // DefaultHold is the default of Config.Hold.
 const DefaultHold = time.Second
 
+// grantLife is how long a permission to run a copy alone lasts unless the copy succeeds; it exceeds the time that most requests
+// take.
+const grantLife = 5 * time.Second
+
 // Pass is the permission for one copy of a request to run. It is returned with End.
 type Pass struct {
 	fingerprint Fingerprint
@@ -23,10 +27,16 @@
 	exclusive map[Fingerprint]bool
 	// succeeded holds the time of the last success of fingerprints whose other copies had to wait.
 	succeeded *indexer.Table[Fingerprint, time.Time]
+	// granted holds the times at which copies of fingerprints were permitted to run alone at any instance.
+	granted map[Fingerprint]time.Time
 }
 
 func newGate() gate {
-	return gate{exclusive: map[Fingerprint]bool{}, succeeded: indexer.New[Fingerprint, time.Time]()}
+	return gate{
+		exclusive: map[Fingerprint]bool{},
+		succeeded: indexer.New[Fingerprint, time.Time](),
+		granted:   map[Fingerprint]time.Time{},
+	}
 }
 
 // Suspect reports whether the fingerprint has a strike within Window after which no copy has succeeded. The copies of a
@@ -36,7 +46,7 @@
 	if r == nil {
 		return false
 	}
-	return slices.ContainsFunc(r.strikes, func(s Strike) bool { return !s.Cleared && now.Sub(s.At) < b.config.Window })
+	return slices.ContainsFunc(r.strikes, func(s keptStrike) bool { return !s.Cleared && now.Sub(s.At) < b.config.Window })
 }
 
 // Start reports whether a copy that has waited for the given time may run now. The first copy of a fingerprint runs
@@ -74,7 +84,26 @@
 	if contended {
 		b.recordSuccess(now, p.fingerprint)
 	}
-	return b.clearStrikes(p.fingerprint)
+	return b.clearStrikes(now, p.fingerprint)
+}
+
+// Grant permits one copy of a fingerprint to run at any instance, and reports whether it did. All instances ask the same one,
+// so that one copy runs in the fleet until it has succeeded, has crashed its target, or grantLife has passed.
+func (b *Breaker) Grant(now time.Time, f Fingerprint) bool {
+	if v, _ := b.Judge(now, f); v == Refused || len(b.gate.granted) >= b.config.MaxFingerprints {
+		return false
+	}
+	if at, ok := b.gate.granted[f]; ok && now.Sub(at) < grantLife {
+		return false
+	}
+	b.gate.granted[f] = now
+	return true
+}
+
+// Succeeded records that a copy of a fingerprint ran and its target did not crash. It returns the strikes that this clears; the
+// caller sends them to all peers.
+func (b *Breaker) Succeeded(now time.Time, f Fingerprint) []Strike {
+	return b.clearStrikes(now, f)
 }
 
 // recordSuccess stores the time of a success. Beyond MaxFingerprints it removes arbitrary other fingerprints.
@@ -89,7 +118,7 @@
 }
 
 // clearStrikes marks the strikes of a fingerprint as cleared and returns those that were not.
-func (b *Breaker) clearStrikes(f Fingerprint) []Strike {
+func (b *Breaker) clearStrikes(now time.Time, f Fingerprint) []Strike {
 	r := b.records.Get(f)
 	if r == nil {
 		return nil
@@ -97,10 +126,11 @@
 	var c []Strike
 	for i := range r.strikes {
 		if s := &r.strikes[i]; !s.Cleared {
-			s.Cleared = true
-			c = append(c, *s)
+			s.Cleared, s.changed = true, now
+			c = append(c, s.Strike)
 		}
 	}
+	delete(b.gate.granted, f)
 	b.updateBlock(r)
 	return c
 }
--- a/breaker/gate_test.go
+++ b/breaker/gate_test.go
@@ -68,7 +68,7 @@
 func (r *copySimulation) end(now time.Time, f breaker.Fingerprint, c requestCopy) bool {
 	r.ended++
 	if r.crashing {
-		r.strike(now, c.instance, f, r.delay)
+		r.strike(now, c.instance, f, r.runTime, r.delay)
 	}
 	for _, s := range r.members[c.instance].End(now, c.pass, !r.crashing) {
 		r.send(now, s, r.delay)
@@ -111,7 +111,7 @@
 				r.copies = append(r.copies, requestCopy{at: start.Add(time.Duration(i/20) * 400 * time.Millisecond), instance: i % 2})
 			}
 			if c.struck {
-				r.strike(start, 1, f, 0)
+				r.strike(start, 1, f, 0, 0)
 			}
 			now := start
 			alone := 0
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -47,7 +47,13 @@
 	ID          string `json:"i"`
 	Fingerprint []byte `json:"f"`
 	Cleared     bool   `json:"c,omitempty"`
-	AgeSeconds  int64  `json:"g"`
+	// AgeSeconds is the time since the crash for instances that do not read AgeMilliseconds.
+	AgeSeconds      int64 `json:"g"`
+	AgeMilliseconds int64 `json:"m,omitempty"`
+	// RanMilliseconds is how long the target had had the request by then.
+	RanMilliseconds int64 `json:"r,omitempty"`
+	// Crash identifies the crash.
+	Crash string `json:"t,omitempty"`
 }
 
 // Claim reports that a copy was complete.
@@ -107,7 +113,10 @@
 	// WantedPermits and GivenPermits do the same for permits, by target.
 	WantedPermits map[string]PermitRequest `json:"want_permits,omitempty"`
 	GivenPermits  map[string]int           `json:"give_permits,omitempty"`
-	ID            uint64                   `json:"id,omitempty"`
+	// WantedRun is the fingerprint of a request that is to run alone; the answer has GivenRun if it may.
+	WantedRun []byte `json:"want_run,omitempty"`
+	GivenRun  bool   `json:"give_run,omitempty"`
+	ID        uint64 `json:"id,omitempty"`
 }
 
 // Hooks connect the gossip to the rest of the instance; all must be safe for concurrent use.
@@ -130,6 +139,8 @@
 	Issue func(wanted map[string]PermitRequest) map[string]int
 	// ReceivePermits adds permits that were asked for at a time.
 	ReceivePermits func(asked time.Time, given map[string]int)
+	// GrantRun reports whether a copy of the request with a fingerprint may run alone at another instance.
+	GrantRun func(fingerprint []byte) bool
 }
 
 // Config configures a Gossiper.
@@ -154,11 +165,13 @@
 	pending map[uint64]pendingRequest
 }
 
-// pendingRequest is a request for tokens or permits that is not answered yet.
+// pendingRequest is a request for tokens, permits or a run that is not answered yet.
 type pendingRequest struct {
 	to   netip.Addr
 	sent time.Time
 	done chan struct{}
+	// run gets the answer to a request for a run; it is nil for other requests.
+	run chan bool
 }
 
 // Listen opens the socket.
@@ -335,6 +348,10 @@
 		g.send(d.From.Address, datagram{From: g.sender(), GivenPermits: g.config.Hooks.Issue(d.WantedPermits), ID: d.ID})
 		return
 	}
+	if len(d.WantedRun) > 0 {
+		g.send(d.From.Address, datagram{From: g.sender(), GivenRun: g.config.Hooks.GrantRun(d.WantedRun), ID: d.ID})
+		return
+	}
 	if d.ID != 0 {
 		g.completeRequest(d)
 	}
@@ -342,25 +359,32 @@
 
 // Ask requests tokens from an instance; the returned channel is closed when the answer has been processed.
 func (g *Gossiper) Ask(to netip.Addr, wanted map[string]int) <-chan struct{} {
-	id, done := g.begin(to)
-	g.send(to, datagram{From: g.sender(), WantedTokens: wanted, ID: id})
-	return done
+	a := pendingRequest{to: to, done: make(chan struct{})}
+	g.send(to, datagram{From: g.sender(), WantedTokens: wanted, ID: g.begin(a)})
+	return a.done
 }
 
 // AskPermits requests permits from an instance; the hook ReceivePermits gets the answer.
 func (g *Gossiper) AskPermits(to netip.Addr, wanted map[string]PermitRequest) {
-	id, _ := g.begin(to)
-	g.send(to, datagram{From: g.sender(), WantedPermits: wanted, ID: id})
+	g.send(to, datagram{From: g.sender(), WantedPermits: wanted, ID: g.begin(pendingRequest{to: to, done: make(chan struct{})})})
+}
+
+// AskToRun asks an instance whether a copy of the request with a fingerprint may run alone here; the returned channel gets the
+// answer, if one arrives.
+func (g *Gossiper) AskToRun(to netip.Addr, fingerprint []byte) <-chan bool {
+	a := pendingRequest{to: to, done: make(chan struct{}), run: make(chan bool, 1)}
+	g.send(to, datagram{From: g.sender(), WantedRun: fingerprint, ID: g.begin(a)})
+	return a.run
 }
 
-// begin adds a pending request and returns its identifier and what is closed when its answer has been processed.
-func (g *Gossiper) begin(to netip.Addr) (uint64, <-chan struct{}) {
-	a := pendingRequest{to: to, sent: g.config.Clock(), done: make(chan struct{})}
+// begin adds a pending request and returns its identifier.
+func (g *Gossiper) begin(a pendingRequest) uint64 {
+	a.sent = g.config.Clock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.nextID++
 	g.pending[g.nextID] = a
-	return g.nextID, a.done
+	return g.nextID
 }
 
 // sender identifies this instance by its address only, for datagrams without state.
@@ -368,7 +392,7 @@
 	return Member{Address: g.config.Hooks.Self().Address}
 }
 
-// completeRequest adds the tokens or permits of an answer to a pending request; further answers are ignored.
+// completeRequest takes over the answer to a pending request; further answers are ignored.
 func (g *Gossiper) completeRequest(d datagram) {
 	g.mu.Lock()
 	a, ok := g.pending[d.ID]
@@ -379,9 +403,12 @@
 	if !ok || a.to != d.From.Address {
 		return
 	}
-	if len(d.GivenPermits) > 0 {
+	switch {
+	case a.run != nil:
+		a.run <- d.GivenRun
+	case len(d.GivenPermits) > 0:
 		g.config.Hooks.ReceivePermits(a.sent, d.GivenPermits)
-	} else {
+	default:
 		g.config.Hooks.Receive(d.GivenTokens)
 	}
 	close(a.done)
--- a/handler/forward.go
+++ b/handler/forward.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"celeryhead.dev/celeryhead/breaker"
 	"celeryhead.dev/celeryhead/cataloger"
 	"celeryhead.dev/celeryhead/forwarder"
 	"celeryhead.dev/celeryhead/placer"
@@ -42,12 +43,21 @@
 	next *placer.Lease
 }
 
+// broken reports whether the connection broke while the target had the request.
+func (a *attempt) broken() bool {
+	return a.failure != nil && a.failure.Broken
+}
+
 // forward has a request run on a target. A request that may have run is sent again only if it is idempotent.
 func (s *Server) forward(ctx context.Context, c *call) (*forwarder.Answer, *responder.Refusal) {
 	s.budget.Count(c.arrival, c.service)
 	var last *attempt
 	for {
-		l, f := s.next(ctx, c, last)
+		var l *placer.Lease
+		f := s.checkRetry(ctx, c, last)
+		if f == nil {
+			l, f = s.next(ctx, c, last)
+		}
 		if f != nil {
 			return s.giveUp(c, last, f)
 		}
@@ -113,7 +123,7 @@
 		return true
 	case a.answer != nil && a.outcome == placer.Answered, ctx.Err() != nil, !c.body.Whole():
 		return false
-	case c.mayHaveRun && !c.route.Idempotent:
+	case c.mayHaveRun && !c.route.Idempotent, c.alone && a.broken():
 		return false
 	case c.sent >= max(c.route.MaxTargets, 1), len(c.tried) >= maxTried:
 		return false
@@ -177,6 +187,7 @@
 	i := incarnation(l.Target)
 	s.waiting.add(i, w)
 	defer s.waiting.remove(i, w)
+	var sent time.Time
 	x, err := s.targets.Do(ctx, forwarder.Call{
 		Address:  l.Target.Address,
 		Request:  &r,
@@ -185,19 +196,21 @@
 		Once:     c.lastTry(),
 		Before: func() error {
 			s.waiting.remove(i, w)
-			s.placer.Sent(s.clock(), l)
+			sent = s.clock()
+			s.placer.Sent(sent, l)
 			return s.mayRun(c, l.Target)
 		},
 		Answered: func(status int, h http.Header) { s.recordNotice(c, l.Target, status, h) },
 	})
 	if err != nil {
-		return s.failed(ctx, c, l, w, err)
+		return s.failed(ctx, c, l, w, sent, err)
 	}
 	if o, ok := s.protocol.Load(x.Header); ok {
 		s.placer.Told(s.clock(), l, o)
 	}
-	if err := buffer(x, w.stop); err != nil {
-		return s.failed(ctx, c, l, w, err)
+	whole, err := buffer(x, w.stop)
+	if err != nil {
+		return s.failed(ctx, c, l, w, sent, err)
 	}
 	if n := w.end(); n != nil {
 		// The answer came at the moment at which it was given up.
@@ -211,6 +224,9 @@
 		a.outcome = placer.Failed
 	}
 	s.placer.End(s.clock(), l, a.outcome)
+	if whole && a.outcome != placer.Declined {
+		s.survived(c)
+	}
 	return a
 }
 
@@ -219,16 +235,16 @@
 	return !c.route.Idempotent || !c.body.Whole() || c.sent+1 >= c.route.MaxTargets
 }
 
-// buffer reads the beginning of an answer, so that one that breaks off early reaches no caller; closed is called when
-// the answer is closed.
-func buffer(x *forwarder.Answer, closed func()) error {
+// buffer reads the beginning of an answer, so that one that breaks off early reaches no caller, and reports whether that is
+// the whole answer; closed is called when the answer is closed.
+func buffer(x *forwarder.Answer, closed func()) (whole bool, err error) {
 	b, err := io.ReadAll(io.LimitReader(x.Body, bufferedAnswer))
 	if err != nil {
 		_ = x.Body.Close()
-		return err
+		return false, err
 	}
 	x.Body = &bufferedBody{Reader: io.MultiReader(bytes.NewReader(b), x.Body), rest: x.Body, closed: closed}
-	return nil
+	return len(b) < bufferedAnswer, nil
 }
 
 // bufferedBody is an answer of which the beginning was read.
@@ -274,8 +290,8 @@
 	return now.Sub(c.arrival) < withdrawnKeyLife
 }
 
-// failed ends the lease of a request without an answer.
-func (s *Server) failed(ctx context.Context, c *call, l *placer.Lease, w *watch, err error) *attempt {
+// failed ends the lease of a request without an answer that was sent at a time.
+func (s *Server) failed(ctx context.Context, c *call, l *placer.Lease, w *watch, sent time.Time, err error) *attempt {
 	var x *forwarder.Failure
 	if !errors.As(err, &x) {
 		x = &forwarder.Failure{Reason: responder.TargetFailed, Ran: responder.Unknown, Err: err}
@@ -300,7 +316,8 @@
 	}
 	s.log.AttemptFailed(c.envelope.ID, l.Target.Name, now.Sub(c.arrival), err)
 	if x.Broken {
-		go s.crashed(c, l.Target) //nolint:gosec // The probe outlives the request.
+		k := breaker.Strike{Fingerprint: c.fingerprint(), At: now, Ran: now.Sub(sent)}
+		go s.crashed(c.accountName(), c.route.Name, l.Target, k) //nolint:gosec // The probe outlives the request.
 	}
 	return a
 }
--- a/handler/request.go
+++ b/handler/request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"celeryhead.dev/celeryhead/authenticator"
+	"celeryhead.dev/celeryhead/breaker"
 	"celeryhead.dev/celeryhead/cataloger"
 	"celeryhead.dev/celeryhead/forwarder"
 	"celeryhead.dev/celeryhead/logger"
@@ -43,7 +44,12 @@
 	sent  int
 	// mayHaveRun is true once a target may have run the request.
 	mayHaveRun bool
-	status     int
+	// print is the fingerprint if hasPrint is true.
+	print    breaker.Fingerprint
+	hasPrint bool
+	// alone is true if no other copy of the request may run meanwhile.
+	alone  bool
+	status int
 	// signed is true if the answer has the signature of a target.
 	signed bool
 }
@@ -79,7 +85,7 @@
 		return nil, f
 	}
 	ctx := r.Context()
-	if f := s.blocked(c); f != nil {
+	if f := s.checkCrash(ctx, c); f != nil {
 		return nil, f
 	}
 	if f := s.admit(ctx, c); f != nil {
--- a/handler/server.go
+++ b/handler/server.go
@@ -212,6 +212,7 @@
 			ReceivePermits: func(asked time.Time, g map[string]int) {
 				s.throttle.Receive(s.clock(), asked, g)
 			},
+			GrantRun: s.grantRun,
 		},
 		Log: c.Log,
 	})
--- a/handler/watch.go
+++ b/handler/watch.go
@@ -34,7 +34,7 @@
 			return
 		}
 		s.log.TargetSuspected(c.envelope.ID, l.Target.Name, p)
-		if !c.route.Idempotent || !c.body.Whole() || c.sent+1 >= c.route.MaxTargets || s.leaving.Load() {
+		if !c.route.Idempotent || c.alone || !c.body.Whole() || c.sent+1 >= c.route.MaxTargets || s.leaving.Load() {
 			return
 		}
 		if w.next = s.reserve(c); w.next != nil {
--- a/logger/events.go
+++ b/logger/events.go
@@ -36,6 +36,8 @@
 	targetState        = register(4005, log.InfoLevel, "target state changed")
 	claimNotFinished   = register(4006, log.WarnLevel, "outcome of a claim was not stored")
 	requestPanicked    = register(4007, log.ErrorLevel, "request handler panicked")
+	fingerprintTried   = register(4008, log.InfoLevel, "permission to run a suspected request alone")
+	strikesCleared     = register(4009, log.InfoLevel, "strikes of a request cleared")
 	changeAccepted     = register(5001, log.InfoLevel, "change accepted")
 	changeConflict     = register(5002, log.WarnLevel, "change refused: another change was first")
 	changeFailed       = register(5003, log.WarnLevel, "change not accepted")
@@ -188,9 +190,19 @@
 	l.emit(strikeRecorded, log.Fields{"account": account, "route": route, "target": target})
 }
 
-// FingerprintBlocked reports a refused repeat of a request that crashed targets.
-func (l *Logger) FingerprintBlocked(account, route string) {
-	l.emit(fingerprintBlocked, log.Fields{"account": account, "route": route})
+// FingerprintBlocked reports a refused repeat of a request that crashed targets, and when it may be sent again.
+func (l *Logger) FingerprintBlocked(account, route string, retryAfter time.Duration) {
+	l.emit(fingerprintBlocked, log.Fields{"account": account, "route": route, "retry_after_ms": retryAfter.Milliseconds()})
+}
+
+// FingerprintTried reports whether a request may run alone that targets had when they crashed.
+func (l *Logger) FingerprintTried(id, account, route string, allowed bool) {
+	l.emit(fingerprintTried, log.Fields{"id": id, "account": account, "route": route, "allowed": allowed})
+}
+
+// StrikesCleared reports that a target answered a request, so that earlier crashes do not count against it any more.
+func (l *Logger) StrikesCleared(id, account, route string, strikes int) {
+	l.emit(strikesCleared, log.Fields{"id": id, "account": account, "route": route, "strikes": strikes})
 }
 
 // TargetState reports a change of a target's health state.
--- a/server/entry.go
+++ b/server/entry.go
@@ -50,6 +50,8 @@
 	suspect bool
 	// pass is held while the request runs on a target of this instance.
 	pass breaker.Pass
+	// sent is when the last target of this instance got the request.
+	sent time.Time
 	// passed is true if another instance accepted the request and passed it on because of its ticket.
 	passed bool
 }
--- a/server/export_test.go
+++ b/server/export_test.go
@@ -113,6 +113,12 @@
 	return nil
 }
 
+// Strike records that a target crashed some time ago that had had the request for a while.
+func (c *Copy) Strike(id string, age, ran time.Duration) {
+	f := c.call.fingerprint()
+	c.server.recordStrike(&messenger.StrikeNotice{Id: id, Fingerprint: f[:], AgeMs: age.Milliseconds(), RanMs: ran.Milliseconds()})
+}
+
 // CallersHandler returns the handler of the callers' listener.
 func (s *Server) CallersHandler() http.Handler { return s.callersHandler() }
 
--- a/server/owner.go
+++ b/server/owner.go
@@ -112,7 +112,10 @@
 		Request:  &r,
 		Deadline: c.deadline,
 		Once:     !c.route.Idempotent,
-		Before:   func() error { return s.admit(c, target) },
+		Before: func() error {
+			c.sent = s.clock()
+			return s.admit(c, target)
+		},
 	})
 	if err != nil {
 		return nil, err
@@ -207,13 +210,14 @@
 
 // broken tells a target that crashed from one that only closed a connection.
 func (s *Server) broken(c *call, target string, t netip.AddrPort) balancer.Outcome {
+	at := s.clock()
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	if s.targets.Probe(ctx, t) == nil {
 		return balancer.Broken
 	}
 	s.log.StrikeRecorded(c.account.Name, c.route.Name, target)
-	s.strike(c)
+	s.strike(c, at)
 	return balancer.Crash
 }
 
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -255,6 +255,23 @@
 	}
 }
 
+// Guards against a look-up that is refused because several copies of it were in flight at one crash, and against one that goes on
+// although each copy crashed a target.
+func TestCopiesInFlightAtOneCrashBlockNothing(t *testing.T) {
+	c := newServer(t).NewCopy("maker", "/orders/1")
+	c.Strike("first", 500*time.Millisecond, 300*time.Millisecond)
+	c.Strike("second", 490*time.Millisecond, 200*time.Millisecond)
+	if f := c.Pass(t.Context()); f != nil {
+		t.Errorf("copies of one moment: %+v", f)
+	}
+	c = newServer(t).NewCopy("maker", "/orders/1")
+	c.Strike("first", 500*time.Millisecond, 300*time.Millisecond)
+	c.Strike("second", 100*time.Millisecond, 300*time.Millisecond)
+	if f := c.Pass(t.Context()); f == nil || f.Reason != responder.CrashSuspect || f.RetryAfter > 15*time.Second {
+		t.Errorf("one copy after the other: %+v", f)
+	}
+}
+
 // Guards against a request path that computes the fingerprint at each step, or starts a timer for a copy that need not wait.
 func TestStrikesCostOneFingerprint(t *testing.T) {
 	c := newServer(t).NewCopy("maker", "/orders/1")
--- a/server/strikes.go
+++ b/server/strikes.go
@@ -64,16 +64,16 @@
 func (s *Server) checkCrash(c *call) *responder.Refusal {
 	now, k := s.clock(), c.fingerprint()
 	s.strikes.mu.Lock()
-	t := s.strikes.breaker.Blocked(now, k)
+	v, until := s.strikes.breaker.Judge(now, k)
 	s.strikes.mu.Unlock()
-	if t.IsZero() {
+	if v != breaker.Refused {
 		return nil
 	}
-	return s.crashSuspect(c, t.Sub(now))
+	return s.crashSuspect(c, until.Sub(now))
 }
 
 func (s *Server) crashSuspect(c *call, d time.Duration) *responder.Refusal {
-	s.log.FingerprintBlocked(c.account.Name, c.route.Name)
+	s.log.FingerprintBlocked(c.account.Name, c.route.Name, d)
 	return &responder.Refusal{
 		Status:     http.StatusUnprocessableEntity,
 		Reason:     responder.CrashSuspect,
@@ -118,8 +118,8 @@
 	s.strikes.mu.Lock()
 	defer s.strikes.mu.Unlock()
 	b := s.strikes.breaker
-	if u := b.Blocked(now, k); !u.IsZero() {
-		return false, nil, s.crashSuspect(c, u.Sub(now))
+	if v, until := b.Judge(now, k); v == breaker.Refused {
+		return false, nil, s.crashSuspect(c, until.Sub(now))
 	}
 	if b.Suspect(now, k) && !c.suspect {
 		// The entry instance did not know the strike when it chose this one; it chooses again.
@@ -140,7 +140,7 @@
 	s.strikes.wake()
 	s.strikes.mu.Unlock()
 	for _, k := range cleared {
-		s.tell(&messenger.StrikeNotice{Id: k.ID, Fingerprint: k.Fingerprint[:], AgeMs: s.clock().Sub(k.At).Milliseconds(), Cleared: true})
+		s.tell(notice(s.clock(), k))
 	}
 }
 
@@ -217,9 +217,9 @@
 	return os[slices.IndexFunc(os, func(o owned) bool { return o.name == m.Name })].owner, true
 }
 
-// strike records that a request crashed a target, and tells all peers.
-func (s *Server) strike(c *call) {
-	n := &messenger.StrikeNotice{Id: rand.Text()}
+// strike records that a request crashed a target at a time, and tells all peers.
+func (s *Server) strike(c *call, at time.Time) {
+	n := &messenger.StrikeNotice{Id: rand.Text(), AgeMs: s.clock().Sub(at).Milliseconds(), RanMs: at.Sub(c.sent).Milliseconds()}
 	f := c.fingerprint()
 	n.Fingerprint = f[:]
 	s.recordStrike(n)
@@ -250,6 +250,7 @@
 		ID:          n.Id,
 		Fingerprint: breaker.Fingerprint(n.Fingerprint),
 		At:          now.Add(-time.Duration(n.AgeMs) * time.Millisecond),
+		Ran:         time.Duration(max(n.RanMs, 0)) * time.Millisecond,
 		Cleared:     n.Cleared,
 	})
 }
@@ -261,11 +262,18 @@
 	s.strikes.breaker.Tick(now)
 	var r []*messenger.StrikeNotice
 	for _, k := range s.strikes.breaker.Strikes(now, strikesPerBeat) {
-		r = append(r, &messenger.StrikeNotice{Id: k.ID, Fingerprint: k.Fingerprint[:], AgeMs: now.Sub(k.At).Milliseconds(), Cleared: k.Cleared})
+		r = append(r, notice(now, k))
 	}
 	return r
 }
 
+// notice returns a strike as peers are told of it.
+func notice(now time.Time, k breaker.Strike) *messenger.StrikeNotice {
+	return &messenger.StrikeNotice{
+		Id: k.ID, Fingerprint: k.Fingerprint[:], AgeMs: now.Sub(k.At).Milliseconds(), RanMs: k.Ran.Milliseconds(), Cleared: k.Cleared,
+	}
+}
+
 // Strike records a request that crashed a target.
 func (p *peerService) Strike(_ context.Context, n *messenger.StrikeNotice) (*messenger.Empty, error) {
 	p.server.recordStrike(n)
