Discard what waited in the socket of a suspended instance

Cause: an event is dated by the moment at which it is read. The paused instance reads the last datagrams of the killed one after the pause and tells others that it was heard just now.

Change: timer.Suspensions notices that the process did not run for over 1 s; replicator.freshness, which did so before, uses it. After a suspension gossiper empties its socket unread (event 3012), hooks get the time of receipt, and a datagram whose ages are over 1 s old is not sent. Until others are heard again the issuers of permits stay those that were known.

--- a/gossiper/codec.go
+++ b/gossiper/codec.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"sync"
+	"time"
 )
 
 // compactMark begins a compressed datagram; JSON text never begins with it.
@@ -24,6 +25,8 @@
 
 // encodedDatagram is a datagram as it is sent.
 type encodedDatagram struct {
+	// asOf is the time as of which the ages in it were taken.
+	asOf  time.Time
 	plain []byte
 	// compact is the compressed form for instances that read it, or nil.
 	compact []byte
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"celeryhead.dev/celeryhead/logger"
 	"celeryhead.dev/celeryhead/timer"
 )
@@ -127,10 +129,10 @@
 	State func() State
 	// Load returns what this instance reports about its requests.
 	Load func() Load
-	// Heard is called with the state of another instance.
-	Heard func(Member, State)
+	// Heard is called with the state of another instance that was received at a time.
+	Heard func(at time.Time, from Member, s State)
 	// HeardLoad is called with the report of another instance about its requests.
-	HeardLoad func(from netip.Addr, l Load)
+	HeardLoad func(at time.Time, from netip.Addr, l Load)
 	// Give removes up to the wanted tokens from this instance's shares.
 	Give func(wanted map[string]int) map[string]int
 	// Receive adds tokens to this instance's shares.
@@ -154,10 +156,13 @@
 
 // Gossiper exchanges datagrams with other instances.
 type Gossiper struct {
-	config   Config
-	socket   *net.UDPConn
-	codec    codec
-	refusals refusals
+	config      Config
+	socket      *net.UDPConn
+	codec       codec
+	refusals    refusals
+	suspensions timer.Suspensions
+	// drained is when the datagrams that waited during the last suspension were discarded; only receive uses it.
+	drained time.Time
 
 	mu     sync.Mutex
 	nextID uint64
@@ -190,11 +195,23 @@
 	}, nil
 }
 
+// Resumed returns the end of the last suspension of this process, or zero if there was none. Of the time before, nothing is
+// known that others said during the suspension.
+func (g *Gossiper) Resumed(now time.Time) time.Time {
+	return g.suspensions.Ended(now)
+}
+
 // Run exchanges datagrams until ctx ends.
 func (g *Gossiper) Run(ctx context.Context) {
 	var w sync.WaitGroup
+	g.suspensions.Beat(g.config.Clock())
 	w.Go(func() { g.receive(ctx) })
-	w.Go(func() { timer.Every(ctx, loadInterval, func(context.Context) { g.sendLoad() }) })
+	w.Go(func() {
+		timer.Every(ctx, loadInterval, func(context.Context) {
+			g.suspensions.Beat(g.config.Clock())
+			g.sendLoad()
+		})
+	})
 	timer.Poll(ctx, Interval, func(context.Context) { g.round() })
 	if err := g.socket.Close(); err != nil {
 		g.config.Log.ListenerFailed("peers", err)
@@ -229,7 +246,7 @@
 		}
 		if variants[i] == nil {
 			d.Brief = g.config.Members.brief(now, i == 1)
-			e, ok := g.encode(d)
+			e, ok := g.encode(now, d)
 			if !ok {
 				return
 			}
@@ -241,11 +258,12 @@
 
 // sendLoad reports this instance's requests to instances of its region, and in a small fleet to all.
 func (g *Gossiper) sendLoad() {
+	now := g.config.Clock()
 	l := g.config.Hooks.Load()
 	// The sender is named in full, since the report also shows that it lives.
 	d := datagram{From: g.config.Hooks.Self(), InFlight: l.InFlight, Placed: l.Placed, HasLoad: true}
-	e, ok := g.encode(d)
-	for _, a := range g.config.Members.loadReceivers(g.config.Clock()) {
+	e, ok := g.encode(now, d)
+	for _, a := range g.config.Members.loadReceivers(now) {
 		if ok {
 			g.sendEncoded(a, e)
 		}
@@ -254,31 +272,38 @@
 
 // Announce sends the current state at once to the live instances of a region, or of all regions if it is empty.
 func (g *Gossiper) Announce(region string) {
+	now := g.config.Clock()
 	s := g.config.Hooks.State()
 	d := datagram{From: g.config.Hooks.Self(), State: &s}
-	for _, m := range g.config.Members.Alive(g.config.Clock()) {
+	for _, m := range g.config.Members.Alive(now) {
 		if region == "" || m.Region == region {
-			g.send(m.Address, d)
+			g.send(now, m.Address, d)
 		}
 	}
 }
 
-func (g *Gossiper) send(to netip.Addr, d datagram) {
-	if e, ok := g.encode(d); ok {
+// send sends a datagram whose ages are as of a time.
+func (g *Gossiper) send(asOf time.Time, to netip.Addr, d datagram) {
+	if e, ok := g.encode(asOf, d); ok {
 		g.sendEncoded(to, e)
 	}
 }
 
-func (g *Gossiper) encode(d datagram) (encodedDatagram, bool) {
+func (g *Gossiper) encode(asOf time.Time, d datagram) (encodedDatagram, bool) {
 	e, err := g.codec.encode(d)
 	if err != nil {
 		g.refusals.add(g.config.Clock(), d.From.Address, err)
 	}
+	e.asOf = asOf
 	return e, err == nil
 }
 
-// sendEncoded sends the compressed form to instances that said that they read it.
+// sendEncoded sends the compressed form to instances that said that they read it. A datagram whose ages were taken before a
+// suspension is not sent after it.
 func (g *Gossiper) sendEncoded(to netip.Addr, e encodedDatagram) {
+	if g.config.Clock().Sub(e.asOf) > timer.SuspensionLimit {
+		return
+	}
 	b := e.plain
 	if k, ok := g.config.Members.Get(to); ok && k.ReadsCompact && e.compact != nil {
 		b = e.compact
@@ -299,6 +324,11 @@
 			// The socket reports an error when an address refused an earlier datagram.
 			continue
 		}
+		now := g.config.Clock()
+		if g.suspensions.Ended(now).After(g.drained) {
+			g.drain(now)
+			continue
+		}
 		d, err := g.codec.decode(b[:n])
 		if err != nil {
 			g.refusals.add(g.config.Clock(), from.Addr().Unmap(), err)
@@ -308,14 +338,37 @@
 			g.refusals.add(g.config.Clock(), from.Addr().Unmap(), errSenderMismatch)
 			continue
 		}
-		g.handle(d)
+		g.handle(now, d)
 	}
 }
 
+// drain discards the datagrams that waited during a suspension. Nothing tells how old they are: the sender of one may have ended
+// since, and this process would report it to others as alive.
+func (g *Gossiper) drain(now time.Time) {
+	g.suspensions.Beat(now)
+	n := 1
+	if c, err := g.socket.SyscallConn(); err == nil {
+		b := make([]byte, 1)
+		_ = c.Read(func(fd uintptr) bool {
+			for ; n < maxDrained; n++ {
+				if _, _, err := unix.Recvfrom(int(fd), b, 0); err != nil {
+					break
+				}
+			}
+			return true
+		})
+	}
+	g.drained = g.config.Clock()
+	g.config.Log.DatagramsDiscarded(n, g.drained.Sub(now))
+}
+
+// maxDrained bounds the datagrams that are discarded at once; a receive buffer holds fewer.
+const maxDrained = 1 << 16
+
 var errSenderMismatch = errors.New("datagram names a sender other than its source address")
 
-func (g *Gossiper) handle(d datagram) {
-	now := g.config.Clock()
+// handle takes over a datagram that was received at a time.
+func (g *Gossiper) handle(now time.Time, d datagram) {
 	if (d.State != nil || d.HasLoad) && g.config.Members.HearFirstHand(d.From, now) {
 		g.config.Log.MemberHeard(d.From.Name, d.From.Address, d.From.Ready)
 	}
@@ -331,25 +384,25 @@
 		}
 	}
 	if d.State != nil {
-		g.config.Hooks.Heard(d.From, *d.State)
+		g.config.Hooks.Heard(now, d.From, *d.State)
 	}
 	if d.Probe {
 		s := g.config.Hooks.State()
-		g.send(d.From.Address, datagram{From: g.config.Hooks.Self(), State: &s})
+		g.send(now, d.From.Address, datagram{From: g.config.Hooks.Self(), State: &s})
 	}
 	if d.HasLoad {
-		g.config.Hooks.HeardLoad(d.From.Address, Load{InFlight: d.InFlight, Placed: d.Placed})
+		g.config.Hooks.HeardLoad(now, d.From.Address, Load{InFlight: d.InFlight, Placed: d.Placed})
 	}
 	if len(d.WantedTokens) > 0 {
-		g.send(d.From.Address, datagram{From: g.sender(), GivenTokens: g.config.Hooks.Give(d.WantedTokens), ID: d.ID})
+		g.send(now, d.From.Address, datagram{From: g.sender(), GivenTokens: g.config.Hooks.Give(d.WantedTokens), ID: d.ID})
 		return
 	}
 	if len(d.WantedPermits) > 0 {
-		g.send(d.From.Address, datagram{From: g.sender(), GivenPermits: g.config.Hooks.Issue(d.WantedPermits), ID: d.ID})
+		g.send(now, d.From.Address, datagram{From: g.sender(), GivenPermits: g.config.Hooks.Issue(d.WantedPermits), ID: d.ID})
 		return
 	}
 	if len(d.WantedRun) > 0 {
-		g.send(d.From.Address, datagram{From: g.sender(), GivenRun: g.config.Hooks.GrantRun(d.WantedRun), ID: d.ID})
+		g.send(now, d.From.Address, datagram{From: g.sender(), GivenRun: g.config.Hooks.GrantRun(d.WantedRun), ID: d.ID})
 		return
 	}
 	if d.ID != 0 {
@@ -360,20 +413,20 @@
 // Ask requests tokens from an instance; the returned channel is closed when the answer has been processed.
 func (g *Gossiper) Ask(to netip.Addr, wanted map[string]int) <-chan struct{} {
 	a := pendingRequest{to: to, done: make(chan struct{})}
-	g.send(to, datagram{From: g.sender(), WantedTokens: wanted, ID: g.begin(a)})
+	g.send(g.config.Clock(), to, datagram{From: g.sender(), WantedTokens: wanted, ID: g.begin(a)})
 	return a.done
 }
 
 // AskPermits requests permits from an instance; the hook ReceivePermits gets the answer.
 func (g *Gossiper) AskPermits(to netip.Addr, wanted map[string]PermitRequest) {
-	g.send(to, datagram{From: g.sender(), WantedPermits: wanted, ID: g.begin(pendingRequest{to: to, done: make(chan struct{})})})
+	g.send(g.config.Clock(), to, datagram{From: g.sender(), WantedPermits: wanted, ID: g.begin(pendingRequest{to: to, done: make(chan struct{})})})
 }
 
 // AskToRun asks an instance whether a copy of the request with a fingerprint may run alone here; the returned channel gets the
 // answer, if one arrives.
 func (g *Gossiper) AskToRun(to netip.Addr, fingerprint []byte) <-chan bool {
 	a := pendingRequest{to: to, done: make(chan struct{}), run: make(chan bool, 1)}
-	g.send(to, datagram{From: g.sender(), WantedRun: fingerprint, ID: g.begin(a)})
+	g.send(g.config.Clock(), to, datagram{From: g.sender(), WantedRun: fingerprint, ID: g.begin(a)})
 	return a.run
 }
 
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -188,8 +188,8 @@
 			Self:  func() gossiper.Member { return self },
 			State: func() gossiper.State { return gossiper.State{ContactMilliseconds: -1} },
 			Load:  func() gossiper.Load { return gossiper.Load{InFlight: map[string]int{"target": int(n)}} },
-			Heard: func(gossiper.Member, gossiper.State) {},
-			HeardLoad: func(_ netip.Addr, l gossiper.Load) {
+			Heard: func(time.Time, gossiper.Member, gossiper.State) {},
+			HeardLoad: func(_ time.Time, _ netip.Addr, l gossiper.Load) {
 				k.mu.Lock()
 				defer k.mu.Unlock()
 				k.load = l.InFlight
--- a/handler/export_test.go
+++ b/handler/export_test.go
@@ -97,7 +97,7 @@
 // ReceiveState takes over the state of another instance.
 func (h *PassiveInstance) ReceiveState(m gossiper.Member, t gossiper.State) {
 	h.server.members.HearFirstHand(m, h.now)
-	h.server.hear(m, t)
+	h.server.hear(h.now, m, t)
 }
 
 // Advance advances the clock.
--- a/handler/peers.go
+++ b/handler/peers.go
@@ -135,15 +135,15 @@
 	return ts
 }
 
-// hear takes over what another instance said.
-func (s *Server) hear(m gossiper.Member, t gossiper.State) {
+// hear takes over what another instance said, which was received at a time.
+func (s *Server) hear(now time.Time, m gossiper.Member, t gossiper.State) {
 	s.peers.mu.Lock()
 	s.peers.contents[m.Address] = t.Contents
 	if s.peers.started[m.Address] != m.Started {
 		s.peers.started[m.Address] = m.Started
-		s.strikes.greet(s.clock())
+		s.strikes.greet(now)
 	}
-	if at := s.clock().Add(-time.Duration(t.ContactMilliseconds) * time.Millisecond); t.ContactMilliseconds >= 0 && at.After(s.peers.contact) {
+	if at := now.Add(-time.Duration(t.ContactMilliseconds) * time.Millisecond); t.ContactMilliseconds >= 0 && at.After(s.peers.contact) {
 		s.peers.contact = at
 	}
 	s.peers.mu.Unlock()
@@ -151,10 +151,10 @@
 		s.rows.Heard(n, m.Name, replicator.Version{Content: v, Digest: t.Digests[n]})
 	}
 	if c := t.Configuration; c != nil && c.AgeMilliseconds >= 0 {
-		at := s.clock().Add(-time.Duration(c.AgeMilliseconds) * time.Millisecond)
+		at := now.Add(-time.Duration(c.AgeMilliseconds) * time.Millisecond)
 		s.rows.Receive(s.configuration, replicator.Claim{Origin: c.Origin, Sequence: c.Sequence, Content: c.Content, AsOf: at})
 	}
-	s.hearStrikes(s.clock(), t.Strikes)
+	s.hearStrikes(now, t.Strikes)
 }
 
 // Newer asks the living peer with the newest copy of a table.
--- a/handler/server.go
+++ b/handler/server.go
@@ -203,8 +203,8 @@
 			State: s.state,
 			Load:  s.load,
 			Heard: s.hear,
-			HeardLoad: func(a netip.Addr, l gossiper.Load) {
-				s.placer.Heard(s.clock(), a.String(), placer.Report{InFlight: l.InFlight, Placed: l.Placed})
+			HeardLoad: func(at time.Time, a netip.Addr, l gossiper.Load) {
+				s.placer.Heard(at, a.String(), placer.Report{InFlight: l.InFlight, Placed: l.Placed})
 			},
 			Give:    func(w map[string]int) map[string]int { return s.shares.Give(s.clock(), w) },
 			Receive: func(g map[string]int) { s.shares.Receive(s.clock(), g) },
--- a/handler/throttle.go
+++ b/handler/throttle.go
@@ -19,8 +19,12 @@
 	}
 }
 
-// issuers returns the names of the instances that may issue permits: those that are ready.
+// issuers returns the names of the instances that may issue permits: those that are ready. Nil means that they are not known,
+// since this process was suspended and has not heard all others again: it would take itself for the only one.
 func (s *Server) issuers(now time.Time) []string {
+	if e := s.gossip.Resumed(now); !e.IsZero() && now.Sub(e) < gossiper.Silence {
+		return nil
+	}
 	var ns []string
 	for _, m := range s.members.Alive(now) {
 		if m.Ready {
--- a/logger/events.go
+++ b/logger/events.go
@@ -61,6 +61,7 @@
 	registerFailed     = register(3009, log.WarnLevel, "instance could not be registered in the store")
 	instancesListed    = register(3010, log.InfoLevel, "listed instances changed")
 	datagramRefused    = register(3011, log.WarnLevel, "datagram not sent or not usable")
+	datagramsDiscarded = register(3012, log.WarnLevel, "datagrams discarded that waited while this process did not run")
 	requestEnded       = register(4101, log.InfoLevel, "request ended")
 	attemptFailed      = register(4102, log.InfoLevel, "attempt at a target failed")
 	targetSuspected    = register(4103, log.WarnLevel, "target suspected to be gone")
@@ -321,6 +322,11 @@
 	l.emit(evacuated, log.Fields{"failure_domains": domains})
 }
 
+// DatagramsDiscarded reports datagrams of other instances that waited while this process did not run.
+func (l *Logger) DatagramsDiscarded(datagrams int, took time.Duration) {
+	l.emit(datagramsDiscarded, log.Fields{"datagrams": datagrams, "seconds": took.Seconds()})
+}
+
 // MemberHeard reports a new instance, a restart, a return or a change of readiness.
 func (l *Logger) MemberHeard(name string, a netip.Addr, ready bool) {
 	l.emit(memberHeard, log.Fields{"member": name, "address": a, "ready": ready})
--- a/replicator/freshness.go
+++ b/replicator/freshness.go
@@ -4,11 +4,11 @@
 	"maps"
 	"sync"
 	"time"
+
+	"celeryhead.dev/celeryhead/timer"
 )
 
 const (
-	// suspension is the pause between two beats from which the process counts as suspended; a starved one misses beats too.
-	suspension = time.Second
 	// backlog is how long after a suspension claims are read that arrived during it.
 	backlog = 500 * time.Millisecond
 	// claimLife is how long the claims of an origin are remembered.
@@ -31,27 +31,13 @@
 // freshness tracks up to when a copy is known to be complete. What was received before a suspension of the process proves
 // nothing afterwards, although it may be read only then.
 type freshness struct {
+	suspensions timer.Suspensions
+
 	mu sync.Mutex
 	// own is the claim of this instance's own copy, from an answer of the store.
 	own Claim
 	// claims are the newest ones of other origins.
 	claims map[string]Claim
-	// last is the last beat, resumed the end of the last suspension.
-	last, resumed time.Time
-}
-
-// beat is called at short intervals, so that a suspension is noticed.
-func (f *freshness) beat(now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.suspended(now) {
-		f.resumed = now
-	}
-	f.last = now
-}
-
-func (f *freshness) suspended(now time.Time) bool {
-	return !f.last.IsZero() && now.Sub(f.last) > suspension
 }
 
 // confirm records that the own copy, whose newest row has the version content, was complete at a time.
@@ -80,16 +66,14 @@
 // newest returns the newest claim that holds for a copy whose newest row has the version content; ok is false if there is
 // none.
 func (f *freshness) newest(now time.Time, content uint64) (best Claim, ok bool) {
+	resumed := f.suspensions.Ended(now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.suspended(now) {
-		return best, false
-	}
-	if f.own.AsOf.After(f.resumed) {
+	if f.own.AsOf.After(resumed) {
 		best, ok = f.own, true
 	}
 	for _, c := range f.claims {
-		if content >= c.Content && c.AsOf.After(f.resumed.Add(backlog)) && c.AsOf.After(best.AsOf) {
+		if content >= c.Content && c.AsOf.After(resumed.Add(backlog)) && c.AsOf.After(best.AsOf) {
 			best, ok = c, true
 		}
 	}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -147,7 +147,9 @@
 	for _, t := range r.tables {
 		g.Go(func() { r.follow(ctx, t) })
 		g.Go(func() { r.catchUp(ctx, t) })
-		g.Go(func() { timer.Every(ctx, beatInterval, func(context.Context) { t.freshness.beat(r.config.Clock()) }) })
+		g.Go(func() {
+			timer.Every(ctx, beatInterval, func(context.Context) { t.freshness.suspensions.Beat(r.config.Clock()) })
+		})
 	}
 	g.Wait()
 }
--- a/timer/doc.go
+++ b/timer/doc.go
@@ -5,6 +5,9 @@
 // younger than it is. Package timer derives its times from CLOCK_BOOTTIME. They
 // carry no monotonic reading, so that arithmetic on them uses this clock alone.
 //
+// Suspensions tells when the process did not run, so that what waited in its
+// sockets meanwhile is not taken for news.
+//
 // Every, Poll and Sleep only pace work: their intervals are those of package
 // time and grow by a suspension. What must end at a certain time compares Now.
 package timer
