Bound the memory of answers by their fields and all together

Report of other operators: a faulty target sent bytes without end, and the instance that had called it ran out of memory, with the requests of all its callers. It can happen here, by a narrower way: a head of 64 KB of short fields takes 5 MB as a map, and an answer is held as long as its caller does not read.

Cause: each reader has a bound in bytes on the wire for one answer, but these bytes take a multiple in memory, many times at once. Buffered beginnings of answers (128 KB each) were not bounded over all callers, and the list of instances and the operators' status had the 10 MB of net/http for a head.

Change: forwarder, which both request paths use, counts the fields of a head as the bytes arrive and gives up at more than 100 (200 between instances). Open: heads of requests.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -51,6 +51,7 @@
 	responded       bool
 	inHeader        bool
 	headerBytesLeft int
+	fields          fieldCounter
 	// mismatched is true after a response to another request was received.
 	mismatched bool
 
@@ -237,7 +238,7 @@
 	}
 	if x.inHeader {
 		x.headerBytesLeft -= n
-		if x.headerBytesLeft < 0 {
+		if x.headerBytesLeft < 0 || x.fields.count(b[:n]) > x.f.config.MaxFields {
 			return 0, ErrHeaderTooLarge
 		}
 	}
@@ -247,7 +248,7 @@
 // receive reads the header of the final response.
 func (x *exchange) receive(r *http.Request) (*Answer, error) {
 	for range maxInformationalResponses {
-		x.inHeader, x.headerBytesLeft = true, x.f.config.MaxHeader
+		x.inHeader, x.headerBytesLeft, x.fields = true, x.f.config.MaxHeader, fieldCounter{}
 		p, err := http.ReadResponse(x.conn.r, r) //nolint:bodyclose // The body belongs to Answer.
 		x.inHeader = false
 		switch {
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -34,7 +34,7 @@
 	ErrSwitchedProtocols = merry.Sentinel("server switched protocols without an upgrade request")
 	// ErrInformational means that the server sent too many 1xx responses.
 	ErrInformational = merry.Sentinel("too many informational responses")
-	// ErrHeaderTooLarge means that the header of the response exceeds Config.MaxHeader.
+	// ErrHeaderTooLarge means that the header of the response exceeds Config.MaxHeader or Config.MaxFields.
 	ErrHeaderTooLarge = merry.Sentinel("response header exceeds the limit")
 	// ErrShed means that the server responded that it did not run the request.
 	ErrShed = merry.Sentinel("server shed the request")
--- /dev/null
+++ b/forwarder/fields.go
@@ -0,0 +1,29 @@
+package forwarder
+
+// fieldCounter counts the lines of a header as its bytes arrive, before they take a multiple of their size as a map. The status
+// line is not counted, nor is anything after the empty line that ends the header.
+type fieldCounter struct {
+	// inLine is true after the first byte of a line.
+	inLine bool
+	lines  int
+	ended  bool
+}
+
+// count adds the next bytes and returns the number of fields so far.
+func (f *fieldCounter) count(b []byte) int {
+	for _, c := range b {
+		switch {
+		case f.ended:
+			return f.lines - 1
+		case c == '\r':
+		case c != '\n':
+			f.inLine = true
+		case f.inLine:
+			f.inLine = false
+			f.lines++
+		default:
+			f.ended = true
+		}
+	}
+	return f.lines - 1
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -24,6 +24,8 @@
 	DefaultUnresponsiveAfter = time.Second
 	// DefaultMaxHeader is in bytes.
 	DefaultMaxHeader = 64 << 10
+	// DefaultMaxFields is what proxies usually accept. A field of six bytes takes some hundred in memory.
+	DefaultMaxFields = 100
 )
 
 // Config configures a Forwarder; zero fields take their defaults.
@@ -49,6 +51,8 @@
 	AckTimeout time.Duration
 	// MaxHeader limits the header of a response, in bytes.
 	MaxHeader int
+	// MaxFields limits the fields in the header of a response.
+	MaxFields int
 	// Protocol is the protocol of the servers on top of HTTP. If nil, the project's own protocol for targets is used.
 	Protocol Protocol
 	// Now is the clock for all deadlines. If nil, timer.Now is used.
@@ -107,6 +111,7 @@
 	setDefault(&c.DialTimeout, DefaultDialTimeout)
 	setDefault(&c.UnresponsiveAfter, DefaultUnresponsiveAfter)
 	setDefault(&c.MaxHeader, DefaultMaxHeader)
+	setDefault(&c.MaxFields, DefaultMaxFields)
 	return &Forwarder{config: c, rests: newRests(c.IdleLimit), pools: make(map[netip.AddrPort]*Pool[*connection])}
 }
 
--- a/handler/export_test.go
+++ b/handler/export_test.go
@@ -162,3 +162,6 @@
 	o.outages.observe(now, contact)
 	return o.outages.lapsing(now, returned)
 }
+
+// BufferedBytes returns what answers take that wait for their callers, in bytes.
+func (s *Server) BufferedBytes() int64 { return s.answers.taken.Load() }
--- a/handler/forward.go
+++ b/handler/forward.go
@@ -1,10 +1,8 @@
 package handler
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -15,10 +13,6 @@
 	"celeryhead.dev/celeryhead/responder"
 )
 
-// bufferedAnswer is how much of an answer is read before the caller gets its first byte, in bytes; an answer that breaks
-// off within it can be had from another target.
-const bufferedAnswer = 128 << 10
-
 // answerPatience is how long after its time a request waits for an answer that is on its way; the platform lets a request be
 // held 250 ms longer than its route states.
 const answerPatience = 200 * time.Millisecond
@@ -208,7 +202,7 @@
 	if o, ok := s.protocol.Load(x.Header); ok {
 		s.placer.Told(s.clock(), l, o)
 	}
-	whole, err := buffer(x, w.stop)
+	whole, err := s.buffer(x, w.stop)
 	if err != nil {
 		return s.failed(ctx, c, l, w, sent, err)
 	}
@@ -235,31 +229,6 @@
 	return !c.route.Idempotent || !c.body.Whole() || c.sent+1 >= c.route.MaxTargets
 }
 
-// buffer reads the beginning of an answer, so that one that breaks off early reaches no caller, and reports whether that is
-// the whole answer; closed is called when the answer is closed.
-func buffer(x *forwarder.Answer, closed func()) (whole bool, err error) {
-	b, err := io.ReadAll(io.LimitReader(x.Body, bufferedAnswer))
-	if err != nil {
-		_ = x.Body.Close()
-		return false, err
-	}
-	x.Body = &bufferedBody{Reader: io.MultiReader(bytes.NewReader(b), x.Body), rest: x.Body, closed: closed}
-	return len(b) < bufferedAnswer, nil
-}
-
-// bufferedBody is an answer of which the beginning was read.
-type bufferedBody struct {
-	io.Reader
-	rest   io.Closer
-	closed func()
-}
-
-// Close ends the exchange.
-func (b *bufferedBody) Close() error {
-	defer b.closed()
-	return b.rest.Close()
-}
-
 // mayRun is asked just before the first byte goes to a target: what the request was accepted by may not hold any more.
 func (s *Server) mayRun(c *call, t *cataloger.Target) error {
 	k := s.book.Catalog()
--- a/handler/server.go
+++ b/handler/server.go
@@ -139,6 +139,8 @@
 	leaving  atomic.Bool
 	draining draining
 	inFlight atomic.Int64
+	// answers is what answers take that wait for their callers.
+	answers room
 }
 
 // New returns a server that does not listen yet.
--- a/handler/settings.go
+++ b/handler/settings.go
@@ -33,4 +33,6 @@
 	Grace time.Duration
 	// LookupLife is how long a caller may use the answer to a look-up.
 	LookupLife time.Duration
+	// Memory is what the process may use, in bytes; 0 if that is not known.
+	Memory int64
 }
--- a/informer/status.go
+++ b/informer/status.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"celeryhead.dev/celeryhead/messenger"
 )
 
 // Path is the URL path of the Status on an instance's metrics address.
@@ -114,6 +116,8 @@
 	Allowed float64 `json:"allowed"`
 }
 
+var client = &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: messenger.MaxResponseHeader}}
+
 // Fetch reads the status from an instance's metrics address.
 func Fetch(ctx context.Context, a netip.AddrPort) (Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
@@ -122,7 +126,7 @@
 	if err != nil {
 		return Status{}, err
 	}
-	p, err := http.DefaultClient.Do(r)
+	p, err := client.Do(r)
 	if err != nil {
 		return Status{}, merry.Wrap(ErrStatus, merry.WithCause(err))
 	}
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -11,6 +11,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"celeryhead.dev/celeryhead/messenger"
 	"celeryhead.dev/celeryhead/tracker"
 )
 
@@ -54,7 +55,10 @@
 // New returns a lister. It opens a new connection for each read, so that a stalled connection does not make the list
 // appear to be down.
 func New(c Config) *Lister {
-	return &Lister{config: c, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &Lister{config: c, client: &http.Client{Transport: &http.Transport{
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: messenger.MaxResponseHeader,
+	}}}
 }
 
 // List returns the entries of the list. If all addresses fail, it returns the error of the last one.
--- a/server/server.go
+++ b/server/server.go
@@ -99,7 +99,14 @@
 	s.links = newLinks(s.certificates.Client, c.Settings.PeerAddresses)
 	s.targets = forwarder.New(forwarder.Config{MaxConnections: maxTargetConnections})
 	s.draining.ending, s.draining.finish = context.WithCancel(context.Background()) //nolint:gosec // shutdown calls finish.
-	s.peers = forwarder.New(forwarder.Config{Protocol: forwarder.InstanceProtocol(), TLS: s.certificates.Client, MaxConnections: maxPeerConnections, MaxIdle: maxPeerConnections})
+	s.peers = forwarder.New(forwarder.Config{
+		Protocol:       forwarder.InstanceProtocol(),
+		TLS:            s.certificates.Client,
+		MaxConnections: maxPeerConnections,
+		MaxIdle:        maxPeerConnections,
+		// An owner adds its own fields to those of the target.
+		MaxFields: 2 * forwarder.DefaultMaxFields,
+	})
 	s.pools = newPools(s)
 	s.choosers = newChoosers(s)
 	s.buckets = limiter.NewOwner()
