Remove what a caller's Connection names before the system sets its own

Cause: handler sets its fields, then forwarder removes what the caller's Connection names. Between instances of the product's own mode the internal fields were removed in the same way.

Change: both request paths remove hop-by-hop fields when they accept a request, before they set any.

--- a/handler/forward.go
+++ b/handler/forward.go
@@ -175,7 +175,7 @@
 func (s *Server) send(ctx context.Context, c *call, l *placer.Lease) *attempt {
 	r := *c.request
 	r.Header = c.request.Header.Clone()
-	s.protocol.Address(r.Header, l.Target, c.accountName())
+	s.protocol.Address(r.Header, c.envelope, l.Target, c.accountName())
 	r.Body = c.body.Open()
 	ctx, w := s.watch(ctx, c, l)
 	i := incarnation(l.Target)
--- a/handler/protocol.go
+++ b/handler/protocol.go
@@ -27,8 +27,8 @@
 	forwarder.Protocol
 	// Envelope reads what a caller says.
 	Envelope(r *http.Request) Envelope
-	// Address replaces the fields of an outgoing header that only this system sets.
-	Address(h http.Header, target *cataloger.Target, account string)
+	// Address sets the fields of an outgoing header that this system sets, whatever the caller sent in them or said of them.
+	Address(h http.Header, e Envelope, target *cataloger.Target, account string)
 	// Load reads the load that a target tells; ok is false if it tells none.
 	Load(h http.Header) (l placer.Load, ok bool)
 	// Notice reads what an answer that belongs to its request says about further requests to the target.
--- a/handler/request.go
+++ b/handler/request.go
@@ -193,7 +193,10 @@
 	if v := (&url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath}); strings.HasPrefix(path, "//") && v.EscapedPath() == path {
 		u.Opaque, u.Path, u.RawPath = "", v.Path, v.RawPath
 	}
-	return &http.Request{Method: r.Method, URL: u, Host: r.Host, Header: r.Header, ContentLength: r.ContentLength, Trailer: r.Trailer}
+	// The caller's Connection field must not remove what the system sets from here on.
+	h := r.Header.Clone()
+	forwarder.RemoveHopByHop(h)
+	return &http.Request{Method: r.Method, URL: u, Host: r.Host, Header: h, ContentLength: r.ContentLength, Trailer: r.Trailer}
 }
 
 // sentPath returns the path as the caller sent it.
--- a/handler/resend_test.go
+++ b/handler/resend_test.go
@@ -31,7 +31,9 @@
 	return handler.Envelope{ID: "id", Key: r.Header.Get("Authorization")}
 }
 
-func (p protocol) Address(_ http.Header, t *cataloger.Target, _ string) { p.chosen(t) }
+func (p protocol) Address(_ http.Header, _ handler.Envelope, t *cataloger.Target, _ string) {
+	p.chosen(t)
+}
 
 func (protocol) Load(http.Header) (placer.Load, bool) { return placer.Load{}, false }
 
--- a/server/entry.go
+++ b/server/entry.go
@@ -228,6 +228,8 @@
 			delete(o.Header, n)
 		}
 	}
+	// The caller's Connection field must not remove what the system sets from here on.
+	forwarder.RemoveHopByHop(o.Header)
 	return o
 }
 
--- a/server/request_test.go
+++ b/server/request_test.go
@@ -121,6 +121,19 @@
 	}
 }
 
+// Guards against a caller whose Connection field has an instance remove what it tells the owner of the request.
+func TestConnectionFieldRemovesNoInternalHeader(t *testing.T) {
+	r := httptest.NewRequest(http.MethodGet, "/orders", http.NoBody)
+	r.Header.Set("Connection", "keep-alive, Celeryhead-Account, X-Own")
+	r.Header.Set("X-Own", "yes")
+	o := server.Outgoing(r)
+	o.Header.Set("Celeryhead-Account", "maker")
+	forwarder.RemoveHopByHop(o.Header)
+	if o.Header.Get("Celeryhead-Account") != "maker" || o.Header.Get("X-Own") != "" || r.Header.Get("X-Own") == "" {
+		t.Errorf("outgoing header %v, caller's %v", o.Header, r.Header)
+	}
+}
+
 // Guards P8: a refusal that says "not run" must not be passed on for a request that may have run.
 func TestRefusalOf(t *testing.T) {
 	stale := &responder.Refusal{Status: 503, Reason: responder.Stale, Ran: responder.NotRun}
