Notice a lost poll of one table by the versions that others tell

Cause: the long poll of a table beside the first is given up after its 15.6 s, and nothing else ends it while the first table is well and all peers lost theirs at the same moment. One lost answer is enough.

Change: tables share one counter of versions, which each answer tells.

--- a/handler/rows.go
+++ b/handler/rows.go
@@ -23,6 +23,8 @@
 	instancesWait = 15 * time.Second
 	// instancesPause is the pause after a change of it; all instances register at once when a fleet starts.
 	instancesPause = time.Second
+	// instancesRecheck is the shortest time between two checks of a silent poll of it.
+	instancesRecheck = 5 * time.Second
 	// idleRowLife is how long an instance is silent before its row is removed by another one.
 	idleRowLife = 10 * time.Minute
 	// writeTimeout bounds a write to the table of instances.
--- a/handler/server.go
+++ b/handler/server.go
@@ -190,6 +190,7 @@
 			Name:    tableInstances,
 			Wait:    instancesWait,
 			Pause:   instancesPause,
+			Recheck: instancesRecheck,
 			Changed: s.listInstances,
 		})),
 		Follows: s.follows,
--- a/logger/events.go
+++ b/logger/events.go
@@ -53,6 +53,7 @@
 	targetsListed      = register(2011, log.InfoLevel, "targets changed")
 	rowsAdopted        = register(2014, log.InfoLevel, "rows of a table adopted")
 	tableDiffers       = register(2016, log.WarnLevel, "a peer has other rows of a table at the same version; the table is read whole")
+	pollOverdue        = register(2017, log.InfoLevel, "poll of a table ended because the store has a newer version")
 	peerUnserved       = register(2015, log.WarnLevel, "rows could not be sent to a peer")
 	evacuated          = register(2012, log.InfoLevel, "evacuated failure domains changed")
 	memberHeard        = register(3006, log.InfoLevel, "instance heard")
@@ -277,6 +278,11 @@
 	l.emit(answerLate, log.Fields{"table": table, "whole": whole, "after": after, "seconds": seconds(d), "error": err.Error()})
 }
 
+// PollOverdue reports a poll of a table after a version that was silent although another table told of a newer one.
+func (l *Logger) PollOverdue(table string, after, newest uint64) {
+	l.emit(pollOverdue, log.Fields{"table": table, "after": after, "newest": newest})
+}
+
 // HistoryLost reports that the store dropped the history that a copy follows.
 func (l *Logger) HistoryLost(table string) {
 	l.emit(historyLost, log.Fields{"table": table})
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -20,6 +20,9 @@
 // errReread ends a poll of a table that has to be read whole.
 var errReread = merry.Sentinel("the table is read again")
 
+// errAhead ends a poll that is silent although the store has a newer version.
+var errAhead = merry.Sentinel("the store has a newer version")
+
 // Times of the calls to the store.
 const (
 	// callTimeout is the time beyond its long poll until the answer of a call begins, and the longest pause in it; the platform
@@ -36,6 +39,9 @@
 	// behindPause is how long a copy may be behind a peer before the peer is asked; usually the store's own answer is on
 	// its way.
 	behindPause = 200 * time.Millisecond
+	// aheadPause is how long the answer of a table may be missing once another table told of a newer version; usually it is on
+	// its way.
+	aheadPause = 300 * time.Millisecond
 	// beatInterval is how often a replicator notes that its process runs.
 	beatInterval = 200 * time.Millisecond
 	// rereadPause is the time between two readings of a table because it differs from that of a peer.
@@ -69,6 +75,9 @@
 	Wait time.Duration
 	// Pause is the pause after a change, so that changes in quick succession cost one call.
 	Pause time.Duration
+	// Recheck is the shortest time between two checks of a silent poll of this table, which are made when the store told of a newer
+	// version for another table. Zero stands for a second.
+	Recheck time.Duration
 	// Changed is called after each change, with the rows that exist.
 	Changed func([]Row)
 }
@@ -103,6 +112,8 @@
 	resumed chan struct{}
 
 	differences atomic.Uint64
+	// newest is the newest version that the store told in an answer of any table.
+	newest atomic.Uint64
 }
 
 type table struct {
@@ -127,6 +138,9 @@
 	read    time.Time
 	// reread is signaled when differs becomes true.
 	reread chan struct{}
+	// ahead is signaled when an answer of another table told a newer version; rechecked is when a poll was last checked for it.
+	ahead     chan struct{}
+	rechecked time.Time
 }
 
 // New returns a replicator with empty copies.
@@ -136,7 +150,7 @@
 	}
 	r := &Replicator{config: c, tables: map[string]*table{}, resumed: make(chan struct{})}
 	for i, t := range c.Tables {
-		r.tables[t.Name] = &table{Table: t, copy: NewCopy(), first: i == 0, wake: make(chan struct{}, 1), reread: make(chan struct{}, 1)}
+		r.tables[t.Name] = &table{Table: t, copy: NewCopy(), first: i == 0, wake: make(chan struct{}, 1), reread: make(chan struct{}, 1), ahead: make(chan struct{}, 1)}
 	}
 	return r
 }
@@ -183,6 +197,7 @@
 		case err == nil:
 			whole = false
 			r.answered(t.first)
+			r.learnNewest(t, h.Version)
 			r.apply(t, h, t.copy.Apply)
 			t.freshness.confirm(r.config.Origin, t.inForce.Load(), asOf)
 			answered, read = r.config.Clock(), false
@@ -202,6 +217,10 @@
 			return
 		case errors.Is(err, errReread):
 			continue
+		case errors.Is(err, errAhead):
+			wait = 0
+			r.config.Log.PollOverdue(t.Name, t.copy.Followed(), r.newest.Load())
+			continue
 		case errors.Is(err, pacer.ErrStalled):
 			// The other kind of answer may be shorter.
 			whole = !whole || !t.copy.Known()
@@ -252,25 +271,30 @@
 	if t.first {
 		resumed = nil
 	}
+	after := t.copy.Followed()
+	overdue := r.overdue(c, t, after, wait)
 	go func() {
 		select {
 		case <-resumed:
 			interrupt(context.Canceled)
 		case <-t.reread:
 			interrupt(errReread)
+		case <-overdue:
+			interrupt(errAhead)
 		case <-done:
 		}
 	}()
 	var h Change
 	var err error
-	after := t.copy.Followed()
 	if whole {
 		h, err = r.config.Source.Read(c, t.Name)
 	} else {
 		h, err = r.config.Source.Follow(c, t.Name, after, wait)
 	}
-	if err != nil && errors.Is(context.Cause(c), errReread) {
-		return h, time.Time{}, errReread
+	for _, e := range []error{errReread, errAhead} {
+		if err != nil && errors.Is(context.Cause(c), e) {
+			return h, time.Time{}, e
+		}
 	}
 	if err != nil && errors.Is(context.Cause(c), pacer.ErrStalled) {
 		r.config.Log.AnswerLate(t.Name, whole, after, r.config.Clock().Sub(start), err)
@@ -286,6 +310,71 @@
 	return h, start.Add(min(wait, r.config.Clock().Sub(start))), err
 }
 
+// learnNewest records the newest version of the store and has the polls of other tables checked that do not know it.
+func (r *Replicator) learnNewest(from *table, version uint64) {
+	old := r.newest.Load()
+	for version > old && !r.newest.CompareAndSwap(old, version) {
+		old = r.newest.Load()
+	}
+	if version <= old {
+		return
+	}
+	for _, t := range r.tables {
+		if t == from {
+			continue
+		}
+		select {
+		case t.ahead <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// overdue returns a channel that is closed when the answer to a long poll after a version is overdue: the store told of a newer version
+// in an answer for another table, and a short call for this one has rows or fails. The answer of the poll may be lost while the
+// store serves other tables; nothing else would show that before the end of the poll.
+func (r *Replicator) overdue(ctx context.Context, t *table, after uint64, wait time.Duration) <-chan struct{} {
+	if t.first || wait <= aheadPause {
+		return nil
+	}
+	c := make(chan struct{})
+	go func() {
+		for checked := after; ; {
+			for r.newest.Load() <= checked {
+				select {
+				case <-t.ahead:
+				case <-ctx.Done():
+					return
+				}
+			}
+			if timer.Sleep(ctx, max(aheadPause, t.recheckIn(r.config.Clock()))) != nil {
+				return
+			}
+			checked = r.newest.Load()
+			x, cancel := pacer.Bound(ctx, pacer.Config{Begin: callTimeout, Pause: callTimeout, Rate: answerRate})
+			h, err := r.config.Source.Follow(x, t.Name, after, 0)
+			cancel()
+			if err != nil || len(h.Rows) > 0 {
+				close(c)
+				return
+			}
+		}
+	}()
+	return c
+}
+
+// recheckIn returns the time until a poll of the table may be checked again, and takes it for checked then.
+func (t *table) recheckIn(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at := now
+	if next := t.rechecked.Add(max(t.Recheck, time.Second)); next.After(at) {
+		at = next
+	}
+	t.rechecked = at
+	return at.Sub(now)
+}
+
 // catchUp asks a peer while the store fails or the peer is ahead.
 func (r *Replicator) catchUp(ctx context.Context, t *table) {
 	k := time.NewTicker(behindPause)
