Stop a crashing request that comes with another query each time

Cause: the fingerprint of a request holds its query, in both request paths.

Change: a crash counts against the request and against its path with any query.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -12,6 +12,7 @@
 // Defaults of Config.
 const (
 	DefaultThreshold       = 2
+	DefaultPathThreshold   = 3
 	DefaultWindow          = 10 * time.Minute
 	DefaultBlockDuration   = 10 * time.Minute
 	DefaultMaxFingerprints = 4096
@@ -35,6 +36,8 @@
 type Config struct {
 	// Threshold is the number of successive strikes within Window that block a fingerprint; at most 8.
 	Threshold int
+	// PathThreshold is the same for the fingerprint of a path.
+	PathThreshold int
 	// Window is the time within which strikes count towards Threshold.
 	Window time.Duration
 	// BlockDuration is how long a fingerprint is blocked after the strike that reached Threshold, unless a copy succeeds in
@@ -58,6 +61,8 @@
 	// Crash identifies the crash, so that several copies on one target are one piece of evidence. If it is empty, the strike is
 	// a crash of its own.
 	Crash string
+	// Path is true if Fingerprint is that of a path with any query.
+	Path bool
 	// Cleared is true if a copy of the request succeeded after the strike. The strike then does not count towards a block,
 	// because a frequent request is often in flight when another request crashes the target.
 	Cleared bool
@@ -103,6 +108,9 @@
 	if c.Threshold == 0 {
 		c.Threshold = DefaultThreshold
 	}
+	if c.PathThreshold == 0 {
+		c.PathThreshold = DefaultPathThreshold
+	}
 	if c.Window == 0 {
 		c.Window = DefaultWindow
 	}
@@ -161,15 +169,26 @@
 	return r.blockedUntil
 }
 
-// Judge returns how copies of a fingerprint may run, and for a refused one the time from which on a copy may run alone.
-func (b *Breaker) Judge(now time.Time, f Fingerprint) (Verdict, time.Time) {
+// Judge returns how a request with some fingerprints may run, and for a refused one the time from which on a copy may run alone.
+// The fingerprint that restricts it is the returned one.
+func (b *Breaker) Judge(now time.Time, fs ...Fingerprint) (Verdict, Fingerprint, time.Time) {
+	worst, by, until := Free, fs[0], time.Time{}
+	for _, f := range fs {
+		if v, u := b.judge(now, f); v > worst || v == Refused && u.After(until) {
+			worst, by, until = v, f, u
+		}
+	}
+	return worst, by, until
+}
+
+func (b *Breaker) judge(now time.Time, f Fingerprint) (Verdict, time.Time) {
 	r := b.records.Get(f)
 	switch {
 	case r == nil:
 		return Free, time.Time{}
 	case now.Before(r.blockedUntil) && now.Before(r.trialAt):
 		return Refused, r.trialAt
-	case now.Before(r.blockedUntil), b.crashes(now, r) >= b.config.Threshold:
+	case now.Before(r.blockedUntil), !r.path() && b.crashes(now, r) >= b.config.Threshold:
 		return Alone, time.Time{}
 	}
 	return Free, time.Time{}
@@ -239,10 +258,13 @@
 	return now.Sub(s.At) >= b.config.Window+b.config.BlockDuration
 }
 
-// updateBlock recomputes the block of r: each Threshold successive strikes within Window block the fingerprint for
+// updateBlock recomputes the block of r: as many successive strikes within Window as the threshold block the fingerprint for
 // BlockDuration after the last of them. The wait for the trial grows with the number of successive strikes.
 func (b *Breaker) updateBlock(r *record) {
-	l := r.successive()
+	l, threshold := r.successive(), b.config.Threshold
+	if r.path() {
+		threshold = b.config.PathThreshold
+	}
 	r.blockedUntil, r.trialAt = time.Time{}, time.Time{}
 	n := 0
 	for i, s := range l {
@@ -250,11 +272,11 @@
 			n = 0
 		}
 		n++
-		if n < b.config.Threshold || s.At.Sub(l[i-b.config.Threshold+1].At) > b.config.Window {
+		if n < threshold || s.At.Sub(l[i-threshold+1].At) > b.config.Window {
 			continue
 		}
 		r.blockedUntil = s.At.Add(b.config.BlockDuration)
-		r.trialAt = s.At.Add(b.trialDelay(n - b.config.Threshold))
+		r.trialAt = s.At.Add(b.trialDelay(n - threshold))
 	}
 }
 
@@ -267,6 +289,11 @@
 	return min(d, b.config.BlockDuration)
 }
 
+// path reports whether the fingerprint is that of a path. Crashes of one moment do not restrict it: its requests are many.
+func (r *record) path() bool {
+	return len(r.strikes) > 0 && r.strikes[0].Path
+}
+
 // successive returns the uncleared strikes of which each began after the crash before it, for as many crashes as possible.
 // Copies that were running at the same time prove no more than one of them: whatever ended their targets may have ended all
 // of them at once.
--- a/breaker/doc.go
+++ b/breaker/doc.go
@@ -22,6 +22,10 @@
 //     instances (Succeeded, End). A frequent request is often in flight when another
 //     one crashes the target.
 //
+// A crash also counts against the path with any query. PathThreshold successive
+// strikes block it in the same way; crashes of one moment do not restrict it, since
+// its requests are many.
+//
 // Other requests that were in flight on the same target are not weighed: their
 // number says nothing about which of them was the cause.
 //
--- a/breaker/evidence_test.go
+++ b/breaker/evidence_test.go
@@ -45,11 +45,11 @@
 		t.Run(name, func(t *testing.T) {
 			b, f := breaker.New(breaker.Config{}), fingerprint("a", "/popular")
 			now := strike(b, f, c.ended...)
-			if v, _ := b.Judge(now, f); v != c.want {
+			if v, _, _ := b.Judge(now, f); v != c.want {
 				t.Errorf("verdict %v, want %v", v, c.want)
 			}
 			b.Succeeded(now, f)
-			if v, _ := b.Judge(now, f); v != breaker.Free {
+			if v, _, _ := b.Judge(now, f); v != breaker.Free {
 				t.Errorf("verdict %v after a copy that succeeded", v)
 			}
 		})
@@ -62,14 +62,14 @@
 	b, f := breaker.New(breaker.Config{}), fingerprint("a", "/suspect")
 	now := strike(b, f, ended{0, 100, "a"}, ended{101, 150, "b"})
 	for i, wait := range []time.Duration{15 * time.Second, 2 * time.Minute, 10 * time.Minute} {
-		if v, at := b.Judge(now, f); v != breaker.Refused || !at.Equal(now.Add(wait)) || b.Grant(now, f) {
+		if v, _, at := b.Judge(now, f); v != breaker.Refused || !at.Equal(now.Add(wait)) || b.Grant(now, f) {
 			t.Fatalf("trial %d: verdict %v until %v after the strike, want %v", i, v, at.Sub(now), wait)
 		}
 		if wait == breaker.DefaultBlockDuration {
 			break
 		}
 		now = now.Add(wait)
-		if v, _ := b.Judge(now, f); v != breaker.Alone {
+		if v, _, _ := b.Judge(now, f); v != breaker.Alone {
 			t.Fatalf("trial %d: verdict %v", i, v)
 		}
 		if !b.Grant(now, f) || b.Grant(now.Add(time.Second), f) {
@@ -81,7 +81,7 @@
 	if c := b.Succeeded(now, f); len(c) != 4 {
 		t.Errorf("%d strikes cleared", len(c))
 	}
-	if v, _ := b.Judge(now, f); v != breaker.Free {
+	if v, _, _ := b.Judge(now, f); v != breaker.Free {
 		t.Errorf("verdict %v after a copy that succeeded", v)
 	}
 	if n := len(b.ChangedSince(now, now, 10)); n != 4 {
@@ -125,7 +125,7 @@
 		next = next.Add(gap)
 		sent++
 		i := rapid.IntRange(0, n-1).Draw(t, "instance")
-		v, _ := fl.members[i].Judge(now, f)
+		v, _, _ := fl.members[i].Judge(now, f)
 		if v == breaker.Refused || v == breaker.Alone && !fl.members[0].Grant(now, f) {
 			refused++
 			continue
@@ -177,3 +177,45 @@
 		}
 	})
 }
+
+// Guards against a crashing request that goes on because each copy has another query, and against a path that is refused although
+// other queries are answered, or because several targets that ran its requests crash at one moment.
+func TestPathWithAnyQueryIsBlocked(t *testing.T) {
+	request := func(query string) [2]breaker.Fingerprint {
+		r := breaker.Request{Account: "a", Route: "r", Method: "GET", Path: "/find?" + query}
+		return [2]breaker.Fingerprint{r.Fingerprint(), r.PathFingerprint()}
+	}
+	crash := func(b *breaker.Breaker, now time.Time, fs [2]breaker.Fingerprint, ran time.Duration) {
+		for i, f := range fs {
+			b.Strike(now, breaker.Strike{ID: fmt.Sprint(now, i, f), Fingerprint: f, At: now, Ran: ran, Path: i > 0})
+		}
+	}
+	for _, answered := range []bool{false, true} {
+		b, now := breaker.New(breaker.Config{}), start
+		for i := range 3 {
+			fs := request(fmt.Sprint(i))
+			if v, _, _ := b.Judge(now, fs[:]...); v != breaker.Free {
+				t.Errorf("verdict %v after %d crashes of other queries", v, i)
+			}
+			crash(b, now, fs, 0)
+			now = now.Add(time.Second)
+			if answered {
+				well := request("well")
+				b.Succeeded(now, well[:]...)
+			}
+		}
+		next := request("next")
+		v, by, _ := b.Judge(now, next[:]...)
+		if want := map[bool]breaker.Verdict{false: breaker.Refused, true: breaker.Free}[answered]; v != want || v == breaker.Refused && by != next[1] {
+			t.Errorf("verdict %v after three crashes, other queries answered: %t", v, answered)
+		}
+	}
+	b := breaker.New(breaker.Config{})
+	for i := range 10 {
+		crash(b, start.Add(time.Duration(i)*time.Millisecond), request(fmt.Sprint(i)), time.Second)
+	}
+	next := request("next")
+	if v, _, _ := b.Judge(start.Add(time.Second), next[:]...); v != breaker.Free {
+		t.Errorf("verdict %v after crashes of one moment", v)
+	}
+}
--- a/breaker/fingerprint.go
+++ b/breaker/fingerprint.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"errors"
 	"io"
+	"strings"
 )
 
 // DigestPrefix is the number of bytes of a body that are read before its request is forwarded.
@@ -30,12 +31,23 @@
 // Fingerprint returns the digest of all fields. Each string is prefixed with its length, so that different fields cannot
 // yield the same input.
 func (r Request) Fingerprint() Fingerprint {
+	return r.digest(r.Path, "")
+}
+
+// PathFingerprint returns the fingerprint that the request shares with those that differ from it only in the query.
+func (r Request) PathFingerprint() Fingerprint {
+	p, _, _ := strings.Cut(r.Path, "?")
+	return r.digest(p, "any query")
+}
+
+func (r Request) digest(path, scope string) Fingerprint {
 	b := make([]byte, 0, 256)
-	for _, s := range [...]string{r.Account, r.Route, r.Method, r.Path} {
+	for _, s := range [...]string{r.Account, r.Route, r.Method, path} {
 		b = binary.AppendUvarint(b, uint64(len(s)))
 		b = append(b, s...)
 	}
 	b = append(b, r.Body[:]...)
+	b = append(b, scope...)
 	return sha256.Sum256(b)
 }
 
--- a/breaker/gate.go
+++ b/breaker/gate.go
@@ -90,7 +90,7 @@
 // Grant permits one copy of a fingerprint to run at any instance, and reports whether it did. All instances ask the same one,
 // so that one copy runs in the fleet until it has succeeded, has crashed its target, or grantLife has passed.
 func (b *Breaker) Grant(now time.Time, f Fingerprint) bool {
-	if v, _ := b.Judge(now, f); v == Refused || len(b.gate.granted) >= b.config.MaxFingerprints {
+	if v, _ := b.judge(now, f); v == Refused || len(b.gate.granted) >= b.config.MaxFingerprints {
 		return false
 	}
 	if at, ok := b.gate.granted[f]; ok && now.Sub(at) < grantLife {
@@ -100,10 +100,14 @@
 	return true
 }
 
-// Succeeded records that a copy of a fingerprint ran and its target did not crash. It returns the strikes that this clears; the
-// caller sends them to all peers.
-func (b *Breaker) Succeeded(now time.Time, f Fingerprint) []Strike {
-	return b.clearStrikes(now, f)
+// Succeeded records that a request with some fingerprints ran and its target did not crash. It returns the strikes that this
+// clears; the caller sends them to all peers.
+func (b *Breaker) Succeeded(now time.Time, fs ...Fingerprint) []Strike {
+	var c []Strike
+	for _, f := range fs {
+		c = append(c, b.clearStrikes(now, f)...)
+	}
+	return c
 }
 
 // recordSuccess stores the time of a success. Beyond MaxFingerprints it removes arbitrary other fingerprints.
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -56,6 +56,8 @@
 	RanMilliseconds int64 `json:"r,omitempty"`
 	// Crash identifies the crash.
 	Crash string `json:"t,omitempty"`
+	// Path is true for the fingerprint of a path with any query.
+	Path bool `json:"p,omitempty"`
 }
 
 // Claim reports that a copy was complete.
--- a/handler/forward.go
+++ b/handler/forward.go
@@ -285,8 +285,8 @@
 	}
 	s.log.AttemptFailed(c.envelope.ID, l.Target.Name, now.Sub(c.arrival), err)
 	if x.Broken {
-		k := breaker.Strike{Fingerprint: c.fingerprint(), At: now, Ran: now.Sub(sent)}
-		go s.crashed(c.accountName(), c.route.Name, l.Target, k) //nolint:gosec // The probe outlives the request.
+		k := breaker.Strike{At: now, Ran: now.Sub(sent)}
+		go s.crashed(c.accountName(), c.route.Name, l.Target, c.fingerprints(), k) //nolint:gosec // The probe outlives the request.
 	}
 	return a
 }
--- a/handler/request.go
+++ b/handler/request.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"celeryhead.dev/celeryhead/authenticator"
-	"celeryhead.dev/celeryhead/breaker"
 	"celeryhead.dev/celeryhead/cataloger"
 	"celeryhead.dev/celeryhead/forwarder"
 	"celeryhead.dev/celeryhead/logger"
@@ -44,9 +43,9 @@
 	sent  int
 	// mayHaveRun is true once a target may have run the request.
 	mayHaveRun bool
-	// print is the fingerprint if hasPrint is true.
-	print    breaker.Fingerprint
-	hasPrint bool
+	// prints are the fingerprints if hasPrints is true.
+	prints    fingerprints
+	hasPrints bool
 	// alone is true if no other copy of the request may run meanwhile.
 	alone  bool
 	status int
--- a/handler/strikes.go
+++ b/handler/strikes.go
@@ -20,8 +20,8 @@
 const (
 	// probeTimeout bounds the look whether a target accepts connections after one broke.
 	probeTimeout = 300 * time.Millisecond
-	// strikesPassedOn is the number of strikes in one datagram.
-	strikesPassedOn = 8
+	// strikesPassedOn is the number of strikes in one datagram, two for each crash.
+	strikesPassedOn = 16
 	// strikesFresh is how long a strike is passed on, and how long all that still matter are after a process was first
 	// heard, which knows none.
 	strikesFresh = 5 * time.Second
@@ -55,11 +55,11 @@
 	k.any.Store(k.breaker.Len() > 0)
 }
 
-// judge returns how copies of a fingerprint may run, and from when on a refused one may run alone.
-func (k *strikes) judge(now time.Time, f breaker.Fingerprint) (breaker.Verdict, time.Time) {
+// judge returns how a request may run, by which of its fingerprints, and from when on a refused one may run alone.
+func (k *strikes) judge(now time.Time, fs fingerprints) (breaker.Verdict, breaker.Fingerprint, time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.breaker.Judge(now, f)
+	return k.breaker.Judge(now, fs[:]...)
 }
 
 // record adds a strike.
@@ -76,7 +76,7 @@
 		return nil
 	}
 	now := s.clock()
-	v, until := s.strikes.judge(now, c.fingerprint())
+	v, by, until := s.strikes.judge(now, c.fingerprints())
 	d := aloneRetryAfter
 	switch v {
 	case breaker.Free:
@@ -84,7 +84,7 @@
 	case breaker.Refused:
 		d = until.Sub(now)
 	case breaker.Alone:
-		c.alone = s.mayRunAlone(ctx, c.fingerprint())
+		c.alone = s.mayRunAlone(ctx, by)
 		s.log.FingerprintTried(c.envelope.ID, c.accountName(), c.route.Name, c.alone)
 		if c.alone {
 			return nil
@@ -137,19 +137,22 @@
 	return s.strikes.breaker.Grant(s.clock(), breaker.Fingerprint(fingerprint))
 }
 
-// fingerprint is computed once, since several steps of a request ask for it.
-func (c *call) fingerprint() breaker.Fingerprint {
-	if !c.hasPrint {
-		c.hasPrint = true
-		c.print = breaker.Request{
+// fingerprints are those of a request and of its path with any query.
+type fingerprints [2]breaker.Fingerprint
+
+// fingerprints are computed once, since several steps of a request ask for them.
+func (c *call) fingerprints() fingerprints {
+	if !c.hasPrints {
+		r := breaker.Request{
 			Account: c.accountName(),
 			Route:   c.route.Prefix,
 			Method:  c.request.Method,
 			Path:    c.request.URL.RequestURI(),
 			Body:    c.body.Digest(),
-		}.Fingerprint()
+		}
+		c.prints, c.hasPrints = fingerprints{r.Fingerprint(), r.PathFingerprint()}, true
 	}
-	return c.print
+	return c.prints
 }
 
 // survived clears the strikes of a request that a target has answered.
@@ -157,9 +160,9 @@
 	if !s.strikes.any.Load() {
 		return
 	}
-	p := c.fingerprint()
+	fs := c.fingerprints()
 	s.strikes.mu.Lock()
-	cleared := s.strikes.breaker.Succeeded(s.clock(), p)
+	cleared := s.strikes.breaker.Succeeded(s.clock(), fs[:]...)
 	s.strikes.mu.Unlock()
 	if len(cleared) == 0 {
 		return
@@ -168,9 +171,9 @@
 	s.gossip.Announce("")
 }
 
-// crashed records a strike if a target whose connection broke accepts no new one.
+// crashed records a strike against each fingerprint of a request if the target whose connection broke accepts no new one.
 // A target that leaves ends its connections without a crash, and one that rests wants none.
-func (s *Server) crashed(account, route string, t *cataloger.Target, k breaker.Strike) {
+func (s *Server) crashed(account, route string, t *cataloger.Target, fs fingerprints, k breaker.Strike) {
 	if s.abstainer.Share(s.clock(), incarnation(t)) == 0 {
 		return
 	}
@@ -179,9 +182,12 @@
 	if err := s.targets.Probe(ctx, t.Address); err == nil || errors.Is(err, forwarder.ErrDialTimeout) {
 		return
 	}
-	k.ID = s.settings.Name + "/" + strconv.FormatInt(s.started, 36) + "/" + strconv.FormatUint(s.strikes.next.Add(1), 10)
 	k.Crash = t.Name + "/" + strconv.FormatInt(t.Started, 36)
-	s.strikes.record(s.clock(), k)
+	for i, f := range fs {
+		k.ID = s.settings.Name + "/" + strconv.FormatInt(s.started, 36) + "/" + strconv.FormatUint(s.strikes.next.Add(1), 10)
+		k.Fingerprint, k.Path = f, i > 0
+		s.strikes.record(s.clock(), k)
+	}
 	s.log.StrikeRecorded(account, route, t.Name)
 	s.gossip.Announce("")
 }
@@ -208,6 +214,7 @@
 			AgeMilliseconds: age.Milliseconds(),
 			RanMilliseconds: k.Ran.Milliseconds(),
 			Crash:           k.Crash,
+			Path:            k.Path,
 		})
 	}
 	return r
@@ -227,6 +234,7 @@
 			At:          now.Add(-age),
 			Ran:         time.Duration(k.RanMilliseconds) * time.Millisecond,
 			Crash:       k.Crash,
+			Path:        k.Path,
 		})
 	}
 }
--- a/server/entry.go
+++ b/server/entry.go
@@ -40,14 +40,15 @@
 	admitted bool
 	body     *spooler.Body
 	digest   [32]byte
-	// print is the fingerprint if hasPrint is true.
-	print    breaker.Fingerprint
-	hasPrint bool
+	// prints are the fingerprints if hasPrints is true.
+	prints    [2]breaker.Fingerprint
+	hasPrints bool
 	// avoid is the region to which a shift moves the request's block, if the request has no token of the shift: it must
 	// not get there beyond the cap when its own region is full.
 	avoid string
-	// suspect is true if the request had a strike when its owner was chosen.
-	suspect bool
+	// suspect is true if the request had a strike when its owner was chosen, against the fingerprint suspected.
+	suspect   bool
+	suspected breaker.Fingerprint
 	// pass is held while the request runs on a target of this instance.
 	pass breaker.Pass
 	// sent is when the last target of this instance got the request.
--- a/server/strikes.go
+++ b/server/strikes.go
@@ -15,8 +15,8 @@
 	"celeryhead.dev/celeryhead/responder"
 )
 
-// strikesPerBeat bounds the strikes in a heartbeat, which reach instances that missed the notice.
-const strikesPerBeat = 8
+// strikesPerBeat bounds the strikes in a heartbeat, two for each crash, which reach instances that missed the notice.
+const strikesPerBeat = 16
 
 // strikeTimeout bounds telling one peer of a strike.
 const strikeTimeout = time.Second
@@ -47,24 +47,29 @@
 
 // fingerprint needs the digest of the body. It is computed once, since each step of a request asks for it.
 func (c *call) fingerprint() breaker.Fingerprint {
-	if !c.hasPrint {
-		c.hasPrint = true
-		c.print = breaker.Request{
+	return c.fingerprints()[0]
+}
+
+// fingerprints are those of the request and of its path with any query.
+func (c *call) fingerprints() [2]breaker.Fingerprint {
+	if !c.hasPrints {
+		r := breaker.Request{
 			Account: c.account.Name,
 			Route:   c.route.Name,
 			Method:  c.request.Method,
 			Path:    c.request.URL.RequestURI(),
 			Body:    breaker.BodyDigest(c.digest),
-		}.Fingerprint()
+		}
+		c.prints, c.hasPrints = [2]breaker.Fingerprint{r.Fingerprint(), r.PathFingerprint()}, true
 	}
-	return c.print
+	return c.prints
 }
 
 // checkCrash refuses a request that crashed targets before.
 func (s *Server) checkCrash(c *call) *responder.Refusal {
-	now, k := s.clock(), c.fingerprint()
+	now, fs := s.clock(), c.fingerprints()
 	s.strikes.mu.Lock()
-	v, until := s.strikes.breaker.Judge(now, k)
+	v, _, until := s.strikes.breaker.Judge(now, fs[:]...)
 	s.strikes.mu.Unlock()
 	if v != breaker.Refused {
 		return nil
@@ -114,14 +119,18 @@
 
 // tryStart reports whether the copy may run; if not, it returns what is closed at the next change, or a refusal.
 func (s *Server) tryStart(c *call, begun time.Time) (bool, <-chan struct{}, *responder.Refusal) {
-	now, k := s.clock(), c.fingerprint()
+	now, fs := s.clock(), c.fingerprints()
 	s.strikes.mu.Lock()
 	defer s.strikes.mu.Unlock()
 	b := s.strikes.breaker
-	if v, until := b.Judge(now, k); v == breaker.Refused {
+	v, k, until := b.Judge(now, fs[:]...)
+	if v == breaker.Refused {
 		return false, nil, s.crashSuspect(c, until.Sub(now))
 	}
-	if b.Suspect(now, k) && !c.suspect {
+	if v == breaker.Free {
+		k = fs[0]
+	}
+	if (v == breaker.Alone || b.Suspect(now, k)) && !c.suspect {
 		// The entry instance did not know the strike when it chose this one; it chooses again.
 		return false, nil, noOwner()
 	}
@@ -136,6 +145,9 @@
 func (s *Server) end(c *call, o balancer.Outcome) {
 	s.strikes.mu.Lock()
 	cleared := s.strikes.breaker.End(s.clock(), c.pass, endedWell(o))
+	if s.strikes.breaker.Len() > 0 && endedWell(o) {
+		cleared = append(cleared, s.strikes.breaker.Succeeded(s.clock(), c.fingerprints()[1])...)
+	}
 	c.pass = breaker.Pass{}
 	s.strikes.wake()
 	s.strikes.mu.Unlock()
@@ -150,11 +162,16 @@
 	return o == balancer.Success || o == balancer.Failure
 }
 
-// markSuspect notes whether the request has a strike now.
+// markSuspect notes whether the request has a strike now, and against which fingerprint.
 func (s *Server) markSuspect(c *call) {
+	now, fs := s.clock(), c.fingerprints()
 	s.strikes.mu.Lock()
 	defer s.strikes.mu.Unlock()
-	c.suspect = s.strikes.breaker.Suspect(s.clock(), c.fingerprint())
+	v, by, _ := s.strikes.breaker.Judge(now, fs[:]...)
+	if v == breaker.Free {
+		by = fs[0]
+	}
+	c.suspect, c.suspected = v != breaker.Free || s.strikes.breaker.Suspect(now, by), by
 }
 
 // choose returns the owner that gets a request. The copies of one with a strike meet at one instance.
@@ -170,7 +187,7 @@
 		os = ready
 	}
 	os = slices.DeleteFunc(os, func(o owned) bool { return slices.Contains(tried, o.name) })
-	return meeting(c.fingerprint(), os)
+	return meeting(c.suspected, os)
 }
 
 // owned is an owner with the number of targets that it has in a pool.
@@ -219,11 +236,13 @@
 
 // strike records that a request crashed a target at a time, and tells all peers.
 func (s *Server) strike(c *call, at time.Time) {
-	n := &messenger.StrikeNotice{Id: rand.Text(), AgeMs: s.clock().Sub(at).Milliseconds(), RanMs: at.Sub(c.sent).Milliseconds()}
-	f := c.fingerprint()
-	n.Fingerprint = f[:]
-	s.recordStrike(n)
-	s.tell(n)
+	for i, f := range c.fingerprints() {
+		n := &messenger.StrikeNotice{
+			Id: rand.Text(), Fingerprint: f[:], Path: i > 0, AgeMs: s.clock().Sub(at).Milliseconds(), RanMs: at.Sub(c.sent).Milliseconds(),
+		}
+		s.recordStrike(n)
+		s.tell(n)
+	}
 }
 
 // tell sends a strike to all peers.
@@ -251,6 +270,7 @@
 		Fingerprint: breaker.Fingerprint(n.Fingerprint),
 		At:          now.Add(-time.Duration(n.AgeMs) * time.Millisecond),
 		Ran:         time.Duration(max(n.RanMs, 0)) * time.Millisecond,
+		Path:        n.Path,
 		Cleared:     n.Cleared,
 	})
 }
@@ -270,7 +290,7 @@
 // notice returns a strike as peers are told of it.
 func notice(now time.Time, k breaker.Strike) *messenger.StrikeNotice {
 	return &messenger.StrikeNotice{
-		Id: k.ID, Fingerprint: k.Fingerprint[:], AgeMs: now.Sub(k.At).Milliseconds(), RanMs: k.Ran.Milliseconds(), Cleared: k.Cleared,
+		Id: k.ID, Fingerprint: k.Fingerprint[:], AgeMs: now.Sub(k.At).Milliseconds(), RanMs: k.Ran.Milliseconds(), Path: k.Path, Cleared: k.Cleared,
 	}
 }
 
