--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -197,8 +197,8 @@
 	}, nil
 }
 
-// Resumed returns the end of the last suspension of this process, or zero if there was none. Of the time before, nothing is
-// known that others said during the suspension.
+// Resumed returns the end of the last suspension of this process, or zero if there was none. Datagrams that arrived during it
+// were discarded, so until others are heard again it is not known which of them live.
 func (g *Gossiper) Resumed(now time.Time) time.Time {
 	return g.suspensions.Ended(now)
 }
--- a/informer/status.go
+++ b/informer/status.go
@@ -116,6 +116,7 @@
 	Allowed float64 `json:"allowed"`
 }
 
+// client bounds the head of a status as other calls between programs do.
 var client = &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: messenger.MaxResponseHeader}}
 
 // Fetch reads the status from an instance's metrics address.
