Show a daemon that runs out of memory by names of objects

Cause: the placer counts requests by object in maps without a bound on the number or size of the names, and counts refused requests too.

Shown: 16 connections without a key send requests of legal size, each with another Affinity-Key of 15.9 KB; the daemon passes 284 MB after some 15,000.

--- /dev/null
+++ b/review/_lab/main.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+)
+
+// Exit codes of a case.
+const (
+	held     = 0
+	broken   = 1
+	notRun   = 2
+	argCount = 4
+	limit    = 110 * time.Second
+)
+
+// scenario runs a case and reports whether the rule was broken.
+type scenario func(l *lab) (violated bool, err error)
+
+var scenarios = map[string]scenario{
+	"object-names": objectNames,
+}
+
+func main() {
+	if len(os.Args) != argCount || scenarios[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: lab CASE DAEMON RECORD")
+		os.Exit(notRun)
+	}
+	os.Exit(perform(scenarios[os.Args[1]], os.Args[2], os.Args[3]))
+}
+
+func perform(f scenario, daemon, record string) int {
+	l, err := newLab(daemon, record)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "lab:", err)
+		return notRun
+	}
+	defer l.close()
+	// A script may run for 120 seconds.
+	time.AfterFunc(limit, func() {
+		l.note("given up after %v", limit)
+		l.close()
+		os.Exit(notRun)
+	})
+	violated, err := f(l)
+	switch {
+	case err != nil:
+		l.note("the case could not run: %v", err)
+		return notRun
+	case violated:
+		l.note("RULE BROKEN")
+		return broken
+	}
+	l.note("rule held")
+	return held
+}
