Show pipelined requests that are cut by a planned stop

Cause: after SIGTERM the next answer of a connection closes it, and the requests behind it that were started before are dropped at their backends.

Shown: five clients send four safe requests ahead on each connection; one of three daemons gets SIGTERM.

--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -19,7 +19,8 @@
 type scenario func(l *lab) (violated bool, err error)
 
 var scenarios = map[string]scenario{
-	"object-names": objectNames,
+	"stop-with-pipelines": stopWithPipelines,
+	"object-names":        objectNames,
 }
 
 func main() {
