Show that a restore of the store makes daemons forget a cold backend

Cause: of two ready rows of one incarnation the restored one always counts, even if the earlier row has the higher sequence and says cold.

Shown: a backend becomes cold; a second later the store is away for 0.3 s and comes back from a copy 1.8 s old; the daemons send it its full share.

--- a/review/_lab/backend.go
+++ b/review/_lab/backend.go
@@ -33,6 +33,8 @@
 	born          int64
 	// work is how long a run takes.
 	work func(r *http.Request) time.Duration
+	// crash ends the backend.
+	crash func()
 	// began is called when a run begins; it may be nil.
 	began func(b *backend, r *http.Request)
 
@@ -48,7 +50,7 @@
 		work: func(*http.Request) time.Duration { return work }, free: make(chan struct{}, slots),
 	}
 	var err error
-	b.at, err = l.serve(fmt.Sprintf("127.0.2.%d", 11+i), b)
+	b.at, b.crash, err = l.serve(fmt.Sprintf("127.0.2.%d", 11+i), b)
 	return b, err
 }
 
--- a/review/_lab/lab.go
+++ b/review/_lab/lab.go
@@ -52,7 +52,7 @@
 	}
 	l := &lab{daemon: daemon, dir: d, trouble: os.Getenv("TROUBLE") != "0", started: time.Now(), record: f, store: imitator.NewStore()}
 	l.note("trouble %t", l.trouble)
-	l.storeAt, err = l.serve("127.0.0.1", l.store)
+	l.storeAt, _, err = l.serve("127.0.0.1", l.store)
 	if err == nil {
 		err = l.findPorts()
 	}
@@ -66,16 +66,17 @@
 	_, _ = fmt.Fprintf(l.record, "%8.3f s  "+format+"\n", append([]any{time.Since(l.started).Seconds()}, a...)...)
 }
 
-// serve serves h at an address of its own until the end of the case.
-func (l *lab) serve(ip string, h http.Handler) (netip.AddrPort, error) {
+// serve serves h at an address of its own until the end of the case or until stop is called, which closes all connections.
+func (l *lab) serve(ip string, h http.Handler) (at netip.AddrPort, stop func(), err error) {
 	k, err := net.Listen("tcp", ip+":0")
 	if err != nil {
-		return netip.AddrPort{}, err
+		return netip.AddrPort{}, nil, err
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.Serve(k) }()
-	l.ends = append(l.ends, func() { _ = s.Close() })
-	return k.Addr().(*net.TCPAddr).AddrPort(), nil
+	stop = func() { _ = s.Close() }
+	l.ends = append(l.ends, stop)
+	return k.Addr().(*net.TCPAddr).AddrPort(), stop, nil
 }
 
 // findPorts finds ports that are free on the addresses of all daemons.
--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -20,6 +20,7 @@
 
 var scenarios = map[string]scenario{
 	"stop-with-pipelines": stopWithPipelines,
+	"cold-in-drill":       coldInDrill,
 	"object-names":        objectNames,
 	"crash-after-restart": crashAfterRestart,
 }
