Show a route that is refused for good after its backends were slow

Cause: the placer refuses a request if the mean time of the route's former runs exceeds its deadline, and only an answered run changes that mean.

Shown: the backends of a later route's home are slow for 9 s, and its timeout is lowered meanwhile; with the backends as fast as before it is never served. The case of pipelined requests becomes case 10, since the gravest come first.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+cd "$(dirname "$0")/../.." || exit 2
+test -x target/celeryheadd && test -x target/review-2/lab || exit 2
+exec target/review-2/lab stop-with-pipelines target/celeryheadd review/10/record.txt
--- a/review/_lab/ahead.go
+++ b/review/_lab/ahead.go
@@ -35,7 +35,7 @@
 		b.register()
 		bs = append(bs, b)
 	}
-	if err := l.configure(1, route{"mapdesk", "safe", "3000ms", false}); err != nil {
+	if err := l.configure(1, route{service: "mapdesk", kind: "safe", timeout: "3000ms"}); err != nil {
 		return false, err
 	}
 	if err := l.startNodes(machines, machineMB); err != nil {
--- a/review/_lab/drill.go
+++ b/review/_lab/drill.go
@@ -59,7 +59,7 @@
 	b := bs[0]
 	var coldUntil atomic.Int64
 	crashed := b.crashWhenCold(func() bool { return int64(time.Since(l.started)) < coldUntil.Load() })
-	if err := l.configure(1, route{"pitchbook", "unsafe", "3000ms", true}); err != nil {
+	if err := l.configure(1, route{service: "pitchbook", kind: "unsafe", timeout: "3000ms", public: true}); err != nil {
 		return false, err
 	}
 	if err := l.startNodes(machines, machineMB); err != nil {
--- a/review/_lab/lab.go
+++ b/review/_lab/lab.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -9,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -248,20 +250,30 @@
 	return nil
 }
 
-// route is a route of the configuration; its prefix is the name of its service between slashes.
+// route is a route of the configuration.
 type route struct {
 	service, kind, timeout string
 	public                 bool
+	// name is the prefix between slashes; if it is empty the service is.
+	name string
+	// regions limits where requests run; nil allows all.
+	regions []string
 }
 
 func (l *lab) configure(version int, rs ...route) error {
 	rules, clusters := []any{}, []any{}
 	for _, r := range rs {
+		name := cmp.Or(r.name, r.service)
+		regions := slices.Concat([]string{}, r.regions)
 		rules = append(rules, map[string]any{
-			"name": "r-" + r.service, "kind": r.kind, "target_latency": "800ms", "priority": 1, "public": r.public, "sticky": true,
-			"match":  map[string]any{"prefix": "/" + r.service + "/"},
-			"action": map[string]any{"service": r.service, "timeout": r.timeout, "max_attempts": 2, "allowed_regions": []string{}},
+			"name": "r-" + name, "kind": r.kind, "target_latency": "800ms", "priority": 1, "public": r.public, "sticky": true,
+			"match":  map[string]any{"prefix": "/" + name + "/"},
+			"action": map[string]any{"service": r.service, "timeout": r.timeout, "max_attempts": 2, "allowed_regions": regions},
 		})
+		if r.name != "" {
+			// Another route has its service.
+			continue
+		}
 		clusters = append(clusters, map[string]any{
 			"name": r.service, "health_path": "/healthz", "max_conns": 330, "protocol": "h1", "tls": false, "cold_start": "3s", "cold_per_s": 2.9,
 		})
--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -21,6 +21,7 @@
 var scenarios = map[string]scenario{
 	"stop-with-pipelines": stopWithPipelines,
 	"cold-in-drill":       coldInDrill,
+	"timeout-while-slow":  timeoutWhileSlow,
 	"object-names":        objectNames,
 	"crash-after-restart": crashAfterRestart,
 }
--- a/review/_lab/objects.go
+++ b/review/_lab/objects.go
@@ -124,7 +124,7 @@
 		}
 		b.register()
 	}
-	if err := l.configure(1, route{"mapdesk", "safe", "1200ms", true}); err != nil {
+	if err := l.configure(1, route{service: "mapdesk", kind: "safe", timeout: "1200ms", public: true}); err != nil {
 		return false, err
 	}
 	if err := l.startNodes(machines, machineMB); err != nil {
--- a/review/_lab/poison.go
+++ b/review/_lab/poison.go
@@ -101,7 +101,7 @@
 			c.mu.Unlock()
 		}
 	})
-	if err := l.configure(1, route{"desk", "unsafe", "3000ms", false}); err != nil {
+	if err := l.configure(1, route{service: "desk", kind: "unsafe", timeout: "3000ms"}); err != nil {
 		return false, err
 	}
 	if err := l.startNodes(maxNodes, machineMB); err != nil {
