--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -41,12 +44,17 @@
 		return notRun
 	}
 	defer l.close()
-	// A script may run for 120 seconds.
-	time.AfterFunc(limit, func() {
-		l.note("given up after %v", limit)
+	go func() {
+		// A script may run for 120 seconds.
+		ctx, stop := context.WithTimeout(context.Background(), limit)
+		defer stop()
+		ctx, stop = signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		<-ctx.Done()
+		l.note("given up: %v", context.Cause(ctx))
 		l.close()
 		os.Exit(notRun)
-	})
+	}()
 	violated, err := f(l)
 	switch {
 	case err != nil:
