Show that restarts in turn make daemons forget crashing requests

Before, all daemons were killed at once. Now two requests crash five backends each, the daemons are restarted one after the other with SIGTERM, and the first request comes again.

Cause: handler/strikes.go tells a new process the 16 newest strikes only. A crash has two strikes for each request in flight on the backend, and cleared strikes count as new, so older crashes reach no new process.

--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -26,7 +26,7 @@
 	"cold-in-drill":       coldInDrill,
 	"timeout-while-slow":  timeoutWhileSlow,
 	"object-names":        objectNames,
-	"crash-after-restart": crashAfterRestart,
+	"crash-after-roll":    crashAfterRoll,
 }
 
 func main() {
--- a/review/_lab/poison.go
+++ b/review/_lab/poison.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -16,6 +18,14 @@
 	rowLife   = 4500 * time.Millisecond
 	// crashDelay is how long a backend has run the request when it crashes.
 	crashDelay = 200 * time.Millisecond
+	// startDelay is the time from the end of a daemon to its next start, restartGap that from its being ready to the next SIGTERM.
+	startDelay = 500 * time.Millisecond
+	restartGap = 2500 * time.Millisecond
+	// calm is how long the restarts take about.
+	calm         = 30 * time.Second
+	requestTime  = 3 * time.Second
+	bookingPause = 40 * time.Millisecond
+	corners      = 20
 )
 
 // crasher is a backend that crashes when it begins to run a request with "poison" in its path, and is back some seconds later.
@@ -83,17 +93,9 @@
 	return nil
 }
 
-// crashAfterRestart sends a request that crashes the backends that run it, and kills all daemons at once meanwhile.
-func crashAfterRestart(l *lab) (bool, error) {
-	var found arrivals
+// crashers starts the backends of the service.
+func (l *lab) crashers(found *arrivals) error {
 	var cs []*crasher
-	for i := range 21 {
-		c := &crasher{lab: l, service: "desk", index: i}
-		if err := c.start(&found, 300*time.Millisecond); err != nil {
-			return false, err
-		}
-		cs = append(cs, c)
-	}
 	l.ends = append(l.ends, func() {
 		for _, c := range cs {
 			c.mu.Lock()
@@ -101,97 +103,149 @@
 			c.mu.Unlock()
 		}
 	})
-	if err := l.configure(1, route{service: "desk", kind: "unsafe", timeout: "3000ms"}); err != nil {
-		return false, err
-	}
-	if err := l.startNodes(maxNodes, machineMB); err != nil {
-		return false, err
+	for i := range 21 {
+		c := &crasher{lab: l, service: "desk", index: i}
+		if err := c.start(found, 300*time.Millisecond); err != nil {
+			return err
+		}
+		cs = append(cs, c)
 	}
-	// Ordinary requests of the same route show what the crashes cost other clients.
+	return nil
+}
+
+// book sends ordinary requests to all daemons until over is closed, and returns how many ended with 502. They show what the crashes
+// cost other clients.
+func (l *lab) book(over <-chan struct{}) int {
 	var g sync.WaitGroup
-	var mu sync.Mutex
-	failed := 0
-	over := make(chan struct{})
+	var failed atomic.Int64
 	for _, n := range l.nodes {
 		g.Go(func() {
+			t := time.NewTicker(bookingPause)
+			defer t.Stop()
 			for i := 0; ; i++ {
 				select {
 				case <-over:
 					return
-				case <-time.After(100 * time.Millisecond):
+				case <-t.C:
 				}
 				g.Go(func() {
-					a := l.send(n, request{id: fmt.Sprintf("%s-ordinary-%d", n.name, i), method: "POST", path: "/desk/ordinary", body: "x", deadline: 3 * time.Second})
+					a := l.send(n, request{
+						id: fmt.Sprintf("%s-booking-%d", n.name, i), method: "POST", path: fmt.Sprintf("/desk/corner-%d", i%corners),
+						body: fmt.Sprintf("booking %s %d", n.name, i), deadline: requestTime,
+					})
 					if a.status == http.StatusBadGateway {
-						mu.Lock()
-						failed++
-						mu.Unlock()
+						failed.Add(1)
 					}
 				})
 			}
 		})
 	}
-	sent := map[string]time.Duration{}
-	nodeOf := map[string]int{}
-	copies := 0
-	sendCopies := func() {
-		var w sync.WaitGroup
-		for i, n := range l.nodes {
-			copies++
-			id := fmt.Sprintf("poison-%d", copies)
-			sent[id], nodeOf[id] = time.Since(l.started), i
-			w.Go(func() {
-				l.send(n, request{id: id, method: "POST", path: "/desk/poison", body: "same", deadline: 3 * time.Second})
-			})
+	g.Wait()
+	return int(failed.Load())
+}
+
+// copies are those of requests that crash backends, by their identifiers.
+type copies struct {
+	sent map[string]time.Duration
+	// touched tells whether the daemon was in touch when the copy was sent.
+	touched map[string]bool
+}
+
+// send sends a copy of a crashing request to each daemon at the same time. The daemons' last starts are those in started.
+func (c *copies) send(l *lab, name string, started []time.Duration) {
+	var w sync.WaitGroup
+	for i, n := range l.nodes {
+		id := fmt.Sprintf("%s-%d", name, len(c.sent)+1)
+		c.sent[id] = time.Since(l.started)
+		c.touched[id] = c.sent[id] > started[i]+contact
+		w.Go(func() {
+			l.send(n, request{id: id, method: "POST", path: "/desk/" + name, body: "same", deadline: requestTime})
+		})
+	}
+	w.Wait()
+}
+
+// of returns the times at which copies of a request began to run, in order, and the copies.
+func (a *arrivals) of(name string) (ids []string, times []time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for i, id := range a.ids {
+		if strings.HasPrefix(id, name+"-") {
+			ids, times = append(ids, id), append(times, a.times[i])
 		}
-		w.Wait()
 	}
-	time.Sleep(2 * time.Second)
-	for len(found.times) < 3 && copies < 30 {
-		sendCopies()
-		time.Sleep(2 * time.Second)
+	return ids, times
+}
+
+// restart stops the daemons one after the other with SIGTERM and starts each again. It sets their last starts.
+func (l *lab) restart(started []time.Duration) error {
+	for i, n := range l.nodes {
+		n.signal(syscall.SIGTERM)
+		<-n.done
+		time.Sleep(startDelay)
+		if err := n.start(); err != nil {
+			return err
+		}
+		started[i] = time.Since(l.started)
+		if err := l.awaitReady(); err != nil {
+			return err
+		}
+		time.Sleep(restartGap)
 	}
-	if len(found.times) < 3 {
-		return false, fmt.Errorf("the request crashed %d backends only", len(found.times))
+	return nil
+}
+
+// crashAfterRoll sends two requests that crash the backends that run them. It restarts all daemons one after the other, and then the
+// first request comes again.
+func crashAfterRoll(l *lab) (bool, error) {
+	const first, second = "poison-a", "poison-b"
+	var found arrivals
+	if err := l.crashers(&found); err != nil {
+		return false, err
 	}
-	third := found.times[2]
-	l.note("the request crashed the third backend at %.3f s", third.Seconds())
+	if err := l.configure(1, route{service: "desk", kind: "unsafe", timeout: "3000ms", public: true}); err != nil {
+		return false, err
+	}
+	if err := l.startNodes(maxNodes, machineMB); err != nil {
+		return false, err
+	}
+	over, failed := make(chan struct{}), make(chan int, 1)
+	go func() { failed <- l.book(over) }()
+	c := copies{sent: map[string]time.Duration{}, touched: map[string]bool{}}
 	started := make([]time.Duration, len(l.nodes))
-	time.Sleep(third + 5*time.Second - time.Since(l.started))
+	time.Sleep(contact)
+	for _, name := range []string{first, second} {
+		c.send(l, name, started)
+		time.Sleep(2 * contact)
+	}
+	_, times := found.of(first)
+	if len(times) < 3 {
+		return false, fmt.Errorf("the first request crashed %d backends only", len(times))
+	}
+	third := times[2]
+	l.note("the first request crashed the third backend at %.3f s", third.Seconds())
 	if l.trouble {
-		l.note("all daemons are killed")
-		for _, n := range l.nodes {
-			n.kill()
-		}
-		time.Sleep(time.Second)
-		for i, n := range l.nodes {
-			if err := n.start(); err != nil {
-				return false, err
-			}
-			started[i] = time.Since(l.started)
-		}
-		if err := l.awaitReady(); err != nil {
+		if err := l.restart(started); err != nil {
 			return false, err
 		}
 	} else {
-		time.Sleep(2 * time.Second)
+		time.Sleep(calm)
 	}
-	time.Sleep(third + 10500*time.Millisecond - time.Since(l.started))
-	for range 4 {
-		sendCopies()
+	time.Sleep(contact)
+	for range 3 {
+		c.send(l, first, started)
 		time.Sleep(4 * time.Second)
 	}
 	close(over)
-	g.Wait()
-	late := 0
-	found.mu.Lock()
-	defer found.mu.Unlock()
-	for i, id := range found.ids {
-		if at := sent[id]; at > third+contact && at > started[nodeOf[id]]+contact {
-			l.note("%s, sent at %.3f s by a machine in touch, reached a backend at %.3f s", id, at.Seconds(), found.times[i].Seconds())
-			late++
+	lost := <-failed
+	late := map[string]bool{}
+	ids, times := found.of(first)
+	for i, id := range ids {
+		if c.sent[id] > third+contact && c.touched[id] {
+			l.note("%s, sent at %.3f s by a machine in touch, reached a backend at %.3f s", id, c.sent[id].Seconds(), times[i].Seconds())
+			late[id] = true
 		}
 	}
-	l.note("%d copies reached backends, %d of them in retries that count; %d ordinary requests ended with 502", len(found.ids), late, failed)
-	return late > 3, nil
+	l.note("the first request reached a backend %d times; retries that count: %d, 3 are allowed; %d bookings of others ended with 502", len(ids), len(late), lost)
+	return len(late) > 3, nil
 }
