Show uploads that are reset because a crowd reads slowly

Cause: admitter/budget.go protects a running request only in phase Running, so not an upload that was passed on while its body is still coming. When the backend rests for a second the client counts as silent, and its connection is closed before those of the crowd, which wait idle.

--- a/review/_lab/lab.go
+++ b/review/_lab/lab.go
@@ -36,6 +36,8 @@
 	store   *imitator.Store
 	storeAt netip.AddrPort
 	ports   int
+	// fds is max_fds of the daemons.
+	fds int
 
 	mu     sync.Mutex
 	record *os.File
@@ -52,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &lab{daemon: daemon, dir: d, trouble: os.Getenv("TROUBLE") != "0", started: time.Now(), record: f, store: imitator.NewStore()}
+	l := &lab{daemon: daemon, dir: d, trouble: os.Getenv("TROUBLE") != "0", started: time.Now(), record: f, store: imitator.NewStore(), fds: 4100}
 	l.note("trouble %t", l.trouble)
 	l.storeAt, _, err = l.serve("127.0.0.1", l.store)
 	if err == nil {
@@ -155,7 +157,7 @@
 		fmt.Fprintf(&s, "%s = %q\n", z, regions[j])
 	}
 	fmt.Fprintf(&s, "[listen]\nfront = %q\nready = %q\ndirectory = \"%s:%d\"\n", n.front(), n.ready(), n.ip, l.ports+4)
-	fmt.Fprintf(&s, "[limits]\ncpu_share = 0.32\ncpu_cores = 1\nmemory_mb = %d\nmax_fds = 4100\nlink_mbps = 1000.0\ndisk_mb = 0\n", memoryMB)
+	fmt.Fprintf(&s, "[limits]\ncpu_share = 0.32\ncpu_cores = 1\nmemory_mb = %d\nmax_fds = %d\nlink_mbps = 1000.0\ndisk_mb = 0\n", memoryMB, l.fds)
 	s.WriteString("[bounds]\ncontact = \"3000ms\"\nack = \"4000ms\"\ndrain = \"2500ms\"\ngrace = \"6s\"\nloss_slack = \"200ms\"\nconfig_apply = \"2500ms\"\nretry_budget_ratio = 0.2\nbudget_window = \"10s\"\nretry_budget_slack = 58\nquota_window = \"5s\"\nttl_max = \"5s\"\n")
 	fmt.Fprintf(&s, "[platform]\naddress = %q\nform = \"table\"\n", l.storeAt)
 	return n, os.WriteFile(n.settings, []byte(s.String()), 0o600)
--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -24,9 +24,9 @@
 var scenarios = map[string]scenario{
 	"stop-with-pipelines": stopWithPipelines,
 	"cold-in-drill":       coldInDrill,
-	"timeout-while-slow":  timeoutWhileSlow,
 	"object-names":        objectNames,
 	"crash-after-roll":    crashAfterRoll,
+	"uploads-in-crowd":    uploadsInCrowd,
 }
 
 func main() {
