Refuse a response that was reset while its request was written

Callers of the platform's mode got a part of a body as a whole 200. A target answered a long upload at once without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the end of the connection is the end of such a response, and the system reports a reset once, to a read or to a write, whichever comes first. When the write got ECONNRESET, the next read saw the end of the stream, and the part passed for the whole. The write's error was kept but not asked.

Evidence: TestResponseDuringUploadIsWholeUnlessReset lets the write meet the reset before the next read. On the former code all 12 cases without a length and with a reset failed ("600 bytes look whole"), safe and unsafe, with a length and in chunks. TestBrokenAnswers lets the caller read late, which gives the same order from outside: 8 of 8 uploads without a length came out whole.

The end of the stream now ends a response without a length only if no write failed, or if the write failed with EPIPE, which the system reports for a reset that follows the end of the stream. A write in progress is ended first and its error is recorded under a lock, so the order of the two goroutines does not matter. Responses with a length or a last chunk are whole as before, whatever the write met, and a whole response ends at once although its server does not read the rest of the upload.

The project's own protocol refuses responses without a length or chunks, so it was not affected; TestBrokenAnswersOfOwnTargets passed on the former code.

--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -92,6 +92,8 @@
 	result   *Answer
 	// keep is true if the connection may be reused after the response.
 	keep bool
+	// unframed is true if the end of the connection is the end of the response.
+	unframed bool
 
 	mu  sync.Mutex
 	err error
@@ -105,15 +107,21 @@
 		return 0, b.err
 	}
 	n, err := b.response.Body.Read(p)
-	switch {
-	case err == nil:
-	case errors.Is(err, io.EOF):
-		b.err = io.EOF
-		b.copyTrailers()
-		b.x.complete(b.keep)
-	default:
+	if err == nil {
+		return n, nil
+	}
+	ended := errors.Is(err, io.EOF)
+	if ended && b.unframed {
+		err = b.x.streamEndError()
+		ended = err == nil
+	}
+	if !ended {
 		b.err = b.x.fail(err)
+		return n, b.err
 	}
+	b.err = io.EOF
+	b.copyTrailers()
+	b.x.complete(b.keep)
 	return n, b.err
 }
 
--- a/forwarder/doc.go
+++ b/forwarder/doc.go
@@ -19,6 +19,9 @@
 //   - The default protocol rejects a response with neither a length nor chunked
 //     encoding as Unknown, because its end cannot be distinguished from a broken
 //     connection.
+//   - If a Protocol accepts such a response, it is complete when the server has
+//     ended the connection. It is not if the connection was reset before, even if
+//     only the request that was still being written met the reset.
 //
 // Unresponsive connections: an idle connection is reused for at most IdleLimit.
 // If an exchange ends at its deadline without a byte of response, or is canceled
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -49,6 +50,9 @@
 	// error of the body.
 	bodyTimeout atomic.Bool
 
+	// writes is held while the connection is written to, until the error of the write is recorded.
+	writes sync.Mutex
+
 	// Used only by the goroutine that reads.
 	responded bool
 	// readFailed is true after a read from the connection returned an error.
@@ -165,6 +169,8 @@
 
 // write writes to the connection. Before the first byte it makes the checks of startWriting.
 func (x *exchange) write(b []byte) (int, error) {
+	x.writes.Lock()
+	defer x.writes.Unlock()
 	if x.wroteByte.Load() {
 		n, err := x.conn.stream.Write(b)
 		if err != nil {
@@ -339,7 +345,7 @@
 		x.complete(keep)
 		return a, false, nil
 	}
-	b := &responseBody{x: x, response: p, result: a, keep: keep}
+	b := &responseBody{x: x, response: p, result: a, keep: keep, unframed: unframed}
 	for k := range p.Trailer {
 		a.announcedTrailers = append(a.announcedTrailers, k)
 	}
@@ -347,6 +353,27 @@
 	return a, false, nil
 }
 
+// streamEndError returns why the end of the stream does not end a response without a length; nil means that it does. The system
+// reports a reset once, to a read or to a write. After a write that failed with it, reads see the end of the stream. A reset that
+// follows the end of the stream is reported as EPIPE.
+func (x *exchange) streamEndError() error {
+	// A write that waits for the server ends, since the connection is not used further.
+	if err := x.conn.stream.SetWriteDeadline(expired); err != nil {
+		return err
+	}
+	x.writes.Lock()
+	defer x.writes.Unlock()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if errors.Is(x.writeErr, os.ErrDeadlineExceeded) || errors.Is(x.writeErr, syscall.EPIPE) {
+		return nil
+	}
+	return x.writeErr
+}
+
+// expired is a deadline that has passed.
+var expired = time.Unix(1, 0)
+
 // mayBeRepeated reports whether a shed response that does not identify the request may belong to an earlier one. Servers
 // that otherwise identify requests are believed only on a new connection. Other connections are closed after a shed
 // response, so that no repetition of it is received.
