Refuse responses with a field whose name is not a token

Callers got an answer with a blank in the name of a field as a 200: the line was passed on or dropped, and "Content-Length : 1" or "Transfer-Encoding : chunked" gave the body another end than the target meant.

Cause: the parser of net/http accepts blanks in names. It keeps such a name as it is, so the field is neither recognized nor refused, and nothing looked at the names again. Control bytes, a tab, bytes from 0x80 on, an empty name and a line without a colon are refused by the parser already; the table keeps them.

Evidence: TestBrokenAnswers on the former code failed in 126 cases, which are 7 names with a blank in a head (first, last, without a length), a trailer, an informational answer and an answer to another request, each with three requests; "status 200 with "ok" looks whole". TestBrokenAnswersOfOwnTargets failed in the same way in the product's own mode. By reading, a "Store-Era : 3" would have been taken for era 0.

Names are checked once a head or a trailer has been parsed, with the function that net/http uses where it does check (golang.org/x/net/http/httpguts). In an exchange that is before anything else is believed of the response, whether it is informational, another's or a refusal, since its framing may have been misread. The failure is ErrMalformed: callers get 502, which promises nothing, or a whole body ends as a cut one if the trailer is malformed.

--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"celeryhead.dev/celeryhead/responder"
+	"celeryhead.dev/celeryhead/verifier"
 )
 
 // requestBody reads the body of an incoming request and copies its trailers at the end.
@@ -110,12 +111,10 @@
 	if err == nil {
 		return n, nil
 	}
-	ended := errors.Is(err, io.EOF)
-	if ended && b.unframed {
-		err = b.x.streamEndError()
-		ended = err == nil
+	if errors.Is(err, io.EOF) {
+		err = b.endError()
 	}
-	if !ended {
+	if err != nil {
 		b.err = b.x.fail(err)
 		return n, b.err
 	}
@@ -125,6 +124,17 @@
 	return n, b.err
 }
 
+// endError returns why the response is not complete although its last byte was read, or nil.
+func (b *responseBody) endError() error {
+	if err := verifier.Fields(b.response.Trailer); err != nil {
+		return errors.Join(ErrMalformed, err)
+	}
+	if b.unframed {
+		return b.x.streamEndError()
+	}
+	return nil
+}
+
 // Close ends the exchange. If the response was not read to its end, the connection is closed.
 func (b *responseBody) Close() error {
 	if !b.mu.TryLock() {
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"celeryhead.dev/celeryhead/responder"
+	"celeryhead.dev/celeryhead/verifier"
 )
 
 // maxInformationalResponses limits the 1xx responses of an exchange.
@@ -274,6 +275,12 @@
 			return nil, errors.Join(ErrMalformed, err)
 		case err != nil:
 			return nil, err
+		}
+		// Whatever the response is, its framing may have been misread.
+		if err := verifier.Fields(p.Header); err != nil {
+			return nil, errors.Join(ErrMalformed, err)
+		}
+		switch {
 		case p.StatusCode == http.StatusSwitchingProtocols:
 			return nil, ErrSwitchedProtocols
 		case p.StatusCode >= http.StatusOK, !isValidStatus(p):
--- a/informer/status.go
+++ b/informer/status.go
@@ -13,6 +13,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"celeryhead.dev/celeryhead/messenger"
+	"celeryhead.dev/celeryhead/verifier"
 )
 
 // Path is the URL path of the Status on an instance's metrics address.
@@ -117,7 +118,7 @@
 }
 
 // client bounds the head of a status as other calls between programs do.
-var client = &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: messenger.MaxResponseHeader}}
+var client = &http.Client{Transport: verifier.Transport(&http.Transport{MaxResponseHeaderBytes: messenger.MaxResponseHeader})}
 
 // Fetch reads the status from an instance's metrics address.
 func Fetch(ctx context.Context, a netip.AddrPort) (Status, error) {
--- a/launcher/broken_test.go
+++ b/launcher/broken_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,8 +19,9 @@
 // refusals with a false promise.
 func TestBrokenAnswersOfOwnTargets(t *testing.T) {
 	s := start(t, launcher.Config{Instances: 3})
-	cut, others := imitator.CutAnswers(), imitator.BadStatuses()
-	k := imitator.NewBrokenTarget(append(cut, others...))
+	cut, fields := imitator.CutAnswers(), imitator.BadFields("ok")
+	others := slices.Concat(imitator.BadStatuses(), imitator.BadFieldsElsewhere())
+	k := imitator.NewBrokenTarget(slices.Concat(cut, fields, others))
 	for i, p := range s.Configuration.Pools {
 		s.Pools[i].Kill()
 		for _, g := range p.Targets {
@@ -41,8 +43,8 @@
 	}{
 		{http.MethodPost, "/bookings", account + "Content-Length: 60000000\r\n", cut, 0, k.Ended},
 		{http.MethodGet, "/pitches", "Transfer-Encoding: chunked\r\n", cut, 0, k.Ended},
-		{http.MethodPost, "/bookings", account + "Content-Length: 0\r\n", others, len(cut), nil},
-		{http.MethodGet, "/pitches", "", others, len(cut), nil},
+		{http.MethodPost, "/bookings", account + "Content-Length: 0\r\n", others, len(cut) + len(fields), nil},
+		{http.MethodGet, "/pitches", "", fields, len(cut), nil},
 	} {
 		for i, a := range c.answers {
 			path := fmt.Sprintf("%s/%s/%d", c.path, c.method, c.first+i)
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -13,6 +13,7 @@
 
 	"celeryhead.dev/celeryhead/messenger"
 	"celeryhead.dev/celeryhead/tracker"
+	"celeryhead.dev/celeryhead/verifier"
 )
 
 // maxResponseBytes bounds the size of a response; 1,000 instances take about 200 KiB.
@@ -55,10 +56,10 @@
 // New returns a lister. It opens a new connection for each read, so that a stalled connection does not make the list
 // appear to be down.
 func New(c Config) *Lister {
-	return &Lister{config: c, client: &http.Client{Transport: &http.Transport{
+	return &Lister{config: c, client: &http.Client{Transport: verifier.Transport(&http.Transport{
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: messenger.MaxResponseHeader,
-	}}}
+	})}}
 }
 
 // List returns the entries of the list. If all addresses fail, it returns the error of the last one.
--- a/messenger/limit.go
+++ b/messenger/limit.go
@@ -1,14 +1,18 @@
 package messenger
 
-import "net/http"
+import (
+	"net/http"
+
+	"celeryhead.dev/celeryhead/verifier"
+)
 
 // MaxResponseHeader bounds the header of a response in bytes, for the transports of clients.
 const MaxResponseHeader = 16 << 10
 
-// LimitResponses returns a transport whose responses fail after a number of bytes of body; the generated clients read a
-// response to its end.
+// LimitResponses returns a transport whose responses fail after a number of bytes of body, or with verifier.ErrFieldName; the
+// generated clients read a response to its end.
 func LimitResponses(t http.RoundTripper, bytes int64) http.RoundTripper {
-	return limited{t, bytes}
+	return limited{verifier.Transport(t), bytes}
 }
 
 type limited struct {
--- a/replicator/peer.go
+++ b/replicator/peer.go
@@ -13,6 +13,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"celeryhead.dev/celeryhead/pacer"
+	"celeryhead.dev/celeryhead/verifier"
 )
 
 // PathRows is where an instance serves its copies to peers.
@@ -120,6 +121,9 @@
 		return Change{}, err
 	}
 	defer func() { _ = p.Body.Close() }()
+	if err := verifier.Fields(p.Header); err != nil {
+		return Change{}, err
+	}
 	if p.StatusCode != http.StatusOK {
 		return Change{}, merry.Wrap(ErrPeer, merry.AppendMessagef("status %d", p.StatusCode))
 	}
--- a/storer/client.go
+++ b/storer/client.go
@@ -19,6 +19,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"celeryhead.dev/celeryhead/timer"
+	"celeryhead.dev/celeryhead/verifier"
 )
 
 const (
@@ -208,7 +209,7 @@
 	// Without GetBody the transport cannot resend the body on another connection.
 	q.GetBody = nil
 	q.Header.Set("Content-Type", "application/json")
-	p, err := c.transport.Load().RoundTrip(q)
+	p, err := verifier.Transport(c.transport.Load()).RoundTrip(q)
 	if err != nil && !connected.Load() {
 		return merry.Wrap(ErrNotSent, merry.WithCause(err))
 	}
