Refuse a field whose name begins with a blank

Callers got an answer with the line " X-Odd: v" in its head as a 200 in which the field before it was changed: "Server-Stamp: s X-Odd: v".

Cause: a line that begins with a blank continues the field before it (RFC 9112, section 5.2), and the parser of net/http joins both. A field whose name begins with a blank looks the same.

Evidence: 60 of 60 cases of TestBrokenAnswers/folded failed on the former code, "status 200 with "ok" looks whole".

The head is refused as malformed, as the RFC lets a gateway do with any continued field, so neither reading can be wrong. The counter of fields sees the line as its bytes arrive; it now also sees those that arrived together with an informational response, which neither bound nor check did before. A line of blanks alone changes no value and is still accepted (TestAnswerCutAtAnyByteIsNotWhole, "blank line last").

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -267,6 +267,10 @@
 func (x *exchange) receive(r *http.Request) (*Answer, error) {
 	for range maxInformationalResponses {
 		x.inHeader, x.headerBytesLeft, x.fields = true, x.f.config.MaxHeader, fieldCounter{}
+		// The beginning may have arrived with an informational response.
+		if b, err := x.conn.r.Peek(x.conn.r.Buffered()); err != nil || x.fields.count(b) > x.f.config.MaxFields {
+			return nil, errors.Join(ErrHeaderTooLarge, err)
+		}
 		p, err := http.ReadResponse(x.conn.r, r) //nolint:bodyclose // The body belongs to Answer.
 		x.inHeader = false
 		switch {
@@ -280,6 +284,9 @@
 		if err := verifier.Fields(p.Header); err != nil {
 			return nil, errors.Join(ErrMalformed, err)
 		}
+		if x.fields.folded {
+			return nil, merry.Wrap(ErrMalformed, merry.AppendMessage("a line of the header begins with a blank"))
+		}
 		switch {
 		case p.StatusCode == http.StatusSwitchingProtocols:
 			return nil, ErrSwitchedProtocols
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -32,8 +32,8 @@
 	ErrUnframed = merry.Sentinel("response has neither a length nor chunked encoding")
 	// ErrSwitchedProtocols means that the server sent a 101 response to a request without Upgrade.
 	ErrSwitchedProtocols = merry.Sentinel("server switched protocols without an upgrade request")
-	// ErrMalformed means that the response has a status outside of 100 to 599 or a field whose name is not a token, or is no HTTP
-	// response. What it says otherwise does not count.
+	// ErrMalformed means that the response has a status outside of 100 to 599, a field whose name is not a token or a line that
+	// continues a field, or is no HTTP response. What it says otherwise does not count.
 	ErrMalformed = merry.Sentinel("response has an invalid status or is malformed")
 	// ErrInformational means that the server sent too many 1xx responses.
 	ErrInformational = merry.Sentinel("too many informational responses")
--- a/launcher/broken_test.go
+++ b/launcher/broken_test.go
@@ -19,7 +19,7 @@
 // refusals with a false promise.
 func TestBrokenAnswersOfOwnTargets(t *testing.T) {
 	s := start(t, launcher.Config{Instances: 3})
-	cut, fields := imitator.CutAnswers(), imitator.BadFields("ok")
+	cut, fields := imitator.CutAnswers(), append(imitator.BadFields("ok"), imitator.FoldedFields()...)
 	others := slices.Concat(imitator.BadStatuses(), imitator.BadFieldsElsewhere())
 	k := imitator.NewBrokenTarget(slices.Concat(cut, fields, others))
 	for i, p := range s.Configuration.Pools {
