--- a/forwarder/reset_test.go
+++ b/forwarder/reset_test.go
@@ -1,7 +1,6 @@
 package forwarder_test
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -58,54 +57,31 @@
 	return len(b), nil
 }
 
-// earlyServer answers before it reads the body of a request, and ends the connection.
-func earlyServer(t *testing.T, answer string, end func(*net.TCPConn)) netip.AddrPort {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				_, _ = http.ReadRequest(bufio.NewReader(c))
-				_, _ = io.WriteString(c, answer)
-				end(c.(*net.TCPConn))
-			}()
-		}
-	}()
-	return l.Addr().(*net.TCPAddr).AddrPort()
-}
-
 // Guards against a part of a response that looks whole because its connection was reset while the request was written, and against a
 // whole one that is refused for that.
 func TestResponseDuringUploadIsWholeUnlessReset(t *testing.T) {
 	for _, size := range []int{0, 600, 40_000} {
 		body := strings.Repeat("x", size)
-		length := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", size, body)
-		chunks := "Transfer-Encoding: chunked\r\n\r\n"
+		const tooLong, chunked = "Content-Length: 40001\r\n", "Transfer-Encoding: chunked\r\n"
+		length := fmt.Sprintf("Content-Length: %d\r\n", size)
+		chunks := ""
 		if size > 0 {
-			chunks += fmt.Sprintf("%x\r\n%s\r\n", size, body)
+			chunks = fmt.Sprintf("%x\r\n%s\r\n", size, body)
 		}
 		for _, c := range []struct {
-			name, answer string
-			end          func(*net.TCPConn)
+			name, fields, sent string
+			end                func(*net.TCPConn)
 			// whole is true if the response is complete; native is the same for the project's own protocol.
 			whole, native bool
 		}{
-			{"no length, reset", "\r\n" + body, imitator.Reset, false, false},
-			{"no length, ended and reset", "\r\n" + body, imitator.EndThenReset, true, false},
-			{"length, reset", length, imitator.Reset, true, true},
-			{"length, reset early", "Content-Length: 40001\r\n\r\n" + body, imitator.Reset, false, false},
-			{"length, ended early and reset", "Content-Length: 40001\r\n\r\n" + body, imitator.EndThenReset, false, false},
-			{"chunks, reset", chunks + "0\r\n\r\n", imitator.Reset, true, true},
-			{"chunks, reset early", chunks, imitator.Reset, false, false},
-			{"chunks, ended early and reset", chunks, imitator.EndThenReset, false, false},
+			{"no length, reset", "", body, imitator.Reset, false, false},
+			{"no length, ended and reset", "", body, imitator.EndThenReset, true, false},
+			{"length, reset", length, body, imitator.Reset, true, true},
+			{"length, reset early", tooLong, body, imitator.Reset, false, false},
+			{"length, ended early and reset", tooLong, body, imitator.EndThenReset, false, false},
+			{"chunks, reset", chunked, chunks + "0\r\n\r\n", imitator.Reset, true, true},
+			{"chunks, reset early", chunked, chunks, imitator.Reset, false, false},
+			{"chunks, ended early and reset", chunked, chunks, imitator.EndThenReset, false, false},
 		} {
 			for name, p := range map[string]forwarder.Protocol{"native": nil, "tagged": taggedProtocol{}} {
 				whole := c.whole
@@ -125,7 +101,7 @@
 									return &writeFirstConn{TCPConn: k, failed: make(chan struct{})}, nil
 								}})
 								defer f.Close()
-								got, err := uploadTo(t, f, earlyServer(t, "HTTP/1.1 200 OK\r\nTag: mine\r\n"+c.answer, c.end), method, declared)
+								got, err := uploadTo(t, f, imitator.BrokenAnswer{Fields: c.fields, Body: c.sent, End: c.end}, method, declared)
 								var x *forwarder.Failure
 								switch {
 								case whole && (err != nil || got != body):
@@ -147,11 +123,11 @@
 // Guards against a whole response without a length whose end the caller learns only at the deadline, because the server does not read
 // the rest of the request.
 func TestResponseEndsUnreadUpload(t *testing.T) {
-	a := earlyServer(t, "HTTP/1.1 200 OK\r\nTag: mine\r\n\r\nwhole", func(c *net.TCPConn) {
+	a := imitator.BrokenAnswer{Body: "whole", End: func(c *net.TCPConn) {
 		_ = c.CloseWrite()
 		<-t.Context().Done()
 		_ = c.Close()
-	})
+	}}
 	f := forwarder.New(forwarder.Config{Protocol: taggedProtocol{}})
 	defer f.Close()
 	at := time.Now()
@@ -163,12 +139,17 @@
 // uploadTime is the time left for an upload.
 const uploadTime = 10 * time.Second
 
-// uploadTo sends a request with a body without end and returns the body of the response.
-func uploadTo(t *testing.T, f *forwarder.Forwarder, a netip.AddrPort, method string, length int64) (string, error) {
+// uploadTo sends a request with a body without end to a server that gives an answer at once, and returns the body of the response.
+func uploadTo(t *testing.T, f *forwarder.Forwarder, answer imitator.BrokenAnswer, method string, length int64) (string, error) {
 	t.Helper()
+	answer.Status = "200 OK"
+	answer.Fields += "Tag: mine\r\n"
+	s := httptest.NewServer(answer)
+	t.Cleanup(s.Close)
 	r := httptest.NewRequest(method, "/", endlessBody{})
 	r.ContentLength = length
 	r.Header.Set("Tag", "mine")
+	a := s.Listener.Addr().(*net.TCPAddr).AddrPort()
 	x, err := f.Do(t.Context(), forwarder.Call{Address: a, Request: r, Deadline: time.Now().Add(uploadTime)})
 	if err != nil {
 		return "", err
