--- a/handler/early.go
+++ b/handler/early.go
@@ -33,6 +33,8 @@
 
 	mu                       sync.Mutex
 	taken, dropped, finished bool
+	// cause is why the request was dropped.
+	cause pipeliner.Cause
 }
 
 // startPipelined makes pipelined requests of callers run beside those that are served.
@@ -100,14 +102,14 @@
 }
 
 // Drop cancels the request. If its turn has not come, it counts as not read; its outcome is only logged.
-func (e *early) Drop() {
+func (e *early) Drop(cause pipeliner.Cause) {
 	e.cancel()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.taken || e.dropped {
 		return
 	}
-	e.dropped = true
+	e.dropped, e.cause = true, cause
 	e.server.meter.EarlyDrop()
 	if e.finished {
 		go e.discard()
@@ -118,6 +120,7 @@
 	if e.answer != nil {
 		_ = e.answer.Body.Close()
 	}
+	e.call.dropped = e.cause
 	e.server.observe(e.call, e.refusal)
 }
 
--- a/handler/request.go
+++ b/handler/request.go
@@ -15,6 +15,7 @@
 	"celeryhead.dev/celeryhead/forwarder"
 	"celeryhead.dev/celeryhead/logger"
 	"celeryhead.dev/celeryhead/meter"
+	"celeryhead.dev/celeryhead/pipeliner"
 	"celeryhead.dev/celeryhead/placer"
 	"celeryhead.dev/celeryhead/responder"
 	"celeryhead.dev/celeryhead/spooler"
@@ -57,6 +58,8 @@
 	// hedged is true while two targets have the request; it is nil if they may not.
 	hedged *atomic.Bool
 	status int
+	// dropped is why the turn of a request that was started early never came.
+	dropped pipeliner.Cause
 	// signed is true if the answer has the signature of a target.
 	signed bool
 }
@@ -238,6 +241,7 @@
 		Attempts: c.sent,
 		Status:   c.status,
 		Signed:   c.signed,
+		Dropped:  string(c.dropped),
 		Left:     c.envelope.Left,
 		Duration: now.Sub(c.arrival),
 	}
--- a/logger/events.go
+++ b/logger/events.go
@@ -399,6 +399,8 @@
 	Reason, Ran string
 	// Signed is true if a target's answer has the target's signature.
 	Signed bool
+	// Dropped is why the turn of a pipelined request never came, so that its caller got no answer; empty if it came.
+	Dropped string
 	// RetryAfter is what the caller of a refused request was told to wait.
 	RetryAfter time.Duration
 	// Rate and Burst are the account's allowance; told with a refusal for it.
@@ -433,6 +435,9 @@
 	if e.Reason != "" {
 		f["reason"], f["ran"], f["retry_after_seconds"] = e.Reason, e.Ran, seconds(e.RetryAfter)
 	}
+	if e.Dropped != "" {
+		f["dropped"] = e.Dropped
+	}
 	if e.Rate > 0 {
 		f["rate"], f["burst"] = e.Rate, e.Burst
 	}
--- a/pipeliner/conn.go
+++ b/pipeliner/conn.go
@@ -247,7 +247,7 @@
 		}
 		if t, ok := errors.AsType[net.Error](err); !ok || !t.Timeout() {
 			c.failure = err
-			c.drop()
+			c.drop(CallerLeft)
 		}
 		return 0, err
 	}
@@ -320,7 +320,7 @@
 		return nil
 	case !same(h.request, r):
 		// The server of net/http read the head in another way.
-		h.run.Drop()
+		h.run.Drop(Unmatched)
 		return nil
 	}
 	return h.run
@@ -329,7 +329,7 @@
 // end is called when a handler ends that may have taken over a run.
 func (c *conn) end(r Run) {
 	if r != nil {
-		r.Drop()
+		r.Drop(Served)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -337,9 +337,9 @@
 }
 
 // drop drops the runs of requests that net/http has not read.
-func (c *conn) drop() {
+func (c *conn) drop(cause Cause) {
 	for _, h := range c.heads {
-		h.run.Drop()
+		h.run.Drop(cause)
 	}
 	c.heads = nil
 }
@@ -455,10 +455,10 @@
 	c.mu.Lock()
 	c.closed = true
 	if c.next.run != nil {
-		c.next.run.Drop()
+		c.next.run.Drop(ConnectionEnded)
 		c.next = head{}
 	}
-	c.drop()
+	c.drop(ConnectionEnded)
 	c.release()
 	c.mu.Unlock()
 	c.notify()
--- a/pipeliner/pipeliner.go
+++ b/pipeliner/pipeliner.go
@@ -12,10 +12,25 @@
 // Run is a request that was started before its turn.
 type Run interface {
 	// Drop cancels the run unless it has ended. It is called at least once, also after the handler that took the run over, and
-	// must not block.
-	Drop()
+	// must not block. Only the first cause counts.
+	Drop(c Cause)
 }
 
+// Cause is why a run is dropped, in snake case.
+type Cause string
+
+// Causes.
+const (
+	// CallerLeft means that the caller disconnected.
+	CallerLeft Cause = "caller_left"
+	// ConnectionEnded means that the connection ended on this side with requests that were started.
+	ConnectionEnded Cause = "connection_ended"
+	// Unmatched means that net/http read the request in another way.
+	Unmatched Cause = "unmatched"
+	// Served means that the handler of the request ended.
+	Served Cause = "served"
+)
+
 // Config says which requests are started, and how.
 type Config struct {
 	// Safe reports whether a request may run while others of its connection do. It gets requests without a body, with method
--- a/pipeliner/pipeliner_test.go
+++ b/pipeliner/pipeliner_test.go
@@ -32,7 +32,7 @@
 	dropped chan struct{}
 }
 
-func (r *run) Drop() { r.once.Do(func() { close(r.dropped) }) }
+func (r *run) Drop(pipeliner.Cause) { r.once.Do(func() { close(r.dropped) }) }
 
 // server serves requests, of which those that begin with /safe may run early.
 type server struct {
