Answer the started requests of a series before a connection ends

Three places decided that an answer is the last one, and none knew of the requests that the pipeliner had started behind it: guarder.Count for each handler that began after SIGTERM; net/http, from its Shutdown on for each answer; and net/http again, which closed a connection that was idle between two answers. The flag of the leaving instance was read apart from these, so a request could also start behind an answer that had been chosen as the last.

pipeliner.Listener now owns the decision. It is made when the head of an answer is written, under the lock under which requests start: with a started request behind it no answer closes the connection, and after the last one none starts. Listener.Shutdown replaces that of net/http on the listener of callers. A handler that sets "Connection: close" gets it with the last started request.

--- a/guarder/guarder.go
+++ b/guarder/guarder.go
@@ -19,7 +19,7 @@
 type Config struct {
 	// InFlight is incremented while a request is being served.
 	InFlight *atomic.Int64
-	// Leaving is true once the instance has begun to shut down.
+	// Leaving is true once the instance has begun to shut down; nil if the listener decides when connections end.
 	Leaving *atomic.Bool
 }
 
@@ -30,7 +30,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c.InFlight.Add(1)
 		defer c.InFlight.Add(-1)
-		if c.Leaving.Load() {
+		if c.Leaving != nil && c.Leaving.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		spooler.LimitWrites(w, time.Now())
--- a/handler/drain.go
+++ b/handler/drain.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"celeryhead.dev/celeryhead/pipeliner"
 	"celeryhead.dev/celeryhead/placer"
 	"celeryhead.dev/celeryhead/responder"
 )
@@ -49,7 +50,7 @@
 // drain lets callers go elsewhere, then waits for the requests that run. Until the listener closes, requests are taken. Requests
 // that come later, on connections that are open, are refused, and so is what waits for its body, a connection or another attempt
 // once it cannot be expected to end in time.
-func (s *Server) drain(callers *http.Server) {
+func (s *Server) drain(callers *pipeliner.Listener) {
 	start := s.clock()
 	limit := s.limits.Load().Grace - s.limits.Load().Grace/drainReserve
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
@@ -62,6 +63,7 @@
 	}).Stop()
 	s.log.Leaving(int(s.inFlight.Load()))
 	s.leaving.Store(true)
+	callers.Leave()
 	s.checkReady()
 	k := time.NewTicker(drainInterval)
 	defer k.Stop()
@@ -73,7 +75,6 @@
 		}
 	}
 	s.draining.closed.Store(true)
-	// Shutdown closes the listener and idle connections and waits for requests that run.
 	if err := callers.Shutdown(ctx); err != nil {
 		s.log.DrainCut(int(s.inFlight.Load()))
 	}
--- a/handler/early.go
+++ b/handler/early.go
@@ -38,7 +38,7 @@
 }
 
 // startPipelined makes pipelined requests of callers run beside those that are served.
-func (s *Server) startPipelined(callers *http.Server, l net.Listener) net.Listener {
+func (s *Server) startPipelined(callers *http.Server, l net.Listener) *pipeliner.Listener {
 	return pipeliner.Listen(callers, l, pipeliner.Config{Safe: s.idempotent, Start: s.startEarly})
 }
 
@@ -58,9 +58,9 @@
 }
 
 // startEarly serves a request up to the beginning of its answer, which takes room from here on. It returns nil if there is no
-// room. A leaving instance closes the connection with the next answer, so requests behind it would run in vain.
+// room.
 func (s *Server) startEarly(ctx context.Context, r *http.Request) pipeliner.Run {
-	if s.leaving.Load() || !s.answers.take(bufferedAnswer, s.answersLimit()/earlyShare) {
+	if !s.answers.take(bufferedAnswer, s.answersLimit()/earlyShare) {
 		return nil
 	}
 	e := &early{
--- a/handler/server.go
+++ b/handler/server.go
@@ -26,6 +26,7 @@
 	"celeryhead.dev/celeryhead/informer"
 	"celeryhead.dev/celeryhead/logger"
 	"celeryhead.dev/celeryhead/meter"
+	"celeryhead.dev/celeryhead/pipeliner"
 	"celeryhead.dev/celeryhead/placer"
 	"celeryhead.dev/celeryhead/replicator"
 	"celeryhead.dev/celeryhead/sharer"
@@ -254,7 +255,7 @@
 
 // Run serves until ctx ends, then leaves without cutting requests.
 func (s *Server) Run(ctx context.Context) error {
-	callers := s.httpServer(guarder.Count(guarder.Config{InFlight: &s.inFlight, Leaving: &s.leaving}, http.HandlerFunc(s.enter)))
+	callers := s.httpServer(guarder.Count(guarder.Config{InFlight: &s.inFlight}, http.HandlerFunc(s.enter)))
 	servers := []*http.Server{callers}
 	addresses := []Listener{{Name: listenerCallers, Address: s.settings.Callers}, {Name: listenerPeers, Address: s.settings.Peers, Handler: s.peersHandler()}}
 	if s.settings.Metrics.IsValid() {
@@ -267,6 +268,7 @@
 	for _, l := range addresses[1:] {
 		servers = append(servers, s.httpServer(l.Handler))
 	}
+	var front *pipeliner.Listener
 	failed := make(chan error, len(servers))
 	for i, l := range addresses {
 		k, err := (&net.ListenConfig{}).Listen(ctx, "tcp", l.Address.String())
@@ -283,7 +285,8 @@
 		}
 		switch {
 		case servers[i] == callers:
-			k = s.startPipelined(callers, guarder.ReportUnhandled(callers, k, s.reportUnhandled))
+			front = s.startPipelined(callers, guarder.ReportUnhandled(callers, k, s.reportUnhandled))
+			k = front
 		case !own:
 			k = readOneByOne(servers[i], k)
 		}
@@ -291,7 +294,8 @@
 			b.Attach(servers[i])
 		}
 		go func() {
-			if err := servers[i].Serve(k); !errors.Is(err, http.ErrServerClosed) {
+			// The listener of callers is closed before its server.
+			if err := servers[i].Serve(k); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				s.log.ListenerFailed(l.Name, err)
 				failed <- err
 			}
@@ -307,7 +311,7 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		s.drain(callers)
+		s.drain(front)
 	case err = <-failed:
 	}
 	cancel()
--- a/pipeliner/conn.go
+++ b/pipeliner/conn.go
@@ -57,8 +57,9 @@
 // conn gives net/http no byte beyond the request that it reads.
 type conn struct {
 	net.Conn
-	config *Config
-	values context.Context //nolint:containedctx // It holds the values of the connection.
+	listener *Listener
+	config   *Config
+	values   context.Context //nolint:containedctx // It holds the values of the connection.
 	// wake gets a value when a deadline is set.
 	wake chan struct{}
 
@@ -83,6 +84,11 @@
 	judged  judgment
 
 	deadline time.Time
+	// waiting is true from the end of an answer until net/http has the whole head of the next request.
+	waiting bool
+	// ending is true once the connection ends with the first answer behind which no request was started; last is true from the
+	// head of that answer on.
+	ending, last bool
 	// reading is true while a read may write to the buffer.
 	reading bool
 	closed  bool
@@ -120,6 +126,10 @@
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
+	if c.closed {
+		// A request that crosses the end of the connection must not begin. To any other error net/http would answer 400.
+		return 0, io.EOF
+	}
 	k := c.pass(p[:n])
 	if n-k > bufferSize {
 		// net/http reads heads in pieces of 4 KB.
@@ -158,7 +168,7 @@
 			c.heads[0] = h
 		} else {
 			c.heads = slices.Delete(c.heads, 0, 1)
-			c.position, c.next, c.current = atStart, h, nil
+			c.position, c.next, c.current, c.waiting = atStart, h, nil, false
 		}
 	} else {
 		n = c.pass(p[:copy(p, b)])
@@ -174,6 +184,7 @@
 	n := len(p)
 	switch c.position {
 	case unknown:
+		c.waiting = c.waiting && n == 0
 	case inBody:
 		if c.bodyLeft -= int64(n); c.bodyLeft == 0 {
 			c.position = atStart
@@ -182,7 +193,7 @@
 		var ok bool
 		switch n, ok = c.scanner.end(p); {
 		case ok:
-			c.position, c.current = atStart, nil
+			c.position, c.current, c.waiting = atStart, nil, false
 		case n > 0:
 			c.position = inHead
 		}
@@ -269,6 +280,9 @@
 	if c.closed || c.failure != nil || c.current == nil || c.position != atStart || c.low == c.high {
 		return
 	}
+	if c.ending || c.last || c.listener.leaving.Load() {
+		return
+	}
 	if c.judged == unjudged {
 		c.judged = alone
 		if plain(c.current) && !c.current.Close && c.config.Safe(c.current) {
@@ -336,6 +350,44 @@
 	c.current = nil
 }
 
+// enter records the state that net/http gives the connection.
+func (c *conn) enter(s http.ConnState) {
+	if s == http.StateIdle {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.waiting = true
+	}
+}
+
+// ends decides at the head of an answer whether it is the last one; wish is true if its handler wants that. No request starts
+// after an answer that is.
+func (c *conn) ends(wish bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = c.ending || wish || c.listener.leaving.Load()
+	c.last = c.ending && len(c.heads) == 0
+	return c.last
+}
+
+// behind reports whether started requests wait for the answer to the current one.
+func (c *conn) behind() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.heads) > 0
+}
+
+// closeIdle closes the connection if it waits for a request, and reports whether it is closed.
+func (c *conn) closeIdle() bool {
+	c.mu.Lock()
+	idle := c.waiting && c.low == c.high
+	c.closed = c.closed || idle
+	c.mu.Unlock()
+	if idle {
+		_ = c.Close()
+	}
+	return idle
+}
+
 // drop drops the runs of requests that net/http has not read.
 func (c *conn) drop(cause Cause) {
 	for _, h := range c.heads {
@@ -431,6 +483,7 @@
 // Close closes the connection and drops its runs.
 func (c *conn) Close() error {
 	c.stop()
+	c.listener.forget(c)
 	return c.Conn.Close()
 }
 
--- a/pipeliner/doc.go
+++ b/pipeliner/doc.go
@@ -6,8 +6,10 @@
 // the caller disconnects; that read goes on here into a bounded buffer, and the
 // complete heads in it are started by a function of the caller of this package.
 // net/http then reads the same bytes in order, and its handler finds the run
-// that was started for them (Taken). Order, refusals and shutdown remain those
-// of net/http, which also decides what a valid request is.
+// that was started for them (Taken). Order and refusals remain those of
+// net/http, which also decides what a valid request is. The Listener decides
+// which answer is the last one of a connection, because net/http does not know
+// of the requests that run behind it.
 //
 // A run that no handler takes over is dropped. What cannot be started waits, as
 // with net/http alone.
--- a/pipeliner/pipeliner.go
+++ b/pipeliner/pipeliner.go
@@ -43,7 +43,7 @@
 
 // Listen makes s start pipelined requests on the connections of the returned listener. It wraps the hooks for connections of s,
 // which get the connections of l, and its handler.
-func Listen(s *http.Server, l net.Listener, config Config) net.Listener {
+func Listen(s *http.Server, l net.Listener, config Config) *Listener {
 	h, enter, change := s.Handler, s.ConnContext, s.ConnState
 	s.ConnContext = func(ctx context.Context, n net.Conn) context.Context {
 		c, ok := n.(*conn)
@@ -61,6 +61,7 @@
 	}
 	s.ConnState = func(n net.Conn, t http.ConnState) {
 		if c, ok := n.(*conn); ok {
+			c.enter(t)
 			n = c.Conn
 		}
 		if change != nil {
@@ -78,9 +79,11 @@
 		if run != nil {
 			r = r.WithContext(context.WithValue(r.Context(), runKey{}, run))
 		}
-		h.ServeHTTP(w, r)
+		a := &response{ResponseWriter: w, conn: c}
+		h.ServeHTTP(a, r)
+		a.decide()
 	})
-	return &listener{Listener: l, config: &config}
+	return &Listener{Listener: l, config: &config, open: map[*conn]struct{}{}}
 }
 
 // Taken returns the run that was started for the request with a context, or nil. The handler of the request takes it over.
@@ -89,21 +92,13 @@
 	return r
 }
 
+// Behind reports whether requests that were started wait for the answer to the one with a context.
+func Behind(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	return ok && c.behind()
+}
+
 type (
 	connKey struct{}
 	runKey  struct{}
 )
-
-type listener struct {
-	net.Listener
-	config *Config
-}
-
-// Accept returns a connection whose pipelined requests are started.
-func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &conn{Conn: c, config: l.config, wake: make(chan struct{}, 1)}, nil
-}
