Start nothing behind a request that net/http will end the connection at

A caller whose series held a field name with a blank, or a Connection field such as "x close", had the requests behind it run and cut: the pipeliner took these requests for ones that leave the connection open, net/http answers the first with 400 and closes after the second. http.ReadRequest accepts the blank and Request.Close misses the word; the server of net/http decides by other rules. Both are now read as strictly.

--- a/pipeliner/conn.go
+++ b/pipeliner/conn.go
@@ -285,7 +285,7 @@
 	}
 	if c.judged == unjudged {
 		c.judged = alone
-		if plain(c.current) && !c.current.Close && c.config.Safe(c.current) {
+		if plain(c.current) && !closes(c.current) && c.config.Safe(c.current) {
 			c.judged = beside
 		}
 	}
@@ -294,7 +294,7 @@
 		from += h.left
 	}
 	for c.judged == beside && !c.blocked && len(c.heads) < MaxEarly {
-		if k := len(c.heads); k > 0 && c.heads[k-1].request.Close {
+		if k := len(c.heads); k > 0 && closes(c.heads[k-1].request) {
 			return
 		}
 		var s scanner
--- a/pipeliner/head.go
+++ b/pipeliner/head.go
@@ -52,12 +52,28 @@
 	defer readers.Put(b)
 	b.Reset(bytes.NewReader(head))
 	r, err := http.ReadRequest(b)
-	if err != nil || !plain(r) || strings.Trim(r.Host, hostCharacters) != "" {
+	if err != nil || !plain(r) || strings.Trim(r.Host, hostCharacters) != "" || hasBlank(r.Header) {
 		return nil
 	}
 	return r
 }
 
+// hasBlank reports whether the name of a field has a blank, to which the server of net/http answers 400.
+func hasBlank(h http.Header) bool {
+	for k := range h {
+		if strings.Contains(k, " ") {
+			return true
+		}
+	}
+	return false
+}
+
+// closes reports whether the server of net/http may close the connection after the answer because the request asks for it. It
+// finds the word in more values than Request.Close does.
+func closes(r *http.Request) bool {
+	return r.Close || strings.Contains(strings.ToLower(r.Header.Get("Connection")), "close")
+}
+
 const hostCharacters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789.-_:[]"
 
 // plain reports whether nothing in the request itself keeps it from running beside others of its connection.
