Deliver answers behind a request that outlives the drain

When the first request of a series ran longer than the drain of a stopping instance, its connection was cut at the end with all answers behind it, also with those that targets had given long before. A request with nothing behind it keeps its time.

--- a/handler/drain_test.go
+++ b/handler/drain_test.go
@@ -187,6 +187,32 @@
 	}
 }
 
+// The first request of a series outlives the drain. Guards against answers that were there and are cut with it, and against one that
+// targets still run and whose place in the series stays empty.
+func TestSeriesThatOutlivesTheDrain(t *testing.T) {
+	for name, first := range map[string]string{"runs": "", "is being answered": strings.Repeat("x", 1<<20)} {
+		t.Run(name, func(t *testing.T) {
+			all := []string{"/look/0", "/look/1", "/look/2", "/look/3"}
+			s := startSeries(t, all...)
+			s.let(all[1], all[3])
+			if first != "" {
+				s.answer[all[0]] <- first
+			}
+			s.drain(2*time.Second, 0)
+			if first != "" {
+				// Nothing can follow an answer that breaks off.
+				<-s.left
+				return
+			}
+			expectAnswer(t, s.reader, all[0], http.StatusBadGateway)
+			expectAnswer(t, s.reader, all[1], http.StatusOK)
+			expectAnswer(t, s.reader, all[2], http.StatusBadGateway)
+			expectAnswer(t, s.reader, all[3], http.StatusOK)
+			<-s.left
+		})
+	}
+}
+
 // Guards against a process that waits for connections on which nothing runs: unused ones, and one with a part of a head.
 func TestDrainEndsIdleConnections(t *testing.T) {
 	for name, text := range map[string]string{"unused": "", "half a head": "GET /look/1 HT", "answered": get("/none"), "answered and half a head": get("/none") + "GET"} {
--- a/handler/request.go
+++ b/handler/request.go
@@ -74,15 +74,27 @@
 // enter serves a request of a caller.
 func (s *Server) enter(w http.ResponseWriter, r *http.Request) {
 	c, serve := &call{}, s.serve
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
 	if e := takeOver(r); e != nil {
 		c, serve = e.call, e.wait
-		defer context.AfterFunc(r.Context(), e.cancel)()
+		defer context.AfterFunc(ctx, e.cancel)()
 	} else {
 		c.arrival, c.envelope = s.clock(), s.protocol.Envelope(r)
 	}
 	var f *responder.Refusal
 	defer func() { s.observe(c, f) }()
-	a, f := serve(w, r, c)
+	// At the end of a drain a request is given up if others of its connection wait for its answer: theirs may be there already.
+	var decided atomic.Bool
+	defer context.AfterFunc(s.draining.ending, func() {
+		if pipeliner.Behind(ctx) && decided.CompareAndSwap(false, true) {
+			cancel()
+		}
+	})()
+	a, f := serve(w, r.WithContext(ctx), c)
+	if givenUp := !decided.CompareAndSwap(false, true); givenUp {
+		a, f = c.abandon(a, f)
+	}
 	spooler.CloseUnread(w, r, c.body)
 	if f != nil {
 		c.status = f.Status
@@ -95,6 +107,18 @@
 	c.status = a.Status
 }
 
+// abandon returns what the caller of a request is told that was given up, and had an answer or a refusal at that moment.
+func (c *call) abandon(a *forwarder.Answer, f *responder.Refusal) (*forwarder.Answer, *responder.Refusal) {
+	switch {
+	case a != nil && c.whole, f != nil && f.Ran == responder.NotRun:
+		return a, f
+	case a != nil:
+		// The rest cannot be had any more.
+		_ = a.Body.Close()
+	}
+	return nil, targetFailed("the instance ended before the answer")
+}
+
 // serve returns the answer of a target, or why there is none.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, c *call) (*forwarder.Answer, *responder.Refusal) {
 	if f := s.accept(w, r, c); f != nil {
