Count requests that were started early in the budget of connections

A caller of a series lost the requests that targets were running when another connection needed room between two of its answers: the handler of the first had ended, that of the next one had not begun, so the budget took the connection for one on which nothing runs and closed it. SIGHUP with smaller limits makes such moments frequent, since the next reservations then close what is over them.

A request that starts early is now counted as a run of its connection until its handler begins or it is dropped.

Evidence: TestSeriesBetweenTwoAnswersIsNotClosed has another connection come exactly between the two answers.

--- a/admitter/listener.go
+++ b/admitter/listener.go
@@ -458,6 +458,21 @@
 	return HeadLate
 }
 
+// BeginRun and EndRun enclose a request that runs before its handler does, so that the connection counts as one with a request
+// also between two answers.
+func (c *conn) BeginRun() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.holder.BeginRun()
+}
+
+// EndRun is the end of BeginRun.
+func (c *conn) EndRun() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.holder.EndRun()
+}
+
 // Write records how long the caller takes to read.
 func (c *conn) Write(b []byte) (int, error) {
 	l := c.listener
--- a/admitter/listener_test.go
+++ b/admitter/listener_test.go
@@ -302,6 +302,49 @@
 	}
 }
 
+// started is a pipelined request that was started.
+type started struct{}
+
+func (started) Drop(pipeliner.Cause) {}
+
+// A connection needs room while another one is between two answers of a series. Guards against a budget that takes it for unused
+// and closes it, although a request runs behind the answer.
+func TestSeriesBetweenTwoAnswersIsNotClosed(t *testing.T) {
+	idle, begun, tried := make(chan struct{}, 10), make(chan struct{}), make(chan struct{})
+	s := serve(t, admitter.Limits{Bytes: 1 << 24, Descriptors: 1, AddressPercent: 100}, admitter.Bounds{}, func(w http.ResponseWriter, r *http.Request) {
+		<-begun
+		ok(w, r)
+	}, func(x *http.Server, l net.Listener) net.Listener {
+		x.ConnState = func(_ net.Conn, k http.ConnState) {
+			if k == http.StateIdle {
+				idle <- struct{}{}
+				<-tried
+			}
+		}
+		return pipeliner.Listen(x, l, pipeliner.Config{
+			Safe: func(*http.Request) bool { return true },
+			Start: func(context.Context, *http.Request) pipeliner.Run {
+				close(begun)
+				return started{}
+			},
+		})
+	})
+	c := s.dial()
+	if k := c.ask(get + get); k != http.StatusOK {
+		t.Fatalf("first answer %d", k)
+	}
+	<-idle
+	other := s.dial()
+	_, _ = io.WriteString(other, get)
+	if _, err := other.r.ReadByte(); err == nil {
+		t.Error("the other connection had room")
+	}
+	close(tried)
+	if k := c.status(); k != http.StatusOK {
+		t.Errorf("second answer %d", k)
+	}
+}
+
 // Guards against closing unused connections before callers stop to use them, and new ones that wait for their first request.
 func TestIdleTime(t *testing.T) {
 	s := serve(t, wide, admitter.Bounds{IdleTime: time.Minute, HeadTime: time.Minute}, ok)
--- a/pipeliner/conn.go
+++ b/pipeliner/conn.go
@@ -310,6 +310,9 @@
 			c.blocked = true
 			return
 		}
+		if a, ok := unwrap[runCounter](c.Conn); ok {
+			a.BeginRun()
+		}
 		c.heads = append(c.heads, h)
 		from += n
 	}
@@ -335,11 +338,24 @@
 	case !same(h.request, r):
 		// The server of net/http read the head in another way.
 		h.run.Drop(Unmatched)
-		return nil
+		h.run = nil
 	}
+	c.endRun()
 	return h.run
 }
 
+// runCounter is a connection below that is not closed for others while requests run that were started early.
+type runCounter interface {
+	BeginRun()
+	EndRun()
+}
+
+func (c *conn) endRun() {
+	if a, ok := unwrap[runCounter](c.Conn); ok {
+		a.EndRun()
+	}
+}
+
 // end is called when a handler ends that may have taken over a run.
 func (c *conn) end(r Run) {
 	if r != nil {
@@ -391,6 +407,7 @@
 // drop drops the runs of requests that net/http has not read.
 func (c *conn) drop(cause Cause) {
 	for _, h := range c.heads {
+		c.endRun()
 		h.run.Drop(cause)
 	}
 	c.heads = nil
@@ -508,6 +525,7 @@
 	c.mu.Lock()
 	c.closed = true
 	if c.next.run != nil {
+		c.endRun()
 		c.next.run.Drop(ConnectionEnded)
 		c.next = head{}
 	}
