Let a caller read the last answer of a connection

A caller that had sent more requests than are read ahead, and was still receiving the last answer of an instance that stops, got a part of it and a reset: the connection was closed with unread bytes, upon which the kernel resets it and drops what is not yet sent. Both modes were affected, the product's own also within TLS.

A connection that is to be reset, because an HTTP/1.0 caller has a part of an answer, is still reset at once.

--- a/handler/drain_test.go
+++ b/handler/drain_test.go
@@ -187,6 +187,41 @@
 	}
 }
 
+// A caller reads nothing until the instance has left, and sends more than is read ahead. Guards against the last answer being cut: the
+// kernel drops what the caller has not received of it if the connection is closed with unread bytes.
+func TestLastAnswerIsWholeWithUnreadRequests(t *testing.T) {
+	long := strings.Repeat("x", 300<<10) + "/look/0"
+	s := startSeries(t, "/look/0")
+	s.listener.Leave()
+	if _, err := io.WriteString(s.conn, strings.Repeat(get("/look/late"), 1000)); err != nil {
+		t.Fatal(err)
+	}
+	s.answer["/look/0"] <- long[:len(long)-7]
+	s.let("/look/0")
+	s.drain(patience, 0)
+	select {
+	case <-s.left:
+	case <-time.After(patience / 4):
+		t.Error("the instance waits for a caller that does not read")
+	}
+	s.expect(t, "/look/0")
+}
+
+// The target breaks off its answer to an HTTP/1.0 caller while the instance leaves. Guards against an orderly end, by which the part
+// would look complete.
+func TestBrokenLastAnswerOfHTTP10IsReset(t *testing.T) {
+	p := startInstance(t, 0, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", 1<<20))
+		panic(http.ErrAbortHandler)
+	})
+	p.listener.Leave()
+	c, r := p.dial(t, "GET /look/1 HTTP/1.0\r\nHost: ice.example\r\n\r\n")
+	if b, err := io.ReadAll(r); err == nil {
+		t.Errorf("%d bytes look complete", len(b))
+	}
+	_ = c.Close()
+}
+
 // The first request of a series outlives the drain. Guards against answers that were there and are cut with it, and against one that
 // targets still run and whose place in the series stays empty.
 func TestSeriesThatOutlivesTheDrain(t *testing.T) {
--- a/pipeliner/conn.go
+++ b/pipeliner/conn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"celeryhead.dev/celeryhead/closer"
 )
 
 const (
@@ -92,6 +94,8 @@
 	// reading is true while a read may write to the buffer.
 	reading bool
 	closed  bool
+	// lingering is true from the first call of Close after the last answer on.
+	lingering bool
 	// failure ends all reads.
 	failure error
 }
@@ -497,9 +501,21 @@
 	}
 }
 
-// Close closes the connection and drops its runs.
+// Close closes the connection and drops its runs. After the last answer the caller gets time to read it; a second call closes the
+// connection at once.
 func (c *conn) Close() error {
 	c.stop()
+	c.mu.Lock()
+	linger := c.last && !c.lingering
+	c.lingering = c.lingering || linger
+	c.mu.Unlock()
+	if linger {
+		go func() {
+			defer c.listener.forget(c)
+			closer.Linger(c.Conn)
+		}()
+		return nil
+	}
 	c.listener.forget(c)
 	return c.Conn.Close()
 }
@@ -513,8 +529,11 @@
 	return nil
 }
 
-// SetLinger is that of a TCP connection.
+// SetLinger is that of a TCP connection. Close then closes it as the kernel is told here.
 func (c *conn) SetLinger(seconds int) error {
+	c.mu.Lock()
+	c.lingering = true
+	c.mu.Unlock()
 	if t, ok := unwrap[interface{ SetLinger(seconds int) error }](c.Conn); ok {
 		return t.SetLinger(seconds)
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -16,6 +16,7 @@
 	"celeryhead.dev/celeryhead/breaker"
 	"celeryhead.dev/celeryhead/certifier"
 	"celeryhead.dev/celeryhead/claimer"
+	"celeryhead.dev/celeryhead/closer"
 	"celeryhead.dev/celeryhead/controller"
 	"celeryhead.dev/celeryhead/forwarder"
 	"celeryhead.dev/celeryhead/guarder"
@@ -185,7 +186,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	ls := s.listeners()
 	for _, l := range ls {
-		if err := l.open(ctx); err != nil {
+		if err := s.open(ctx, l); err != nil {
 			s.log.ListenerFailed(l.name, err)
 			return err
 		}
@@ -221,12 +222,14 @@
 	return err
 }
 
-func (l *listener) open(ctx context.Context) error {
+func (s *Server) open(ctx context.Context, l *listener) error {
 	var c net.ListenConfig
 	k, err := c.Listen(ctx, "tcp", l.address.String())
 	if err != nil {
 		return err
 	}
+	// Answers end connections while the instance leaves.
+	k = &closer.Listener{Listener: k, While: &s.leaving}
 	if l.tls != nil {
 		k = tls.NewListener(k, l.tls)
 	}
