--- a/spooler/spooler.go
+++ b/spooler/spooler.go
@@ -84,7 +84,7 @@
 		if r.ContentLength > m {
 			return nil, bodyTooLarge()
 		}
-		in = http.MaxBytesReader(w, r.Body, m)
+		in = http.MaxBytesReader(innermost(w), r.Body, m)
 	}
 	if l.Stop != nil {
 		defer context.AfterFunc(l.Stop, func() { limitReads(w, time.Now()) })()
@@ -106,6 +106,18 @@
 	return b, nil
 }
 
+// innermost returns the writer below all wrappers, the only one that http.MaxBytesReader can tell to wait for a caller that still
+// sends.
+func innermost(w http.ResponseWriter) http.ResponseWriter {
+	for {
+		u, ok := w.(interface{ Unwrap() http.ResponseWriter })
+		if !ok {
+			return w
+		}
+		w = u.Unwrap()
+	}
+}
+
 // firstBuffer is the size of the first buffer for a body, in bytes.
 const firstBuffer = 4 << 10
 
