Report only requests as cut at the end of a drain

A connection may be open at the end of the drain only because its caller still reads the last answer. Event 1005 is an error about requests, so it is logged only if some run.

--- a/handler/drain.go
+++ b/handler/drain.go
@@ -75,8 +75,10 @@
 		}
 	}
 	s.draining.closed.Store(true)
-	if err := callers.Shutdown(ctx); err != nil {
-		s.log.DrainCut(int(s.inFlight.Load()))
+	err := callers.Shutdown(ctx)
+	// Connections may be open only for their callers to read.
+	if n := int(s.inFlight.Load()); err != nil && n > 0 {
+		s.log.DrainCut(n)
 	}
 	s.log.Stopped(s.clock().Sub(start))
 }
