--- a/handler/drain.go
+++ b/handler/drain.go
@@ -39,6 +39,21 @@
 	return e == nil || now.Add(l.Patience()).Before(*e)
 }
 
+// giveUpAtEnd cancels a request at the end of a drain if others of its connection wait for its answer; theirs may be there already.
+// The returned function ends that, and reports at its first call whether the request was not canceled.
+func (d *draining) giveUpAtEnd(ctx context.Context, cancel context.CancelFunc) (keep func() bool) {
+	var decided atomic.Bool
+	stop := context.AfterFunc(d.ending, func() {
+		if pipeliner.Behind(ctx) && decided.CompareAndSwap(false, true) {
+			cancel()
+		}
+	})
+	return func() bool {
+		stop()
+		return decided.CompareAndSwap(false, true)
+	}
+}
+
 // errLeaving is the refusal of a request that could be cut at the end of the drain.
 var errLeaving = &responder.Refusal{
 	Status:  http.StatusServiceUnavailable,
--- a/handler/request.go
+++ b/handler/request.go
@@ -84,15 +84,10 @@
 	}
 	var f *responder.Refusal
 	defer func() { s.observe(c, f) }()
-	// At the end of a drain a request is given up if others of its connection wait for its answer: theirs may be there already.
-	var decided atomic.Bool
-	defer context.AfterFunc(s.draining.ending, func() {
-		if pipeliner.Behind(ctx) && decided.CompareAndSwap(false, true) {
-			cancel()
-		}
-	})()
+	keep := s.draining.giveUpAtEnd(ctx, cancel)
+	defer keep()
 	a, f := serve(w, r.WithContext(ctx), c)
-	if givenUp := !decided.CompareAndSwap(false, true); givenUp {
+	if !keep() {
 		a, f = c.abandon(a, f)
 	}
 	spooler.CloseUnread(w, r, c.body)
--- a/pipeliner/conn.go
+++ b/pipeliner/conn.go
@@ -13,8 +13,6 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"celeryhead.dev/celeryhead/closer"
 )
 
 const (
@@ -370,44 +368,6 @@
 	c.current = nil
 }
 
-// enter records the state that net/http gives the connection.
-func (c *conn) enter(s http.ConnState) {
-	if s == http.StateIdle {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.waiting = true
-	}
-}
-
-// ends decides at the head of an answer whether it is the last one; wish is true if its handler wants that. No request starts
-// after an answer that is.
-func (c *conn) ends(wish bool) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.ending = c.ending || wish || c.listener.leaving.Load()
-	c.last = c.ending && len(c.heads) == 0
-	return c.last
-}
-
-// behind reports whether started requests wait for the answer to the current one.
-func (c *conn) behind() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.heads) > 0
-}
-
-// closeIdle closes the connection if it waits for a request, and reports whether it is closed.
-func (c *conn) closeIdle() bool {
-	c.mu.Lock()
-	idle := c.waiting && c.low == c.high
-	c.closed = c.closed || idle
-	c.mu.Unlock()
-	if idle {
-		_ = c.Close()
-	}
-	return idle
-}
-
 // drop drops the runs of requests that net/http has not read.
 func (c *conn) drop(cause Cause) {
 	for _, h := range c.heads {
@@ -501,25 +461,6 @@
 	}
 }
 
-// Close closes the connection and drops its runs. After the last answer the caller gets time to read it; a second call closes the
-// connection at once.
-func (c *conn) Close() error {
-	c.stop()
-	c.mu.Lock()
-	linger := c.last && !c.lingering
-	c.lingering = c.lingering || linger
-	c.mu.Unlock()
-	if linger {
-		go func() {
-			defer c.listener.forget(c)
-			closer.Linger(c.Conn)
-		}()
-		return nil
-	}
-	c.listener.forget(c)
-	return c.Conn.Close()
-}
-
 // CloseWrite is called by net/http some time before Close; no further request is read then.
 func (c *conn) CloseWrite() error {
 	c.stop()
@@ -529,17 +470,6 @@
 	return nil
 }
 
-// SetLinger is that of a TCP connection. Close then closes it as the kernel is told here.
-func (c *conn) SetLinger(seconds int) error {
-	c.mu.Lock()
-	c.lingering = true
-	c.mu.Unlock()
-	if t, ok := unwrap[interface{ SetLinger(seconds int) error }](c.Conn); ok {
-		return t.SetLinger(seconds)
-	}
-	return nil
-}
-
 func (c *conn) stop() {
 	c.mu.Lock()
 	c.closed = true
--- a/pipeliner/listener.go
+++ b/pipeliner/listener.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -73,47 +72,3 @@
 	defer l.mu.Unlock()
 	delete(l.open, c)
 }
-
-// response is the writer of one answer.
-type response struct {
-	http.ResponseWriter
-	conn    *conn
-	decided bool
-}
-
-// Unwrap returns the wrapped writer, for http.ResponseController.
-func (w *response) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
-// WriteHeader writes the head of the answer.
-func (w *response) WriteHeader(status int) {
-	if status >= http.StatusOK {
-		w.decide()
-	}
-	w.ResponseWriter.WriteHeader(status)
-}
-
-// Write writes a part of the body.
-func (w *response) Write(p []byte) (int, error) {
-	w.decide()
-	return w.ResponseWriter.Write(p)
-}
-
-// FlushError writes what is buffered.
-func (w *response) FlushError() error {
-	w.decide()
-	return http.NewResponseController(w.ResponseWriter).Flush()
-}
-
-// decide sets the field Connection just before the head is written. What a handler put there is only a wish.
-func (w *response) decide() {
-	if w.decided {
-		return
-	}
-	w.decided = true
-	h := w.Header()
-	if w.conn.ends(h.Get("Connection") == "close") {
-		h.Set("Connection", "close")
-	} else {
-		h.Del("Connection")
-	}
-}
--- a/pipeliner/pipeliner.go
+++ b/pipeliner/pipeliner.go
@@ -61,7 +61,7 @@
 	}
 	s.ConnState = func(n net.Conn, t http.ConnState) {
 		if c, ok := n.(*conn); ok {
-			c.enter(t)
+			c.setState(t)
 			n = c.Conn
 		}
 		if change != nil {
