Account for bytes behind a series when the server reads them

Between two answers of a series the budget of connections took bytes that are read ahead for the head of the next request. Beyond max_header_bytes or without room for them it answered 431 or closed the connection, with requests behind it that targets run. The moment is short: the background read of net/http begins just before the handler. These bytes are accounted for when the server reads them, as those are that arrive while a handler runs.

--- a/admitter/listener.go
+++ b/admitter/listener.go
@@ -401,7 +401,8 @@
 		return over
 	}
 	h.Receive(now)
-	if h.Phase() == Idle {
+	// While a request runs that was started early, the bytes are read ahead; they are accounted for when the server reads them.
+	if h.Phase() == Idle && h.runs == 0 {
 		h.Enter(Head)
 	}
 	if h.Phase() != Head {
--- a/admitter/listener_test.go
+++ b/admitter/listener_test.go
@@ -302,6 +302,39 @@
 	}
 }
 
+// More arrives than a head may have while a connection is between two answers of a series. Guards against an answer to it that ends
+// the connection before those of requests that run: net/http gets these bytes only later, and they count then.
+func TestBytesBehindSeriesAreNoHead(t *testing.T) {
+	k, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = k.Close() }()
+	l := admitter.Listen(k, admitter.Config{Limits: wide, Bounds: func() admitter.Bounds { return admitter.Bounds{HeadBytes: 1} }, Report: func(r admitter.Report) {
+		t.Errorf("reported %s", r.Reason)
+	}})
+	x := &http.Server{Handler: http.HandlerFunc(ok), ReadHeaderTimeout: time.Minute}
+	l.Attach(x)
+	out, err := net.Dial("tcp", k.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = out.Close() }()
+	in, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = in.Close() }()
+	in.(interface{ BeginRun() }).BeginRun()
+	x.ConnState(in, http.StateIdle)
+	if _, err := out.Write(make([]byte, 8<<10)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(in, make([]byte, 8<<10)); err != nil {
+		t.Error(err)
+	}
+}
+
 // started is a pipelined request that was started.
 type started struct{}
 
