--- a/review/_rig3/rig/rig.go
+++ b/review/_rig3/rig/rig.go
@@ -314,3 +314,36 @@
 	}
 	return p.StatusCode, p.Header, string(b), nil
 }
+
+// Memory returns what the platform counts of the process, in bytes: its resident memory, and the bytes that its connections at its own
+// address have received and it has not read yet.
+func (i *Instance) Memory() (resident, unread int64) {
+	pid := i.Pid()
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, 0
+	}
+	for l := range strings.Lines(string(b)) {
+		if _, err := fmt.Sscanf(l, "VmRSS: %d kB", &resident); err == nil {
+			resident <<= 10
+		}
+	}
+	b, err = os.ReadFile(fmt.Sprintf("/proc/%d/net/tcp", pid))
+	if err != nil {
+		return resident, 0
+	}
+	a := net.ParseIP(i.IP).To4()
+	own := fmt.Sprintf("%02X%02X%02X%02X:", a[3], a[2], a[1], a[0])
+	for l := range strings.Lines(string(b)) {
+		// The fields are a number, the addresses, the state (0A listens), and the bytes that wait to be sent and to be read.
+		f := strings.Fields(l)
+		if len(f) < 5 || !strings.HasPrefix(f[1], own) || f[3] == "0A" {
+			continue
+		}
+		var tx, rx int64
+		if _, err := fmt.Sscanf(f[4], "%x:%x", &tx, &rx); err == nil {
+			unread += rx
+		}
+	}
+	return resident, unread
+}
