Log which rows of an earlier era of the store stay in force

After a restore of the store, event 2018 counts the rows that were lost and those kept, but names none.

Events 2020 and 2021 name each such row, its position, the version of the store's row beside it, and why it ends; 16 rows a change at most. Nothing is decided otherwise than before.

--- a/logger/events.go
+++ b/logger/events.go
@@ -56,6 +56,8 @@
 	pollOverdue        = register(2017, log.InfoLevel, "poll of a table ended because the store has a newer version")
 	eraAdopted         = register(2018, log.WarnLevel, "store was restored from an older snapshot; the table is taken over in its new era")
 	rowRewritten       = register(2019, log.InfoLevel, "own row of the instances was lost and is written again")
+	earlierRowKept     = register(2020, log.WarnLevel, "row of an earlier era of the store stays in force")
+	earlierRowEnded    = register(2021, log.WarnLevel, "row of an earlier era of the store is not in force any more")
 	peerUnserved       = register(2015, log.WarnLevel, "rows could not be sent to a peer")
 	evacuated          = register(2012, log.InfoLevel, "evacuated failure domains changed")
 	memberHeard        = register(3006, log.InfoLevel, "instance heard")
@@ -305,6 +307,32 @@
 	l.emit(eraAdopted, log.Fields{"table": table, "from": from, "to": to, "lost": lost, "kept": kept})
 }
 
+// EarlierRow is a row of an earlier era of the store.
+type EarlierRow struct {
+	Table, Key string
+	// Era and Version are those of the row; Removed is true if it is a removal.
+	Era, Version uint64
+	Removed      bool
+	// Present is the version of the store's row or removal of the key, or 0, and Ceiling the version above which the store's rows are known
+	// to be written in the present era.
+	Present, Ceiling uint64
+	// Ended tells why the row is not in force any more, or is empty.
+	Ended string
+}
+
+// EarlierRow reports that a row of an earlier era stays in force, or why it does not any more.
+func (l *Logger) EarlierRow(r EarlierRow) {
+	f := log.Fields{
+		"table": r.Table, "key": r.Key, "era": r.Era, "version": r.Version, "removed": r.Removed, "present": r.Present, "ceiling": r.Ceiling,
+	}
+	if r.Ended == "" {
+		l.emit(earlierRowKept, f)
+		return
+	}
+	f["reason"] = r.Ended
+	l.emit(earlierRowEnded, f)
+}
+
 // RowRewritten reports that this instance wrote its own row again in an era.
 func (l *Logger) RowRewritten(table string, era uint64) {
 	l.emit(rowRewritten, log.Fields{"table": table, "era": era})
--- a/replicator/copy.go
+++ b/replicator/copy.go
@@ -148,6 +148,9 @@
 
 // retain retains what the store lost, once the rows after the restore are known.
 func (c *Copy) retain(now time.Time) {
+	if c.earlier != nil {
+		c.retention.ceiling = c.content
+	}
 	for _, r := range c.earlier {
 		p := c.present(r.Key)
 		lost := !r.Removed
@@ -155,11 +158,14 @@
 			lost = r.Removed || !bytes.Equal(p.Value, r.Value)
 		}
 		kept := c.retention.add(now, now, r, p, c.content)
-		if lost {
-			c.adoption.Lost++
-			if kept {
-				c.adoption.Kept++
-			}
+		if !lost {
+			continue
+		}
+		c.adoption.Lost++
+		if kept {
+			c.adoption.Kept++
+		} else if r.Removed != (p == nil || p.Removed) {
+			c.retention.decide(r, p, Unretained)
 		}
 	}
 	c.earlier = nil
@@ -239,7 +245,7 @@
 func (c *Copy) Drop(now time.Time, key string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.retention.end(now, key)
+	return c.retention.end(now, key, c.present(key), Dropped)
 }
 
 // Review ends the retention of rows whose life is over, and reports whether there were any.
@@ -249,6 +255,15 @@
 	return c.retention.review(now, c.rows)
 }
 
+// Decisions returns what was decided about rows of earlier eras since the last call, maxDecisions at most.
+func (c *Copy) Decisions() []Decision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ds := c.retention.decisions
+	c.retention.decisions = nil
+	return ds
+}
+
 // Adoption returns the last adoption of an era.
 func (c *Copy) Adoption() Adoption {
 	c.mu.Lock()
--- a/replicator/era.go
+++ b/replicator/era.go
@@ -52,6 +52,35 @@
 	Lost, Kept int
 }
 
+// Reasons why a row of an earlier era is not in force any more.
+const (
+	// Superseded means that the store has a row or a removal that was written later, or that says so.
+	Superseded = "superseded"
+	// Expired means that the life of the row is over.
+	Expired = "expired"
+	// Unretained means that the store lost the row, and that rows of its kind do not stay in force.
+	Unretained = "unretained"
+	// Dropped means that the user of the copy ended the retention.
+	Dropped = "dropped"
+)
+
+// maxDecisions bounds the decisions that a copy keeps until they are logged.
+const maxDecisions = 16
+
+// Decision is what a copy decided about a row of an earlier era.
+type Decision struct {
+	Key string
+	// Row is the position of the row, and Removed is true if it is a removal.
+	Row     Position
+	Removed bool
+	// Present is the version of the store's row or removal, or 0.
+	Present uint64
+	// Ceiling is a version that the store had in the present era: what it has above was written in that era.
+	Ceiling uint64
+	// Ended tells why the row is not in force any more; it is empty if the row stays in force.
+	Ended string
+}
+
 // retained is a row of an earlier era with the time since when it is retained, and the version of the store's row at that time.
 type retained struct {
 	Row
@@ -70,6 +99,9 @@
 	Retention
 	rows  map[string]retained
 	ended map[string]ended
+	// ceiling is the version that the store had when rows were last retained.
+	ceiling   uint64
+	decisions []Decision
 }
 
 func newRetention(r Retention) retention {
@@ -80,6 +112,17 @@
 	return Position{Era: r.Era, Version: r.Version}
 }
 
+func (r *retention) decide(x Row, present *Row, reason string) {
+	if len(r.decisions) == maxDecisions {
+		return
+	}
+	d := Decision{Key: x.Key, Row: x.position(), Removed: x.Removed, Ceiling: r.ceiling, Ended: reason}
+	if present != nil {
+		d.Present = present.Version
+	}
+	r.decisions = append(r.decisions, d)
+}
+
 func (r *retention) compare(a, b Row) int {
 	if r.Compare == nil {
 		return 0
@@ -125,6 +168,7 @@
 		n.basis = present.Version
 	}
 	r.rows[x.Key] = n
+	r.decide(x, present, "")
 	return true
 }
 
@@ -138,7 +182,11 @@
 			present, basis = &p, p.Version
 		}
 		if l := r.life(x.Row, present, basis != x.basis); l <= 0 || now.Sub(x.since) >= l {
-			r.end(now, k)
+			reason := Superseded
+			if l > 0 {
+				reason = Expired
+			}
+			r.end(now, k, present, reason)
 			changed = true
 		}
 	}
@@ -146,12 +194,13 @@
 	return changed
 }
 
-// end ends the retention of a row and reports whether there was one.
-func (r *retention) end(now time.Time, key string) bool {
+// end ends the retention of a row for a reason and reports whether there was one.
+func (r *retention) end(now time.Time, key string, present *Row, reason string) bool {
 	x, ok := r.rows[key]
 	if ok {
 		delete(r.rows, key)
 		r.ended[key] = ended{position: x.position(), at: now}
+		r.decide(x.Row, present, reason)
 	}
 	return ok
 }
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -628,6 +628,11 @@
 	if v.Era != before.Era {
 		r.adopted(t, now, before)
 	}
+	for _, d := range t.copy.Decisions() {
+		r.config.Log.EarlierRow(logger.EarlierRow{
+			Table: t.Name, Key: d.Key, Era: d.Row.Era, Version: d.Row.Version, Removed: d.Removed, Present: d.Present, Ceiling: d.Ceiling, Ended: d.Ended,
+		})
+	}
 	if h.Settled && h.Era == v.Era {
 		t.doubtful.Store(&time.Time{})
 	}
