Follow what was written since a restore of the store, whoever reads it when

The other direction too: a lost order that was written again and taken back at once kept the zone empty for 10 min, and an instance that was cut off or paused brought an order back to all others that had been taken back long before.

Versions are assigned again after a restore, so equal numbers prove nothing.

Fix: proofs of the order of two writes decide. What is above the lowest version that any instance was told in the era was written in it; a version that is not lower than that of the remembered row follows it; so does one at which the key did not change in the earlier era. Removals, which a whole table does not show, are read after a restore and kept for 10 min. Copies tell up to which version they knew an era, so that a row which they saw end does not come back from a peer. Lives count from the first adoption of the era.

Rows of instances had no such fault.

--- a/handler/era_test.go
+++ b/handler/era_test.go
@@ -101,4 +101,9 @@
 	if n := count(k); n != 2 {
 		t.Errorf("%d instances after a peer told what it retains", n)
 	}
+	h, _ = k.SinceIn(now, other.Version().Position())
+	other.Merge(now, h)
+	if n := count(other); n != 3 {
+		t.Errorf("%d instances at a peer that did not drop one", n)
+	}
 }
--- a/handler/rows.go
+++ b/handler/rows.go
@@ -55,8 +55,8 @@
 
 // retainInstance has an instance count whose row the restored store lacks, or the others would grant its part of each allowance too.
 // Its row ends when it was silent for idleRowLife.
-func retainInstance(earlier replicator.Row, present *replicator.Row) time.Duration {
-	if earlier.Removed || present != nil {
+func retainInstance(earlier replicator.Row, present *replicator.Row, _ bool) time.Duration {
+	if earlier.Removed || present != nil && !present.Removed {
 		return 0
 	}
 	return replicator.Forever
--- a/replicator/copy.go
+++ b/replicator/copy.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -12,7 +13,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// TombstoneLife is how long a copy remembers a removed row; a peer that is further behind gets the whole copy.
+// TombstoneLife is how long a copy remembers a removed row in era 0, and 10 min in later ones; a peer that is further behind gets the
+// whole copy.
 const TombstoneLife = time.Minute
 
 // Row is a row of a table.
@@ -67,6 +69,12 @@
 	Retained []RetainedRow
 	// Settled is true if a peer has what others retain, as far as it can know.
 	Settled bool
+	// Ceiling is the lowest version that the store had in the era as far as the peer knows, or 0, and Age is how long the era has
+	// been known.
+	Ceiling uint64
+	Age     time.Duration
+	// Complete is, by earlier era, the version up to which the peer knew each row of it.
+	Complete map[uint64]uint64
 }
 
 // Copy is a copy of one table; it is safe for concurrent use.
@@ -80,8 +88,10 @@
 	// nothing is.
 	settled bool
 	// earlier are the rows before the restore until the rows after it are known; adoption is the last one of an era.
-	earlier  []Row
+	earlier  []retained
 	adoption Adoption
+	// unchanged are, by key, versions of the era at which it did not change.
+	unchanged map[string]span
 	// followed is the version from which the table is followed; content is the version of the newest change, as far as known.
 	followed, content uint64
 	// history is the version from which on the copy holds each change. Of older ones, removals are missing: those before the
@@ -100,7 +110,7 @@
 
 // NewRetainingCopy returns an empty copy.
 func NewRetainingCopy(r Retention) *Copy {
-	return &Copy{rows: map[string]Row{}, removed: map[string]time.Time{}, digest: emptyDigest, retention: newRetention(r)}
+	return &Copy{rows: map[string]Row{}, removed: map[string]time.Time{}, unchanged: map[string]span{}, digest: emptyDigest, retention: newRetention(r)}
 }
 
 // emptyDigest is that of a table without rows, since 0 means that a digest is not known.
@@ -116,22 +126,39 @@
 
 // admit reports whether a change may be merged. The first whole table of a higher era begins a new copy; a change of a lower era
 // arrived late, and one of a higher era tells nothing about the rows before it.
-func (c *Copy) admit(h Change) bool {
+func (c *Copy) admit(now time.Time, h Change) bool {
 	if h.Era == c.era {
 		return true
 	}
 	if h.Era < c.era || !h.Whole {
 		return false
 	}
-	c.earlier = c.inForce()
+	c.earlier = c.beforeRestore()
 	c.settled = c.known && c.isSettled()
 	c.adoption = Adoption{From: c.era, To: h.Era}
+	if c.settled {
+		c.retention.complete[c.era] = c.content
+	}
+	c.retention.begin(now)
 	c.era, c.known = h.Era, false
 	c.followed, c.content, c.history, c.digest = 0, 0, 0, emptyDigest
-	c.rows, c.removed, c.retention.rows = map[string]Row{}, map[string]time.Time{}, map[string]retained{}
+	c.rows, c.removed, c.unchanged = map[string]Row{}, map[string]time.Time{}, map[string]span{}
 	return true
 }
 
+// beforeRestore returns the rows that are in force, with the removed ones that are remembered and what is known of their keys.
+func (c *Copy) beforeRestore() []retained {
+	var rs []retained
+	for _, r := range c.inForce() {
+		x := retained{Row: r, unchanged: c.unchanged[r.Key]}
+		if o, ok := c.retention.rows[r.Key]; ok {
+			x.unchanged = o.unchanged
+		}
+		rs = append(rs, x)
+	}
+	return rs
+}
+
 // inForce returns the rows that are in force, with the removed ones that are remembered.
 func (c *Copy) inForce() []Row {
 	rs := make([]Row, 0, len(c.rows))
@@ -148,16 +175,14 @@
 
 // retain retains what the store lost, once the rows after the restore are known.
 func (c *Copy) retain(now time.Time) {
-	if c.earlier != nil {
-		c.retention.ceiling = c.content
-	}
 	for _, r := range c.earlier {
 		p := c.present(r.Key)
 		lost := !r.Removed
 		if p != nil && !p.Removed {
 			lost = r.Removed || !bytes.Equal(p.Value, r.Value)
 		}
-		kept := c.retention.add(now, now, r, p, c.content)
+		r.since = c.retention.began
+		kept := c.retention.add(now, r, p)
 		if !lost {
 			continue
 		}
@@ -165,7 +190,7 @@
 		if kept {
 			c.adoption.Kept++
 		} else if r.Removed != (p == nil || p.Removed) {
-			c.retention.decide(r, p, Unretained)
+			c.retention.decide(r.Row, p, Unretained)
 		}
 	}
 	c.earlier = nil
@@ -187,10 +212,14 @@
 func (c *Copy) Apply(now time.Time, h Change) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.admit(h) {
+	if !c.admit(now, h) {
 		return false
 	}
+	if !h.Whole {
+		c.noteUnchanged(h.Rows)
+	}
 	c.followed = max(c.followed, h.Version)
+	c.retention.bound(now, h.Version, 0)
 	changed := c.merge(now, h, 0)
 	if h.Whole {
 		// The newest change may be a removal, which a whole table does not show.
@@ -199,14 +228,33 @@
 	return changed
 }
 
+// noteUnchanged notes that keys which change now had not changed since their last version, or since the history of the copy begins, up to
+// the version from which the store was followed.
+func (c *Copy) noteUnchanged(rs []Row) {
+	for _, r := range rs {
+		after := c.history
+		if o, ok := c.rows[r.Key]; ok {
+			after = o.Version
+		}
+		if r.Version > after && c.followed > after {
+			c.unchanged[r.Key] = span{after: after, until: c.followed}
+		}
+	}
+}
+
 // Merge is like Apply for a change of a peer. A known table is still followed from the version that the store itself told, and
 // rows up to it are known.
 func (c *Copy) Merge(now time.Time, h Change) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.admit(h) {
+	if !c.admit(now, h) {
 		return false
 	}
+	ceiling := h.Ceiling
+	if ceiling == 0 {
+		ceiling = h.Version
+	}
+	c.retention.bound(now, ceiling, h.Age)
 	after := c.followed
 	if !c.known {
 		after, c.followed = 0, max(c.followed, h.Version)
@@ -214,11 +262,7 @@
 	changed := c.merge(now, h, after)
 	// The peer's newest change may be a removal that it has forgotten.
 	c.content = max(c.content, h.Version)
-	for _, x := range h.Retained {
-		if x.Era < c.era {
-			changed = c.retention.add(now, now.Add(-max(x.Age, 0)), x.Row, c.present(x.Key), h.Version) || changed
-		}
-	}
+	changed = c.retention.merge(now, h, c.present) || changed
 	if h.Settled && !c.isSettled() {
 		c.settled, changed = true, true
 	}
@@ -245,7 +289,7 @@
 func (c *Copy) Drop(now time.Time, key string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.retention.end(now, key, c.present(key), Dropped)
+	return c.retention.drop(now, key, c.present(key))
 }
 
 // Review ends the retention of rows whose life is over, and reports whether there were any.
@@ -264,6 +308,33 @@
 	return ds
 }
 
+// MissingAfter returns the version after which to look for the removals of rows in force that a whole table of a later era lacks: the
+// newest one below them that the table seems to share with the copy. ok is false if it lacks none.
+func (c *Copy) MissingAfter(h Change) (after uint64, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.known || h.Era <= c.era || !h.Whole {
+		return 0, false
+	}
+	listed := make(map[string]Row, len(h.Rows))
+	for _, r := range h.Rows {
+		listed[r.Key] = r
+	}
+	lowest := uint64(math.MaxUint64)
+	rs := slices.DeleteFunc(c.inForce(), func(r Row) bool { return r.Removed })
+	for _, r := range rs {
+		if _, there := listed[r.Key]; !there {
+			lowest, ok = min(lowest, r.Version), true
+		}
+	}
+	for _, r := range rs {
+		if p := listed[r.Key]; p.Version == r.Version && r.Version < lowest && bytes.Equal(p.Value, r.Value) {
+			after = max(after, r.Version)
+		}
+	}
+	return after, ok
+}
+
 // Adoption returns the last adoption of an era.
 func (c *Copy) Adoption() Adoption {
 	c.mu.Lock()
@@ -344,8 +415,13 @@
 }
 
 func (c *Copy) forget(now time.Time) {
+	life := TombstoneLife
+	if c.era > 0 {
+		// A peer that learns of the era later may have a row of an earlier one that was removed in this one.
+		life = endedLife
+	}
 	for k, t := range c.removed {
-		if now.Sub(t) > TombstoneLife {
+		if now.Sub(t) > life {
 			c.history = max(c.history, c.rows[k].Version)
 			delete(c.removed, k)
 			delete(c.rows, k)
@@ -382,6 +458,7 @@
 	h = c.since(p.Version)
 	if h.Era > 0 {
 		h.Retained, h.Settled = c.retention.list(now), c.isSettled()
+		h.Ceiling, h.Age, h.Complete = c.retention.ceiling, now.Sub(c.retention.began), maps.Clone(c.retention.complete)
 	}
 	return h, c.known
 }
--- a/replicator/era_test.go
+++ b/replicator/era_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"regexp"
 	"strconv"
 	"strings"
@@ -23,7 +24,7 @@
 // numbered retains the row with the higher number, and rows that the store lacks.
 var numbered = replicator.Retention{
 	Compare: func(a, b replicator.Row) int { return cmp.Compare(number(a.Value), number(b.Value)) },
-	Life: func(earlier replicator.Row, _ *replicator.Row) time.Duration {
+	Life: func(earlier replicator.Row, _ *replicator.Row, _ bool) time.Duration {
 		if earlier.Removed {
 			return 0
 		}
@@ -472,6 +473,12 @@
 			t.Errorf("%s: %s", q, got)
 		}
 	}
+	h := httptest.NewServer(r)
+	defer h.Close()
+	x, err := replicator.Fetch(t.Context(), h.Client(), netip.MustParseAddrPort(h.Listener.Addr().String()), "op", replicator.Position{Era: 1, Version: 1})
+	if err != nil || x.Ceiling != 1 || !maps.Equal(x.Complete, map[uint64]uint64{0: 4}) || x.Age < 0 || len(x.Retained) != 1 {
+		t.Errorf("%+v, %v, want what is known of the earlier era", x, err)
+	}
 	if got := ask("after=1&era=x"); !strings.Contains(got, "era") {
 		t.Errorf("an era that is no number: %s", got)
 	}
--- a/replicator/peer.go
+++ b/replicator/peer.go
@@ -62,9 +62,17 @@
 	Whole   bool      `json:"whole"`
 	Digest  uint64    `json:"digest,omitempty"`
 	// The fields below are left out in era 0.
-	Era      uint64         `json:"era,omitempty"`
-	Retained []retainedText `json:"retained,omitempty"`
-	Settled  bool           `json:"settled,omitempty"`
+	Era             uint64         `json:"era,omitempty"`
+	Retained        []retainedText `json:"retained,omitempty"`
+	Settled         bool           `json:"settled,omitempty"`
+	Ceiling         uint64         `json:"ceiling,omitempty"`
+	AgeMilliseconds int64          `json:"age_ms,omitempty"`
+	Complete        []positionText `json:"complete,omitempty"`
+}
+
+type positionText struct {
+	Era     uint64 `json:"era"`
+	Version uint64 `json:"version"`
 }
 
 // ServeHTTP answers a peer with the rows of a table after a position, whose era is 0 if it is not stated.
@@ -86,7 +94,7 @@
 		http.Error(w, "the table is not known here", http.StatusServiceUnavailable)
 		return
 	}
-	c := changeText{Version: h.Version, Whole: h.Whole, Digest: h.Digest, Era: h.Era, Settled: h.Settled}
+	c := changeText{Version: h.Version, Whole: h.Whole, Digest: h.Digest, Era: h.Era, Settled: h.Settled, Ceiling: h.Ceiling, AgeMilliseconds: h.Age.Milliseconds()}
 	for _, x := range h.Rows {
 		// The era of the answer is that of its rows.
 		x.Era = 0
@@ -98,6 +106,9 @@
 	for _, x := range h.Retained {
 		c.Retained = append(c.Retained, retainedText{rowText: rowText(x.Row), AgeMilliseconds: x.Age.Milliseconds()})
 	}
+	for e, v := range h.Complete {
+		c.Complete = append(c.Complete, positionText{Era: e, Version: v})
+	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(c); err != nil {
 		r.config.Log.PeerUnserved(q.FormValue("table"), h.Version, err)
@@ -173,6 +184,14 @@
 			err = d.Decode(&h.Era)
 		case "settled":
 			err = d.Decode(&h.Settled)
+		case "ceiling":
+			err = d.Decode(&h.Ceiling)
+		case "complete":
+			h.Complete, err = decodeComplete(d)
+		case "age_ms":
+			var ms int64
+			err = d.Decode(&ms)
+			h.Age = time.Duration(ms) * time.Millisecond
 		case "retained":
 			h.Retained, err = decodeRetained(d)
 		default:
@@ -197,6 +216,15 @@
 	})
 }
 
+func decodeComplete(d *json.Decoder) (map[uint64]uint64, error) {
+	ps, err := decodeList(d, func(p positionText) Position { return Position(p) })
+	m := make(map[uint64]uint64, len(ps))
+	for _, p := range ps {
+		m[p.Era] = p.Version
+	}
+	return m, err
+}
+
 // decodeList decodes a list row by row.
 func decodeList[T, R any](d *json.Decoder, row func(T) R) ([]R, error) {
 	t, err := d.Token()
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -59,6 +59,8 @@
 	// missingPause is how long such a copy waits if a peer was heard that retains rows: they may be a newer configuration, in which a
 	// key was withdrawn. A fetch fails for this long only if the link is cut.
 	missingPause = 30 * time.Second
+	// removalPages bounds the calls for removals after a restore.
+	removalPages = 8
 	// retainedPause is the time between two calls of peers for rows that they retain and that this copy does not have.
 	retainedPause = 2 * time.Second
 	// peerTimeout is the time until the answer of a peer begins, and the longest pause in it.
@@ -353,6 +355,9 @@
 	if err == nil {
 		err = r.checkEra(h, whole, after.Era)
 	}
+	if err == nil && whole {
+		h, err = r.addRemovals(c, t, h)
+	}
 	switch {
 	case h.More:
 		return h, time.Time{}, err
@@ -363,6 +368,34 @@
 	return h, start.Add(min(wait, r.config.Clock().Sub(start))), err
 }
 
+// addRemovals adds the removals that may concern rows which a whole table of a later era lacks. Without them a row that was written and
+// removed again before the table is read would be taken for lost.
+func (r *Replicator) addRemovals(ctx context.Context, t *table, h Change) (Change, error) {
+	after, ok := t.copy.MissingAfter(h)
+	for range removalPages {
+		if !ok || after >= h.Version {
+			break
+		}
+		f, err := r.config.Source.Follow(ctx, t.Name, after, 0)
+		switch {
+		case errors.Is(err, ErrCompacted):
+			return h, nil
+		case err != nil:
+			return Change{Era: f.Era}, err
+		case f.Era != h.Era:
+			return Change{Era: f.Era}, errRestored
+		}
+		for _, x := range f.Rows {
+			// Later ones arrive when the table is followed.
+			if x.Removed && x.Version <= h.Version {
+				h.Rows = append(h.Rows, x)
+			}
+		}
+		after, ok = f.Version, f.More
+	}
+	return h, nil
+}
+
 // checkEra returns why an answer of the store may not be used: it is of an earlier era, or it lists what changed since a version of
 // another era.
 func (r *Replicator) checkEra(h Change, whole bool, after uint64) error {
