--- a/replicator/copy.go
+++ b/replicator/copy.go
@@ -219,7 +219,7 @@
 		c.noteUnchanged(h.Rows)
 	}
 	c.followed = max(c.followed, h.Version)
-	c.retention.bound(now, h.Version, 0)
+	c.retention.observe(now, h.Version, 0)
 	changed := c.merge(now, h, 0)
 	if h.Whole {
 		// The newest change may be a removal, which a whole table does not show.
@@ -254,7 +254,7 @@
 	if ceiling == 0 {
 		ceiling = h.Version
 	}
-	c.retention.bound(now, ceiling, h.Age)
+	c.retention.observe(now, ceiling, h.Age)
 	after := c.followed
 	if !c.known {
 		after, c.followed = 0, max(c.followed, h.Version)
--- a/replicator/era.go
+++ b/replicator/era.go
@@ -137,8 +137,8 @@
 	r.ceiling, r.began = math.MaxUint64, now
 }
 
-// bound takes over a version that the store had in the present era, and for how long an instance has known that era.
-func (r *retention) bound(now time.Time, version uint64, age time.Duration) {
+// observe takes over a version that the store had in the present era, and for how long an instance has known that era.
+func (r *retention) observe(now time.Time, version uint64, age time.Duration) {
 	r.ceiling = min(r.ceiling, version)
 	b := now.Add(-max(age, 0))
 	if !b.Before(r.began) {
