Forget what is known of a key together with its removal

The versions at which a key did not change, kept since, outlived the row and its removal: a process kept some 100 bytes for each target that ever left. Found in reading the diff. No decision depends on an entry whose key is gone.

--- a/replicator/copy.go
+++ b/replicator/copy.go
@@ -425,6 +425,7 @@
 			c.history = max(c.history, c.rows[k].Version)
 			delete(c.removed, k)
 			delete(c.rows, k)
+			delete(c.unchanged, k)
 		}
 	}
 }
