--- a/handler/era_test.go
+++ b/handler/era_test.go
@@ -107,3 +107,26 @@
 		t.Errorf("%d instances at a peer that did not drop one", n)
 	}
 }
+
+// Guards against an instance that was removed after the restore and still counts at one that reads the table later, and against one
+// that does not count because of a removal before it registered.
+func TestInstanceRemovedAfterRestore(t *testing.T) {
+	now := time.Date(2026, 12, 8, 1, 0, 0, 0, time.UTC)
+	row := func(key string, version uint64, removed bool) replicator.Row {
+		return replicator.Row{Key: key, Value: []byte(`{}`), Version: version, Removed: removed}
+	}
+	for removal, want := range map[uint64]int{2: 2, 3: 1, 4: 1} {
+		first, late := replicator.NewRetainingCopy(handler.InstanceRetention), replicator.NewRetainingCopy(handler.InstanceRetention)
+		for _, c := range []*replicator.Copy{first, late} {
+			c.Apply(now, replicator.Change{Rows: []replicator.Row{row("a", 1, false), row("b", 3, false)}, Version: 3, Whole: true})
+		}
+		first.Apply(now, replicator.Change{Era: 1, Rows: []replicator.Row{row("a", 1, false), row("b", removal, true)}, Version: removal, Whole: true})
+		h, _ := first.SinceIn(now, late.Version().Position())
+		late.Merge(now, h)
+		for who, c := range map[string]*replicator.Copy{"first": first, "late": late} {
+			if rs, _ := c.Rows(); len(rs) != want {
+				t.Errorf("removal at version %d: %d instances count at the %s reader, want %d", removal, len(rs), who, want)
+			}
+		}
+	}
+}
